--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,28 @@
+/*
+ * The entry service of a node, see docs/design.md. Runs on the kernel's thread.
+ */
+#ifndef MASTICPITCH_ENTRY_H
+#define MASTICPITCH_ENTRY_H
+
+#include "kernel.h"
+#include "settings.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct entry entry_t;
+
+/*
+ * Registers the service "entry" and opens its sockets; settings must outlive it.
+ * Errors: MASTICPITCH_E_ADDRESS_IN_USE, MASTICPITCH_E_IO, MASTICPITCH_E_NOMEM.
+ */
+int entry_create(kernel_t *kernel, const settings_t *settings, entry_t **result);
+/* Closes and unregisters; NULL is allowed. */
+void entry_destroy(entry_t *service);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,84 @@
+/*
+ * JSON-lines log on a file descriptor, with levels and a limit on repeated
+ * lines. One thread.
+ */
+#ifndef MASTICPITCH_LOG_H
+#define MASTICPITCH_LOG_H
+
+#include "masticpitch/masticpitch.h"
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef enum log_level {
+	LOG_LEVEL_DEBUG,
+	LOG_LEVEL_INFO,
+	LOG_LEVEL_WARNING,
+	LOG_LEVEL_ERROR
+} log_level_t;
+
+/* Lines with the same message that pass in one second; the rest is counted. */
+#define LOG_REPEATS_PER_S 10
+#define LOG_REPEAT_SLOTS 64
+/* Longest line, bytes; longer values are cut. */
+#define LOG_LINE_MAX 2048
+
+typedef struct log_repeat {
+	uint64_t message_hash;
+	uint64_t second;
+	uint32_t passed;
+	uint32_t suppressed;
+} log_repeat_t;
+
+typedef struct log {
+	int fd;
+	log_level_t level;
+	char node[24];	     /* peer address of the node, or empty */
+	uint64_t suppressed; /* lines, since the start */
+	log_repeat_t repeats[LOG_REPEAT_SLOTS];
+} log_t;
+
+typedef enum log_kind { LOG_KIND_END, LOG_KIND_TEXT, LOG_KIND_NUMBER } log_kind_t;
+
+/* One key with its value. */
+typedef struct log_field {
+	log_kind_t kind;
+	const char *key;
+	const char *text;
+	int64_t number;
+} log_field_t;
+
+#define LOG_TEXT(key, value) ((log_field_t){LOG_KIND_TEXT, (key), (value), 0})
+#define LOG_NUMBER(key, value) \
+	((log_field_t){LOG_KIND_NUMBER, (key), NULL, (int64_t)(value)})
+
+void log_init(log_t *log, int fd, log_level_t level);
+
+/* Errors: MASTICPITCH_E_INVALID; names are debug, info, warning, error. */
+int log_level_parse(const char *name, log_level_t *level);
+
+/*
+ * Writes {"time","level","node","message",fields...}. The message is a
+ * constant text; what varies goes into fields, which end with LOG_KIND_END.
+ */
+void log_write(
+    log_t *log, log_level_t level, const char *message, const log_field_t *fields);
+
+#define LOG_EVENT(log, level, message, ...) \
+	log_write((log), (level), (message), \
+	    (const log_field_t[]){ \
+		__VA_ARGS__ __VA_OPT__(, ){LOG_KIND_END, NULL, NULL, 0}})
+
+#define log_debug(log, ...) LOG_EVENT((log), LOG_LEVEL_DEBUG, __VA_ARGS__)
+#define log_info(log, ...) LOG_EVENT((log), LOG_LEVEL_INFO, __VA_ARGS__)
+#define log_warning(log, ...) LOG_EVENT((log), LOG_LEVEL_WARNING, __VA_ARGS__)
+#define log_error(log, ...) LOG_EVENT((log), LOG_LEVEL_ERROR, __VA_ARGS__)
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/member_types.h
@@ -0,0 +1,50 @@
+/*
+ * What the member table says of one node; passed between services by value.
+ */
+#ifndef MASTICPITCH_MEMBER_TYPES_H
+#define MASTICPITCH_MEMBER_TYPES_H
+
+#include "os.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define NAME_BYTES 65 /* 64 characters and a terminator */
+#define ZONE_BYTES 33 /* 32 characters and a terminator */
+
+typedef enum member_state {
+	MEMBER_ALIVE,
+	MEMBER_SUSPECT,
+	MEMBER_LEAVING,
+	MEMBER_DOWN
+} member_state_t;
+
+typedef enum instance_state {
+	INSTANCE_NONE,	   /* the node fronts no backend server now */
+	INSTANCE_STARTING, /* announced, not ready */
+	INSTANCE_READY,
+	INSTANCE_LEAVING
+} instance_state_t;
+
+/* The backend server that a node fronts. */
+typedef struct instance {
+	instance_state_t state;
+	char service[NAME_BYTES];
+	uint32_t slots;	      /* calls it runs at once */
+	uint32_t connections; /* most connections to it */
+	uint32_t sequence;    /* grows with each change within a boot of the node */
+} instance_t;
+
+typedef struct member {
+	uint64_t node;	   /* address_to_node_id(&address) */
+	address_t address; /* peers' address, TCP and UDP */
+	char zone[ZONE_BYTES];
+	char region[ZONE_BYTES];
+	uint64_t incarnation; /* wall clock at start, ms; raised to refute */
+	member_state_t state;
+	instance_t instance;
+	uint64_t config_version; /* in force there, as last heard */
+	bool reachable;		 /* false while the member's zone is unreachable; local */
+} member_t;
+
+#endif
--- /dev/null
+++ b/src/message.h
@@ -0,0 +1,176 @@
+/*
+ * Messages between the services of a node. A message belongs to the kernel
+ * from kernel_message_post() on; the receiver may take a content pointer by
+ * setting it to NULL in the message.
+ *
+ * A request is a stream. CALL_* messages go from the entry towards the gate,
+ * ANSWER_*, REFUSAL and STREAM_LOST back. A stream is named by (from service,
+ * node, stream): node 0 is this node; with another node the message passes
+ * through the service "peer" on both ends, which keeps node and stream.
+ * A receiver answers to message->from with the same node and stream.
+ */
+#ifndef MASTICPITCH_MESSAGE_H
+#define MASTICPITCH_MESSAGE_H
+
+#include "buffer.h"
+#include "headers.h"
+#include "list.h"
+#include "member_types.h"
+#include "preset.h"
+#include "reason.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct service;
+struct snapshot;
+
+typedef enum message_type {
+	MESSAGE_CALL_OPEN,
+	MESSAGE_CALL_DATA,   /* a piece of the request body */
+	MESSAGE_CALL_CREDIT, /* from the receiver of the request body */
+	MESSAGE_CALL_CANCEL,
+	MESSAGE_ANSWER_HEAD,
+	MESSAGE_ANSWER_DATA,	/* a piece of the answer body */
+	MESSAGE_ANSWER_CREDIT,	/* from the receiver of the answer body */
+	MESSAGE_ANSWER_ABORT,	/* the answer ends short after its head */
+	MESSAGE_REFUSAL,	/* in place of ANSWER_HEAD; ends the stream */
+	MESSAGE_STREAM_LOST,	/* from peer: the connection broke; ends the stream */
+	MESSAGE_CONTROL,	/* configuration and membership between nodes */
+	MESSAGE_CONTROL_FAILED, /* from peer: no connection; the bytes were dropped */
+	MESSAGE_MEMBER,		/* from membership: a member is new or changed */
+	MESSAGE_MEMBER_REMOVED, /* from membership: forgotten */
+	MESSAGE_INSTANCE,	/* from gate to membership: the local instance */
+	MESSAGE_CRASH_REPORT,	/* about a fingerprint, see quarantine.h */
+	MESSAGE_VERSION,	/* config to membership: version now in force */
+	MESSAGE_VERSION_HEARD,	/* membership to config: a member's version */
+	MESSAGE_SNAPSHOT,	/* from config: the configuration now in force */
+	MESSAGE_QUERY,		/* from operators: report your state */
+	MESSAGE_REPORT,		/* JSON text in answer to a query */
+	MESSAGE_LEAVE		/* from node: shutdown has begun */
+} message_type_t;
+
+/* Most bytes of body in one CALL_DATA or ANSWER_DATA message. */
+#define STREAM_DATA_MAX (16 * 1024)
+/* Bytes a sender may have out before credit comes back. */
+#define STREAM_WINDOW (256 * 1024)
+/* Levels of nested calls. */
+#define CALL_DEPTH_MAX 19
+#define REQUEST_ID_BYTES 49
+#define TRACE_BYTES 56
+#define TICKET_BYTES 257
+
+/* The head of a request on its way to a gate. */
+typedef struct call_head {
+	char method[16];
+	char *path;	     /* with query; owned */
+	headers_t headers;   /* without hop-by-hop and own fields */
+	int64_t body_length; /* bytes; -1: unknown (chunked) */
+	bool has_body;	     /* CALL_DATA follow, the last one with end set */
+	char service[NAME_BYTES];
+	route_class_t route_class;
+	bool idempotent;
+	uint64_t deadline; /* monotonic, ns */
+	uint32_t depth;	   /* 0 for a call from outside the mesh */
+	uint32_t attempt;  /* 1 for the first */
+	char request_id[REQUEST_ID_BYTES];
+	char trace[TRACE_BYTES];
+	char ticket[TICKET_BYTES]; /* empty: none */
+	uint64_t fingerprint;	   /* 0: none */
+} call_head_t;
+
+/* What a gate says of its load; rides on every answer head and refusal. */
+typedef struct load_report {
+	uint32_t running;
+	uint32_t queued;
+	uint32_t limit; /* adaptive limit, calls */
+	uint32_t slots;
+	uint32_t latency_us; /* smoothed backend latency */
+} load_report_t;
+
+typedef struct answer_head {
+	int status;
+	headers_t headers;
+	int64_t body_length; /* bytes; -1: unknown */
+	load_report_t load;
+} answer_head_t;
+
+typedef struct refusal {
+	reason_t reason;
+	run_state_t run;
+	bool final; /* no entry above may try again */
+	load_report_t load;
+	uint32_t retry_after_ms; /* 0: nothing is known */
+} refusal_t;
+
+/* Who gets a MESSAGE_CONTROL on the other node. */
+typedef enum control_kind { CONTROL_CONFIG = 1, CONTROL_MEMBERSHIP = 2 } control_kind_t;
+
+/* What operators ask a service for. */
+typedef enum query_kind {
+	QUERY_STATUS,	 /* config, membership, entry, gate: a JSON object */
+	QUERY_INSTANCES, /* entry: instances with what balancing knows of them */
+	QUERY_EXPLAIN	 /* entry: route, service, class, limits, instances */
+} query_kind_t;
+
+typedef struct query {
+	query_kind_t kind;
+	char method[16];		/* EXPLAIN */
+	char path[PRESET_PREFIX_BYTES]; /* EXPLAIN */
+} query_t;
+
+typedef struct message {
+	list_t link;
+	message_type_t type;
+	struct service *to;
+	struct service *from;
+	uint64_t node;
+	uint64_t stream;
+	union {
+		call_head_t *call; /* CALL_OPEN */
+		struct {
+			chunk_t *chunk; /* may be NULL with end */
+			bool end;	/* the body is complete */
+		} data;			/* CALL_DATA, ANSWER_DATA */
+		uint32_t credit;	/* bytes; CALL_CREDIT, ANSWER_CREDIT */
+		answer_head_t *answer;	/* ANSWER_HEAD */
+		refusal_t refusal;	/* REFUSAL, ANSWER_ABORT, STREAM_LOST */
+		struct {
+			control_kind_t kind;
+			chunk_t *payload;
+		} control;	     /* CONTROL; to peer: node is the target */
+		member_t member;     /* MEMBER; MEMBER_REMOVED: node only */
+		instance_t instance; /* INSTANCE */
+		struct {
+			uint64_t fingerprint;
+			uint64_t death; /* id of the backend server's death */
+			bool cleared;	/* a success withdraws the report */
+		} crash_report;		/* CRASH_REPORT */
+		struct {
+			uint64_t version;
+			uint64_t floor;	   /* of this node, as that member saw it */
+		} version;		   /* VERSION, VERSION_HEARD */
+		struct snapshot *snapshot; /* SNAPSHOT; one reference */
+		query_t query;		   /* QUERY; stream names it */
+		chunk_t *report;	   /* REPORT: JSON object, same stream */
+	} u;
+} message_t;
+
+call_head_t *call_head_create(void);
+/* Deep copy, for another attempt; NULL: no memory. */
+call_head_t *call_head_copy(const call_head_t *head);
+void call_head_destroy(call_head_t *head);
+answer_head_t *answer_head_create(void);
+void answer_head_destroy(answer_head_t *head);
+
+/* NULL: no memory. */
+message_t *message_create(message_type_t type, uint64_t node, uint64_t stream);
+/* Frees the message with the content that it still holds; NULL is allowed. */
+void message_destroy(message_t *message);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/os.h
@@ -0,0 +1,68 @@
+/*
+ * Clocks, addresses and sockets. Any thread.
+ */
+#ifndef MASTICPITCH_OS_H
+#define MASTICPITCH_OS_H
+
+#include "masticpitch/masticpitch.h"
+
+#include <netinet/in.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define NS_PER_US UINT64_C(1000)
+#define NS_PER_MS UINT64_C(1000000)
+#define NS_PER_S UINT64_C(1000000000)
+
+/* A time that never comes. */
+#define TIME_NEVER UINT64_MAX
+
+/* "255.255.255.255:65535" with its terminator. */
+#define ADDRESS_TEXT_BYTES 22
+
+/* An IPv4 address and port, both in host byte order. */
+typedef struct address {
+	uint32_t ip;
+	uint16_t port;
+} address_t;
+
+/* Monotonic time, ns since an arbitrary start. */
+uint64_t os_clock_monotonic(void);
+/* Wall clock, ms since 1970; only for logs, history and incarnations. */
+uint64_t os_clock_wall_ms(void);
+/* Processor time used by this process, ns. */
+uint64_t os_clock_cpu(void);
+/* Resident memory of this process, bytes; 0 if it cannot be read. */
+uint64_t os_memory_resident(void);
+
+/* Reads "A.B.C.D:PORT". Errors: MASTICPITCH_E_INVALID. */
+int address_parse(const char *text, address_t *address);
+void address_format(const address_t *address, char text[ADDRESS_TEXT_BYTES]);
+void address_to_sockaddr(const address_t *address, struct sockaddr_in *sockaddr);
+void address_from_sockaddr(const struct sockaddr_in *sockaddr, address_t *address);
+/* The 64-bit node id of the node that has this peer address; never 0. */
+uint64_t address_to_node_id(const address_t *address);
+
+/*
+ * Opens a non-blocking listening TCP socket, close-on-exec. Errors:
+ * MASTICPITCH_E_ADDRESS_IN_USE, MASTICPITCH_E_IO.
+ */
+int os_socket_listen(const address_t *address, int *fd);
+/* Opens a non-blocking UDP socket bound to address. Errors as above. */
+int os_socket_datagram(const address_t *address, int *fd);
+/*
+ * Starts a non-blocking TCP connect from the source IP (0: any). Errors:
+ * MASTICPITCH_E_IO. Completion shows as writability.
+ */
+int os_socket_connect(const address_t *address, uint32_t source_ip, int *fd);
+/* The port that a bound socket has, or 0. */
+uint16_t os_socket_port(int fd);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/preset.h
@@ -0,0 +1,93 @@
+/*
+ * Presets: what operators write and nodes route by. Parsing and validation
+ * are pure functions of the text. Any thread.
+ */
+#ifndef MASTICPITCH_PRESET_H
+#define MASTICPITCH_PRESET_H
+
+#include "buffer.h"
+#include "member_types.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define PRESET_FORMAT 1
+#define PRESET_SERVICES_MAX 1024
+#define PRESET_ROUTES_MAX 4096
+#define PRESET_PREFIX_BYTES 257 /* 256 characters and a terminator */
+#define PRESET_METHODS_MAX 8
+#define PRESET_ATTEMPTS_MAX 5
+#define PRESET_DEADLINE_MS_MAX (24 * 60 * 60 * 1000)
+/* Longest text of a preset file, bytes. */
+#define PRESET_TEXT_MAX (1024 * 1024)
+
+typedef enum route_class {
+	ROUTE_CALL,	/* non-idempotent; the safe default */
+	ROUTE_LOOKUP,	/* idempotent */
+	ROUTE_UPLOAD,	/* streamed, non-idempotent */
+	ROUTE_INTERNAL, /* calls between services */
+	ROUTE_CLASS_COUNT
+} route_class_t;
+
+/* A service's settings; the defaults stand in preset_service_init(). */
+typedef struct preset_service {
+	char name[NAME_BYTES];
+	uint32_t queue_limit;	  /* calls waiting at each gate; 0: 4 x slots */
+	uint32_t in_flight_limit; /* calls in flight from each entry */
+	uint32_t retry_percent;	  /* retries as a share of requests, 0 to 100 */
+	uint32_t spill_percent;	  /* utilisation of the own zone that spills over */
+	uint32_t slow_start_ms;	  /* ramp of a new instance */
+} preset_service_t;
+
+typedef struct preset_route {
+	char name[NAME_BYTES];
+	char methods[PRESET_METHODS_MAX][16]; /* none: every method */
+	size_t method_count;
+	char prefix[PRESET_PREFIX_BYTES];
+	uint32_t service; /* index into services */
+	route_class_t route_class;
+	bool idempotent;
+	uint32_t deadline_ms;	 /* the route's longest time for a request */
+	uint32_t min_attempt_ms; /* no attempt starts with less time left */
+	uint32_t attempts;	 /* with the first one */
+	uint64_t body_limit_bytes;
+} preset_route_t;
+
+typedef struct preset {
+	preset_service_t *services; /* sorted by name */
+	size_t service_count;
+	preset_route_t *routes; /* sorted: longest prefix first */
+	size_t route_count;
+} preset_t;
+
+/*
+ * Parses and checks a preset: JSON, in operators' files with comments. On
+ * failure message names the place and the reason. The result is freed with
+ * preset_destroy(). Errors: MASTICPITCH_E_INVALID, MASTICPITCH_E_LIMIT,
+ * MASTICPITCH_E_NOMEM.
+ */
+int preset_parse(
+    const char *text, size_t size, preset_t **preset, char *message, size_t message_size);
+void preset_destroy(preset_t *preset);
+
+/* The route with the longest matching prefix, or NULL. */
+const preset_route_t *preset_route_find(
+    const preset_t *preset, const char *method, const char *path);
+/* Errors: none; NULL if there is no such service. */
+const preset_service_t *preset_service_find(const preset_t *preset, const char *name);
+
+/* "lookup", "call", "upload", "internal". */
+const char *route_class_text(route_class_t route_class);
+/* Errors: MASTICPITCH_E_INVALID. */
+int route_class_parse(const char *text, route_class_t *route_class);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,74 @@
+/*
+ * The settings file of a node: JSON with comments. See docs/design.md section
+ * 13 for each key. Any thread.
+ */
+#ifndef MASTICPITCH_SETTINGS_H
+#define MASTICPITCH_SETTINGS_H
+
+#include "log.h"
+#include "member_types.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SETTINGS_SEEDS_MAX 64
+#define SETTINGS_KEYS_MAX 2
+#define SETTINGS_KEY_BYTES 32
+#define SETTINGS_TOKEN_BYTES 129
+#define SETTINGS_URL_BYTES 257
+#define SETTINGS_PREFIX_BYTES 65
+#define SETTINGS_TEXT_MAX (64 * 1024)
+
+typedef enum spread_mode { SPREAD_FAST, SPREAD_FRUGAL } spread_mode_t;
+typedef enum config_source { CONFIG_SOURCE_RELAY, CONFIG_SOURCE_WATCH } config_source_t;
+typedef enum routing_policy { ROUTING_ADAPTIVE, ROUTING_NAIVE } routing_policy_t;
+
+typedef struct mesh_key {
+	uint8_t id;
+	uint8_t secret[SETTINGS_KEY_BYTES];
+} mesh_key_t;
+
+typedef struct settings {
+	char zone[ZONE_BYTES];
+	char region[ZONE_BYTES];
+	address_t callers;
+	address_t backend_servers;
+	address_t peers;
+	address_t operators;
+	char platform_url[SETTINGS_URL_BYTES];
+	char platform_prefix[SETTINGS_PREFIX_BYTES];
+	uint32_t platform_timeout_ms;
+	address_t seeds[SETTINGS_SEEDS_MAX];
+	size_t seed_count;
+	mesh_key_t keys[SETTINGS_KEYS_MAX];
+	size_t key_count;
+	char operators_token[SETTINGS_TOKEN_BYTES];
+	spread_mode_t spread;
+	config_source_t config_source;
+	routing_policy_t routing_policy;
+	uint32_t requests_max;
+	uint32_t streams_per_peer_max;
+	uint32_t shutdown_grace_ms;
+	log_level_t log_level;
+} settings_t;
+
+/*
+ * Reads and checks a settings file. On failure message is one line that names
+ * the file, the key and the reason. Errors: MASTICPITCH_E_IO,
+ * MASTICPITCH_E_INVALID, MASTICPITCH_E_LIMIT, MASTICPITCH_E_NOMEM.
+ */
+int settings_load(
+    const char *path, settings_t *settings, char *message, size_t message_size);
+/* The same for a text; name stands for the file in messages. */
+int settings_parse(const char *name, const char *text, size_t size, settings_t *settings,
+    char *message, size_t message_size);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/test/test_util.cc
@@ -0,0 +1,123 @@
+// Guards parsing helpers against accepting what is out of range, the random
+// generator against a change of its sequence, and header stripping.
+#include "buffer.h"
+#include "headers.h"
+#include "kernel.h"
+#include "metrics.h"
+#include "os.h"
+#include "util.h"
+
+#include <gtest/gtest.h>
+
+TEST(Util, NumbersOutOfRangeAreRefused)
+{
+	uint64_t value = 7;
+
+	EXPECT_EQ(string_parse_uint("65535", 65535, &value), 0);
+	EXPECT_EQ(value, 65535u);
+	EXPECT_NE(string_parse_uint("65536", 65535, &value), 0);
+	EXPECT_NE(string_parse_uint("", 9, &value), 0);
+	EXPECT_NE(string_parse_uint("-1", 9, &value), 0);
+	EXPECT_NE(string_parse_uint("99999999999999999999999", UINT64_MAX, &value), 0);
+}
+
+TEST(Util, AddressesRoundTrip)
+{
+	address_t address;
+	char text[ADDRESS_TEXT_BYTES];
+
+	ASSERT_EQ(address_parse("127.1.2.3:7000", &address), 0);
+	address_format(&address, text);
+	EXPECT_STREQ(text, "127.1.2.3:7000");
+	EXPECT_NE(address_parse("127.1.2.3", &address), 0);
+	EXPECT_NE(address_parse("host:80", &address), 0);
+	EXPECT_NE(address_parse("127.1.2.3:70000", &address), 0);
+}
+
+TEST(Util, RandomSequenceDependsOnlyOnTheSeed)
+{
+	rng_t a, b;
+
+	rng_init(&a, 42);
+	rng_init(&b, 42);
+	for (int i = 0; i < 1000; i++) {
+		uint64_t bound = 1 + (uint64_t)i;
+		uint64_t drawn = rng_below(&a, bound);
+
+		EXPECT_EQ(drawn, rng_below(&b, bound));
+		EXPECT_LT(drawn, bound);
+	}
+}
+
+TEST(Headers, HopByHopAndNamedFieldsAreRemoved)
+{
+	headers_t headers;
+
+	headers_init(&headers);
+	headers_add(&headers, "Connection", "close, X-Secret");
+	headers_add(&headers, "X-Secret", "1");
+	headers_add(&headers, "Masticpitch-Run", "no");
+	headers_add(&headers, "Accept", "text/plain");
+	headers_strip(&headers);
+	EXPECT_EQ(headers.count, 1u);
+	EXPECT_STREQ(headers_find(&headers, "accept"), "text/plain");
+	EXPECT_NE(headers_add(&headers, "A", "b\r\nC: d"), 0);
+	headers_free(&headers);
+}
+
+TEST(Buffer, LimitIsKept)
+{
+	buffer_t buffer;
+
+	buffer_init(&buffer, 10);
+	EXPECT_EQ(buffer_append(&buffer, "0123456789", 10), 0);
+	EXPECT_EQ(buffer_append(&buffer, "x", 1), MASTICPITCH_E_LIMIT);
+	buffer_consume(&buffer, 4);
+	EXPECT_STREQ(buffer_text(&buffer), "456789");
+	buffer_free(&buffer);
+}
+
+TEST(Metrics, QuantileLiesWithinABucketOfTheSample)
+{
+	metrics_t metrics = {};
+
+	for (uint64_t us = 1; us <= 1000; us++)
+		metrics_observe(&metrics, HISTOGRAM_REQUEST, us * NS_PER_US);
+	EXPECT_NEAR(
+	    (double)histogram_quantile(&metrics.histograms[HISTOGRAM_REQUEST], 0.5), 500,
+	    70);
+	EXPECT_NEAR(
+	    (double)histogram_quantile(&metrics.histograms[HISTOGRAM_REQUEST], 0.99), 990,
+	    130);
+}
+
+static void
+receive(void *state, message_t *message)
+{
+	static_cast<std::vector<uint64_t> *>(state)->push_back(message->stream);
+}
+
+TEST(Kernel, MessagesArriveInOrderAndAServiceIsFoundByName)
+{
+	kernel_t *kernel;
+	std::vector<uint64_t> seen;
+	service_t service = {};
+
+	ASSERT_EQ(kernel_create(1, &kernel), 0);
+	service.name = "gate";
+	service.state = &seen;
+	service.receive = receive;
+	ASSERT_EQ(kernel_service_register(kernel, &service), 0);
+	EXPECT_EQ(kernel_service_register(kernel, &service), MASTICPITCH_E_EXISTS);
+	EXPECT_EQ(kernel_service_find(kernel, "gate"), &service);
+	for (uint64_t i = 0; i < 1000; i++)
+		kernel_message_post(
+		    kernel, NULL, &service, message_create(MESSAGE_CALL_CANCEL, 0, i));
+	while (!kernel_is_idle(kernel))
+		ev_run(kernel_loop(kernel), EVRUN_NOWAIT);
+	ASSERT_EQ(seen.size(), 1000u);
+	EXPECT_EQ(seen.front(), 0u);
+	EXPECT_EQ(seen.back(), 999u);
+	kernel_service_unregister(kernel, &service);
+	kernel_destroy(kernel);
+}
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,1 @@
+print("demo: not built yet")
