--- /dev/null
+++ b/test/test_http.cc
@@ -0,0 +1,279 @@
+// Guards the HTTP plumbing against answers that are lost when they come later
+// than the request, resends by the HTTP library, unbounded bodies, and calls
+// that outlive their deadline.
+#include "http_client.h"
+#include "http_server.h"
+#include "masticpitch/masticpitch.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace
+{
+
+struct Answer {
+	bool done = false;
+	int error = 0;
+	bool sent = false;
+	int status = 0;
+	std::string body;
+	std::string kind;
+};
+
+void
+store_answer(void *state, const http_answer_t *answer)
+{
+	Answer *stored = static_cast<Answer *>(state);
+	const char *kind = headers_find(answer->headers, "content-type");
+
+	stored->done = true;
+	stored->error = answer->error;
+	stored->sent = answer->sent;
+	stored->status = answer->status;
+	stored->body.assign(answer->body, answer->body_size);
+	stored->kind = kind == nullptr ? "" : kind;
+}
+
+class Http : public ::testing::Test
+{
+      protected:
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	http_client_t *client = nullptr;
+	http_server_t *server = nullptr;
+	address_t address = {0x7f4d0101, 18080};
+	std::string url = "http://127.77.1.1:18080";
+	std::function<void(const http_server_request_t *)> handler;
+
+	static void
+	handle(void *state, const http_server_request_t *request)
+	{
+		static_cast<Http *>(state)->handler(request);
+	}
+	void
+	SetUp() override
+	{
+		ASSERT_EQ(http_client_create(loop, 4, &client), 0);
+	}
+	void
+	TearDown() override
+	{
+		http_client_destroy(client);
+		http_server_destroy(server);
+		ev_loop_destroy(loop);
+	}
+	void
+	serve()
+	{
+		http_server_options_t options = {address, 1000, 8, handle, this};
+
+		ASSERT_EQ(http_server_create(loop, &options, &server), 0);
+	}
+	void
+	run_until(const std::function<bool()> &reached)
+	{
+		uint64_t end = os_clock_monotonic() + 10 * NS_PER_S;
+		ev_timer tick;
+		bool done;
+
+		ev_timer_init(
+		    &tick, [](struct ev_loop *, ev_timer *, int) {}, 0.005, 0.005);
+		ev_timer_start(loop, &tick);
+		while (!(done = reached()) && os_clock_monotonic() < end)
+			ev_run(loop, EVRUN_ONCE);
+		ev_timer_stop(loop, &tick);
+		ASSERT_TRUE(done);
+	}
+	http_call_t *
+	start(const char *method, const std::string &path, const std::string &body,
+	    Answer *answer, uint64_t deadline_ms = 10000, size_t answer_max = 1000)
+	{
+		std::string full = url + path;
+		http_request_t request = {};
+		http_call_t *call = nullptr;
+
+		request.method = method;
+		request.url = full.c_str();
+		request.authorization = "Bearer abc";
+		request.body = body.empty() ? nullptr : body.c_str();
+		request.body_size = body.size();
+		request.deadline = os_clock_monotonic() + deadline_ms * NS_PER_MS;
+		request.answer_max = answer_max;
+		EXPECT_EQ(
+		    http_client_call(client, &request, store_answer, answer, &call), 0);
+		return call;
+	}
+};
+
+TEST_F(Http, RequestAndLateAnswerArriveWhole)
+{
+	http_exchange_t *waiting = nullptr;
+	std::string seen;
+	Answer answer;
+
+	handler = [&](const http_server_request_t *request) {
+		const char *argument = http_exchange_argument(request->exchange, "key");
+
+		seen = std::string(request->method) + " " + request->path + " " +
+		       (argument == nullptr ? "" : argument) + " " +
+		       request->authorization + " " + request->body;
+		waiting = request->exchange;
+	};
+	serve();
+	start("PUT", "/some/path?key=a%20b", "content", &answer);
+	run_until([&] { return waiting != nullptr; });
+	EXPECT_FALSE(answer.done);
+	http_exchange_reply(waiting, 201, nullptr, "{}", 2);
+	run_until([&] { return answer.done; });
+	EXPECT_EQ(seen, "PUT /some/path a b Bearer abc content");
+	EXPECT_EQ(answer.error, 0);
+	EXPECT_EQ(answer.status, 201);
+	EXPECT_EQ(answer.body, "{}");
+	EXPECT_EQ(answer.kind, "application/json");
+}
+
+TEST_F(Http, ManyCallsShareFewConnections)
+{
+	Answer answers[50];
+	int handled = 0;
+
+	handler = [&](const http_server_request_t *request) {
+		handled++;
+		http_exchange_reply(
+		    request->exchange, 200, "text/plain", request->path, 3);
+	};
+	serve();
+	for (Answer &answer : answers)
+		start("GET", "/abcdef", "", &answer);
+	for (Answer &answer : answers) {
+		run_until([&] { return answer.done; });
+		EXPECT_EQ(answer.status, 200);
+		EXPECT_EQ(answer.body, "/ab");
+	}
+	EXPECT_EQ(handled, 50);
+}
+
+TEST_F(Http, BodiesAboveTheLimitsAreRefused)
+{
+	std::string large(3000, 'x');
+	Answer refused, cut;
+	int handled = 0;
+
+	handler = [&](const http_server_request_t *request) {
+		handled++;
+		http_exchange_reply(
+		    request->exchange, 200, nullptr, large.data(), large.size());
+	};
+	serve();
+	start("POST", "/", large, &refused);
+	run_until([&] { return refused.done; });
+	EXPECT_EQ(refused.status, 413);
+	EXPECT_EQ(handled, 0);
+	start("GET", "/", "", &cut);
+	run_until([&] { return cut.done; });
+	EXPECT_EQ(cut.error, MASTICPITCH_E_LIMIT);
+}
+
+TEST_F(Http, DeadlineEndsACallThatWasSent)
+{
+	http_exchange_t *waiting = nullptr;
+	Answer answer;
+
+	handler = [&](const http_server_request_t *request) {
+		waiting = request->exchange;
+	};
+	serve();
+	start("GET", "/", "", &answer, 200);
+	run_until([&] { return answer.done; });
+	EXPECT_EQ(answer.error, MASTICPITCH_E_TIMEOUT);
+	EXPECT_TRUE(answer.sent);
+	ASSERT_NE(waiting, nullptr);
+	http_exchange_reply(waiting, 200, nullptr, "late", 4);
+}
+
+TEST_F(Http, CancelledCallRunsNoCallback)
+{
+	http_exchange_t *waiting = nullptr;
+	Answer answer, other;
+	http_call_t *call;
+
+	handler = [&](const http_server_request_t *request) {
+		if (std::string(request->path) == "/first")
+			waiting = request->exchange;
+		else
+			http_exchange_reply(request->exchange, 204, nullptr, "", 0);
+	};
+	serve();
+	call = start("GET", "/first", "", &answer);
+	run_until([&] { return waiting != nullptr; });
+	http_call_cancel(call);
+	http_exchange_reply(waiting, 200, nullptr, "late", 4);
+	start("GET", "/second", "", &other);
+	run_until([&] { return other.done; });
+	EXPECT_EQ(other.status, 204);
+	EXPECT_FALSE(answer.done);
+}
+
+TEST_F(Http, RefusedConnectionCountsAsNotSent)
+{
+	Answer answer;
+
+	start("GET", "/", "", &answer);
+	run_until([&] { return answer.done; });
+	EXPECT_EQ(answer.error, MASTICPITCH_E_UNREACHABLE);
+	EXPECT_FALSE(answer.sent);
+}
+
+// A server that closes a kept connection on the second request must see that
+// request once only: libcurl would send it again on a new connection.
+TEST_F(Http, ReusedConnectionThatClosesIsNotUsedToResend)
+{
+	static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	int listener, connection, requests = 0;
+	char buffer[4096];
+	Answer first, second;
+
+	ASSERT_EQ(os_socket_listen(&address, &listener), 0);
+	start("PUT", "/", "one", &first);
+	run_until([&] { return (connection = accept(listener, nullptr, nullptr)) >= 0; });
+	run_until([&] {
+		ssize_t got = recv(connection, buffer, sizeof(buffer), MSG_DONTWAIT);
+
+		return got > 0 && memmem(buffer, (size_t)got, "one", 3) != nullptr;
+	});
+	ASSERT_GT(send(connection, reply, sizeof(reply) - 1, 0), 0);
+	run_until([&] { return first.done; });
+	start("PUT", "/", "two", &second);
+	run_until(
+	    [&] { return recv(connection, buffer, sizeof(buffer), MSG_DONTWAIT) > 0; });
+	close(connection);
+	run_until([&] {
+		int again = accept(listener, nullptr, nullptr);
+
+		if (again >= 0) {
+			ssize_t got = recv(again, buffer, sizeof(buffer), MSG_DONTWAIT);
+
+			requests += got > 0;
+			close(again);
+		}
+		return second.done;
+	});
+	EXPECT_EQ(second.error, MASTICPITCH_E_UNKNOWN);
+	EXPECT_TRUE(second.sent);
+	EXPECT_EQ(requests, 0);
+	close(listener);
+}
+
+TEST_F(Http, AddressInUseIsReported)
+{
+	http_server_t *second = nullptr;
+	http_server_options_t options = {address, 1000, 8, handle, this};
+
+	serve();
+	EXPECT_EQ(
+	    http_server_create(loop, &options, &second), MASTICPITCH_E_ADDRESS_IN_USE);
+}
+
+} // namespace
