Add the thin path of the gate

Cause: calls need one place in front of each backend server that admits, runs and answers them.

Change: the service gate with announcements, a first-come queue, the exchange with the backend server by libcurl with flow control in both directions, true run states, deadlines and shutdown. stream_table finds streams by (service, node, id); chunk_queue holds body pieces.

Conclusion: admission and the policies are separate small functions.

--- /dev/null
+++ b/src/chunk_queue.h
@@ -0,0 +1,42 @@
+/*
+ * A queue of chunks that is read as one run of bytes. One thread.
+ */
+#ifndef MASTICPITCH_CHUNK_QUEUE_H
+#define MASTICPITCH_CHUNK_QUEUE_H
+
+#include "buffer.h"
+
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct chunk_slot {
+	chunk_t *chunk;
+} chunk_slot_t;
+
+typedef struct chunk_queue {
+	chunk_slot_t *slots; /* ring */
+	size_t capacity;     /* power of two, or 0 */
+	size_t first;
+	size_t count;
+	size_t offset; /* bytes of the first chunk that are read already */
+	size_t size;   /* unread bytes */
+} chunk_queue_t;
+
+void chunk_queue_init(chunk_queue_t *queue);
+/* Releases what is left. */
+void chunk_queue_free(chunk_queue_t *queue);
+/* Takes the reference. Errors: MASTICPITCH_E_NOMEM; then it is released. */
+int chunk_queue_push(chunk_queue_t *queue, chunk_t *chunk);
+/* Copies and removes at most size bytes; returns how many. */
+size_t chunk_queue_read(chunk_queue_t *queue, void *target, size_t size);
+/* Takes out the first chunk, which must not be partly read; NULL: empty. */
+chunk_t *chunk_queue_take(chunk_queue_t *queue);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/gate.c
@@ -0,0 +1,335 @@
+#include "gate_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+gate_load(const gate_t *gate, load_report_t *load)
+{
+	memset(load, 0, sizeof(*load));
+	load->running = gate->running;
+	load->queued = gate->queued;
+	load->limit = gate_limit(gate);
+	load->slots = gate->backend.live ? gate->backend.slots : 0;
+}
+
+message_t *
+gate_call_message(const gate_call_t *call, message_type_t type)
+{
+	return message_create(type, call->stream.node, call->stream.stream);
+}
+
+void
+gate_call_post(gate_call_t *call, message_t *message)
+{
+	gate_t *gate = call->gate;
+
+	kernel_message_post(gate->kernel, &gate->service, call->stream.service, message);
+}
+
+/* Refuses a stream for which there is no call. */
+static void
+stream_refuse(gate_t *gate, const message_t *open, reason_t reason)
+{
+	message_t *message = message_create(MESSAGE_REFUSAL, open->node, open->stream);
+
+	metrics_refusal_add(kernel_metrics(gate->kernel), reason);
+	if (message == NULL)
+		return;
+	message->u.refusal.reason = reason;
+	message->u.refusal.run = RUN_NO;
+	gate_load(gate, &message->u.refusal.load);
+	kernel_message_post(gate->kernel, &gate->service, open->from, message);
+}
+
+void
+gate_call_refuse(gate_call_t *call, reason_t reason, run_state_t run, bool final)
+{
+	gate_t *gate = call->gate;
+	message_t *message = gate_call_message(
+	    call, call->answered ? MESSAGE_ANSWER_ABORT : MESSAGE_REFUSAL);
+
+	metrics_refusal_add(kernel_metrics(gate->kernel), reason);
+	if (message != NULL) {
+		message->u.refusal.reason = reason;
+		message->u.refusal.run = run;
+		message->u.refusal.final = final;
+		gate_load(gate, &message->u.refusal.load);
+	}
+	gate_call_post(call, message);
+	gate_call_finish(call);
+}
+
+static void
+gate_call_free(gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+
+	ev_timer_stop(kernel_loop(gate->kernel), &call->deadline);
+	stream_table_remove(&gate->streams, &call->stream);
+	list_remove(&call->link);
+	chunk_queue_free(&call->body);
+	answer_head_destroy(call->answer);
+	call_head_destroy(call->head);
+	free(call);
+}
+
+void
+gate_call_finish(gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+
+	gate_exchange_stop(call);
+	gate_call_leave(call);
+	gate_call_free(call);
+	gate_queue_run(gate);
+}
+
+static void
+deadline_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	gate_call_t *call = watcher->data;
+
+	gate_call_refuse(call, REASON_DEADLINE_PASSED,
+	    call->answered ? RUN_YES
+	    : call->sent   ? RUN_UNKNOWN
+			   : RUN_NO,
+	    false);
+}
+
+static gate_call_t *
+gate_call_create(gate_t *gate, message_t *message)
+{
+	uint64_t now = kernel_now(gate->kernel);
+	gate_call_t *call = calloc(1, sizeof(*call));
+	uint64_t left;
+
+	if (call == NULL)
+		return NULL;
+	call->gate = gate;
+	call->head = message->u.call;
+	call->stream.service = message->from;
+	call->stream.node = message->node;
+	call->stream.stream = message->stream;
+	list_init(&call->queue_link);
+	chunk_queue_init(&call->body);
+	call->body_end = !call->head->has_body;
+	call->answer_credit = STREAM_WINDOW;
+	left = call->head->deadline > now ? call->head->deadline - now : 0;
+	ev_timer_init(&call->deadline, deadline_callback, (double)left / 1e9, 0.0);
+	call->deadline.data = call;
+	if (stream_table_insert(&gate->streams, &call->stream) != MASTICPITCH_OK) {
+		free(call);
+		return NULL;
+	}
+	message->u.call = NULL;
+	list_append(&gate->calls, &call->link);
+	ev_timer_start(kernel_loop(gate->kernel), &call->deadline);
+	return call;
+}
+
+static void
+call_open(gate_t *gate, message_t *message)
+{
+	gate_call_t *call;
+
+	if (stream_table_find(&gate->streams, message) != NULL) {
+		metrics_add(kernel_metrics(gate->kernel), METRIC_LATE_FRAMES, 1);
+		return;
+	}
+	if (gate->streams.count >= GATE_CALLS_MAX) {
+		stream_refuse(gate, message, REASON_QUEUE_FULL);
+		return;
+	}
+	call = gate_call_create(gate, message);
+	if (call == NULL)
+		stream_refuse(gate, message, REASON_QUEUE_FULL);
+	else
+		gate_call_admit(call);
+}
+
+/* The sender's error ends the call; the backend server has not got it whole. */
+static void
+call_body_bad(gate_call_t *call)
+{
+	gate_call_refuse(
+	    call, REASON_BAD_FRAMING, call->sent ? RUN_UNKNOWN : RUN_NO, false);
+}
+
+static void
+call_data(gate_call_t *call, message_t *message)
+{
+	chunk_t *chunk = message->u.data.chunk;
+	size_t size = chunk == NULL ? 0 : chunk->size;
+	int64_t length = call->head->body_length;
+
+	if (call->body_end || call->body.size + size > STREAM_WINDOW) {
+		call_body_bad(call);
+		return;
+	}
+	call->body_received += size;
+	call->body_end = message->u.data.end;
+	if (length >= 0 &&
+	    (call->body_received > (uint64_t)length ||
+		(call->body_end && call->body_received != (uint64_t)length))) {
+		call_body_bad(call);
+		return;
+	}
+	if (size > 0) {
+		message->u.data.chunk = NULL;
+		if (chunk_queue_push(&call->body, chunk) != MASTICPITCH_OK) {
+			call_body_bad(call);
+			return;
+		}
+	}
+	gate_exchange_resume_body(call);
+}
+
+static void
+call_credit(gate_call_t *call, uint32_t credit)
+{
+	if (credit > STREAM_WINDOW || call->answer_credit > STREAM_WINDOW - credit)
+		credit = STREAM_WINDOW - call->answer_credit;
+	call->answer_credit += credit;
+	gate_exchange_resume_answer(call);
+}
+
+static void
+gate_leave(gate_t *gate)
+{
+	if (gate->leaving)
+		return;
+	gate->leaving = true;
+	gate_instance_post(gate);
+}
+
+static void
+gate_report(gate_t *gate, const message_t *query)
+{
+	static const char *const states[] = {"none", "starting", "ready", "leaving"};
+	message_t *message = message_create(MESSAGE_REPORT, query->node, query->stream);
+	buffer_t text;
+
+	buffer_init(&text, 4096);
+	buffer_printf(&text,
+	    "{\"gate\":{\"state\":\"%s\",\"service\":\"%s\",\"instance\":\"%s\","
+	    "\"slots\":%u,\"connections\":%u,\"limit\":%u,\"running\":%u,"
+	    "\"queued\":%u,\"announced_load\":%.3f,\"leaving\":%s}}",
+	    gate->backend.live ? states[gate->backend.state] : "none",
+	    gate->backend.service, gate->backend.instance, gate->backend.slots,
+	    gate->backend.connections, gate_limit(gate), gate->running, gate->queued,
+	    gate->backend.load, gate->leaving ? "true" : "false");
+	if (message != NULL)
+		message->u.report = chunk_copy(text.data, text.size);
+	buffer_free(&text);
+	kernel_message_post(gate->kernel, &gate->service, query->from, message);
+}
+
+static void
+gate_call_receive(gate_t *gate, message_t *message)
+{
+	stream_entry_t *entry = stream_table_find(&gate->streams, message);
+	gate_call_t *call;
+
+	if (entry == NULL) {
+		metrics_add(kernel_metrics(gate->kernel), METRIC_LATE_FRAMES, 1);
+		return;
+	}
+	call = LIST_ENTRY(entry, gate_call_t, stream);
+	switch (message->type) {
+	case MESSAGE_CALL_DATA:
+		call_data(call, message);
+		break;
+	case MESSAGE_ANSWER_CREDIT:
+		call_credit(call, message->u.credit);
+		break;
+	default:
+		/* CALL_CANCEL and STREAM_LOST: nobody waits for the answer. */
+		gate_call_finish(call);
+		break;
+	}
+}
+
+static void
+gate_receive(void *state, message_t *message)
+{
+	gate_t *gate = state;
+
+	switch (message->type) {
+	case MESSAGE_CALL_OPEN:
+		call_open(gate, message);
+		break;
+	case MESSAGE_CALL_DATA:
+	case MESSAGE_ANSWER_CREDIT:
+	case MESSAGE_CALL_CANCEL:
+	case MESSAGE_STREAM_LOST:
+		gate_call_receive(gate, message);
+		break;
+	case MESSAGE_LEAVE:
+		gate_leave(gate);
+		break;
+	case MESSAGE_QUERY:
+		gate_report(gate, message);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool
+gate_is_idle(const void *state)
+{
+	const gate_t *gate = state;
+
+	return list_is_empty(&gate->calls);
+}
+
+int
+gate_create(kernel_t *kernel, const settings_t *settings, gate_t **result)
+{
+	gate_t *gate = calloc(1, sizeof(*gate));
+	int error;
+
+	if (gate == NULL)
+		return MASTICPITCH_E_NOMEM;
+	gate->kernel = kernel;
+	gate->settings = settings;
+	gate->service.name = "gate";
+	gate->service.state = gate;
+	gate->service.receive = gate_receive;
+	gate->service.is_idle = gate_is_idle;
+	list_init(&gate->calls);
+	list_init(&gate->queue);
+	list_init(&gate->service.link);
+	error = stream_table_init(&gate->streams);
+	if (error == MASTICPITCH_OK)
+		error = gate_exchange_open(gate);
+	if (error == MASTICPITCH_OK)
+		error = gate_announce_open(gate);
+	if (error == MASTICPITCH_OK)
+		error = kernel_service_register(kernel, &gate->service);
+	if (error != MASTICPITCH_OK) {
+		gate_destroy(gate);
+		return error;
+	}
+	*result = gate;
+	return MASTICPITCH_OK;
+}
+
+void
+gate_destroy(gate_t *gate)
+{
+	if (gate == NULL)
+		return;
+	kernel_service_unregister(gate->kernel, &gate->service);
+	LIST_FOREACH_SAFE (node, &gate->calls) {
+		gate_call_t *call = LIST_ENTRY(node, gate_call_t, link);
+
+		gate_exchange_stop(call);
+		gate_call_free(call);
+	}
+	gate_announce_close(gate);
+	gate_exchange_close(gate);
+	stream_table_free(&gate->streams);
+	free(gate);
+}
