Add the interfaces of the policy modules

Cause: the request path needs balance, retry, limit, queue, ticket and quarantine decisions, and the tasks that call them are built at the same time. Conclusion: interface only; nothing is measured yet.

--- /dev/null
+++ b/src/limit.h
@@ -0,0 +1,108 @@
+/*
+ * Limits on concurrent work: limit_entry_t bounds what an entry has in flight
+ * for each class and each service; limit_gate_t adapts how many calls a gate
+ * runs at once. Times are monotonic, ns. One thread; reads no clock.
+ */
+#ifndef MASTICPITCH_LIMIT_H
+#define MASTICPITCH_LIMIT_H
+
+#include "preset.h"
+#include "reason.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Share of an entry's requests that is kept free for each class. What no
+ * class has reserved goes to whoever comes first.
+ */
+#define LIMIT_CLASS_RESERVED_PERCENT 15
+
+typedef struct limit_entry limit_entry_t;
+
+/* What a request holds until limit_entry_release(). */
+typedef struct limit_permit {
+	route_class_t route_class;
+	uint32_t service; /* slot in the table of services */
+	bool held;
+} limit_permit_t;
+
+/*
+ * requests_max: requests in flight altogether, at least 1. enforced false (the
+ * naive policy): only requests_max holds. Errors: MASTICPITCH_E_NOMEM.
+ */
+int limit_entry_create(uint32_t requests_max, bool enforced, limit_entry_t **limit);
+/* NULL is allowed. */
+void limit_entry_destroy(limit_entry_t *limit);
+/*
+ * REASON_NONE: the permit is held. REASON_ENTRY_LIMIT, REASON_CLASS_LIMIT or
+ * REASON_SERVICE_LIMIT: nothing changed. A service may have at most its
+ * in_flight_limit (0: no such bound) and at most as many requests as places
+ * are still free, so some are always left to other services.
+ */
+reason_t limit_entry_acquire(limit_entry_t *limit, const preset_service_t *service,
+    route_class_t route_class, limit_permit_t *permit);
+/* Releasing a permit twice changes nothing. */
+void limit_entry_release(limit_entry_t *limit, limit_permit_t *permit);
+uint32_t limit_entry_in_flight(const limit_entry_t *limit);
+uint32_t limit_entry_class_in_flight(
+    const limit_entry_t *limit, route_class_t route_class);
+
+/* Fewest samples and shortest time (ms) of one step of the adaptive limit. */
+#define LIMIT_WINDOW_SAMPLES 8
+#define LIMIT_WINDOW_MS 50
+/* The long-term minimum is over the current and the last period of this, ms. */
+#define LIMIT_MINIMUM_MS 30000
+/* Smoothed latency over the minimum above which the limit shrinks. */
+#define LIMIT_RATIO_HIGH 2.0
+/* The same below which it grows while it is in use. */
+#define LIMIT_RATIO_LOW 1.5
+/* Factor of one decrease. */
+#define LIMIT_DECREASE 0.85
+
+/* Latency of one class at a gate, us. */
+typedef struct limit_latency {
+	double smoothed;
+	double minimum;	     /* of the current period; 0: no sample */
+	double minimum_last; /* of the period before; 0: no sample */
+} limit_latency_t;
+
+/* Embedded by the gate; read through the functions. */
+typedef struct limit_gate {
+	bool adaptive;
+	uint32_t slots;
+	double limit;
+	limit_latency_t latency[ROUTE_CLASS_COUNT];
+	uint64_t minimum_since;
+	uint64_t window_since;
+	uint32_t window_samples;
+	double window_ratio; /* sum of latency over minimum */
+	uint32_t window_running;
+	bool window_overload;
+	double latency_us; /* smoothed over all classes */
+} limit_gate_t;
+
+/* slots: announced by the backend server, at least 1. Starts at slots. */
+void limit_gate_init(limit_gate_t *limit, uint32_t slots, bool adaptive, uint64_t now);
+/* A changed announcement; keeps what is known otherwise. */
+void limit_gate_slots_set(limit_gate_t *limit, uint32_t slots);
+/*
+ * An exchange ended with an answer after latency_ns; running: calls that were
+ * running when it started, with itself. Uploads are left out, their time is
+ * the caller's.
+ */
+void limit_gate_record(limit_gate_t *limit, route_class_t route_class,
+    uint64_t latency_ns, uint32_t running, uint64_t now);
+/* The backend server shed a call or let its deadline pass. */
+void limit_gate_overload(limit_gate_t *limit, uint64_t now);
+/* Calls that may run at once, from 1 to slots. */
+uint32_t limit_gate_current(const limit_gate_t *limit);
+/* Smoothed latency, for load reports; 0: no sample yet. */
+uint32_t limit_gate_latency_us(const limit_gate_t *limit);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
