Add frames, authentication and the peer transport

Cause: entries reach gates of other nodes only through the peer service. Change: frame and auth as pure functions, the peer service with streams, priorities, flow control checks, handshake, reconnect backoff and the fault hook; control payloads above one frame are sent in pieces (Control.more).

--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -1993,7 +1993,7 @@
   (ProtobufCMessageInit) masticpitch__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__control__field_descriptors[2] =
+static const ProtobufCFieldDescriptor masticpitch__control__field_descriptors[3] =
 {
   {
     "kind",
@@ -2019,15 +2019,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "more",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Control, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__control__field_indices_by_name[] = {
   0,   /* field[0] = kind */
+  2,   /* field[2] = more */
   1,   /* field[1] = payload */
 };
 static const ProtobufCIntRange masticpitch__control__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor masticpitch__control__descriptor =
 {
@@ -2037,7 +2050,7 @@
   "Masticpitch__Control",
   "masticpitch",
   sizeof(Masticpitch__Control),
-  2,
+  3,
   masticpitch__control__field_descriptors,
   masticpitch__control__field_indices_by_name,
   1,  masticpitch__control__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -252,15 +252,19 @@
     , 0, 0 }
 
 
+/*
+ * A payload above one frame's size is sent in pieces; more: another follows.
+ */
 struct  Masticpitch__Control
 {
   ProtobufCMessage base;
   uint32_t kind;
   ProtobufCBinaryData payload;
+  protobuf_c_boolean more;
 };
 #define MASTICPITCH__CONTROL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__control__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, 0 }
 
 
 typedef enum {
--- a/src/message.h
+++ b/src/message.h
@@ -48,7 +48,9 @@
 	MESSAGE_SNAPSHOT,	/* from config: the configuration now in force */
 	MESSAGE_QUERY,		/* from operators: report your state */
 	MESSAGE_REPORT,		/* JSON text in answer to a query */
-	MESSAGE_LEAVE		/* from node: shutdown has begun */
+	MESSAGE_LEAVE,		/* from node: shutdown has begun */
+	MESSAGE_JOIN_NEEDED,	/* membership to config: no seed answers */
+	MESSAGE_JOIN_ADDRESS	/* config to membership: one more node to join through */
 } message_type_t;
 
 /* Most bytes of body in one CALL_DATA or ANSWER_DATA message. */
@@ -107,6 +109,9 @@
 /* Who gets a MESSAGE_CONTROL on the other node. */
 typedef enum control_kind { CONTROL_CONFIG = 1, CONTROL_MEMBERSHIP = 2 } control_kind_t;
 
+/* Longest payload of one MESSAGE_CONTROL, bytes; longer ones come back failed. */
+#define CONTROL_PAYLOAD_MAX (2 * 1024 * 1024)
+
 /* What operators ask a service for. */
 typedef enum query_kind {
 	QUERY_STATUS,	 /* config, membership, entry, gate: a JSON object */
@@ -154,6 +159,7 @@
 		struct snapshot *snapshot; /* SNAPSHOT; one reference */
 		query_t query;		   /* QUERY; stream names it */
 		chunk_t *report;	   /* REPORT: JSON object, same stream */
+		address_t address;	   /* JOIN_ADDRESS */
 	} u;
 } message_t;
 
--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,266 @@
+#include "peer_internal.h"
+
+#include <errno.h>
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Connections accepted before the loop looks at other sockets again. */
+#define ACCEPTS_PER_TURN 64
+
+void
+peer_post(peer_t *peer, const char *to, message_t *message)
+{
+	/*
+	 * The flusher runs after the kernel's delivery; the reaper's timer keeps
+	 * the loop from blocking with the message undelivered.
+	 */
+	if (peer->in_flush)
+		ev_timer_start(kernel_loop(peer->kernel), &peer->reaper);
+	kernel_message_post(
+	    peer->kernel, &peer->service, kernel_service_find(peer->kernel, to), message);
+}
+
+message_t *
+peer_message_take(message_t *message)
+{
+	message_t *taken = malloc(sizeof(*taken));
+
+	if (taken == NULL)
+		return NULL;
+	*taken = *message;
+	list_init(&taken->link);
+	memset(&message->u, 0, sizeof(message->u));
+	return taken;
+}
+
+void
+peer_message_queue_clear(list_t *queue)
+{
+	list_t *node;
+
+	while ((node = list_take_first(queue)) != NULL)
+		message_destroy(LIST_ENTRY(node, message_t, link));
+}
+
+const char *
+peer_control_service(control_kind_t kind)
+{
+	return kind == CONTROL_CONFIG ? "config" : "membership";
+}
+
+void
+peer_control_fail(peer_t *peer, uint64_t node, message_t *message)
+{
+	message->type = MESSAGE_CONTROL_FAILED;
+	message->node = node;
+	peer_post(peer, peer_control_service(message->u.control.kind), message);
+}
+
+static void
+peer_receive(void *state, message_t *message)
+{
+	peer_t *peer = state;
+
+	switch (message->type) {
+	case MESSAGE_CALL_OPEN:
+	case MESSAGE_CALL_DATA:
+	case MESSAGE_CALL_CREDIT:
+	case MESSAGE_CALL_CANCEL:
+	case MESSAGE_ANSWER_HEAD:
+	case MESSAGE_ANSWER_DATA:
+	case MESSAGE_ANSWER_CREDIT:
+	case MESSAGE_ANSWER_ABORT:
+	case MESSAGE_REFUSAL:
+		peer_stream_send(peer, message);
+		break;
+	case MESSAGE_CONTROL:
+		peer_remote_control(peer, message);
+		break;
+	case MESSAGE_MEMBER:
+		peer_remote_member(peer, &message->u.member);
+		break;
+	case MESSAGE_MEMBER_REMOVED:
+		peer_remote_removed(peer, message->node);
+		break;
+	default:
+		break;
+	}
+}
+
+/* The last bytes are acknowledged, so that closing cannot cut an answer. */
+static bool
+connection_is_drained(const peer_connection_t *connection)
+{
+	int unacknowledged = 0;
+
+	if (connection->state != PEER_READY)
+		return true;
+	if (connection->out.size > 0 || !peer_send_is_empty(connection))
+		return false;
+	return ioctl(connection->fd, SIOCOUTQ, &unacknowledged) != 0 ||
+	       unacknowledged == 0;
+}
+
+static bool
+peer_is_idle(const void *state)
+{
+	const peer_t *peer = state;
+
+	if (peer->outgoing.count > 0 || peer->incoming.count > 0)
+		return false;
+	LIST_FOREACH (node, &peer->connections)
+		if (!connection_is_drained(LIST_ENTRY(node, peer_connection_t, link)))
+			return false;
+	return true;
+}
+
+static void
+listen_callback(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	peer_t *peer = watcher->data;
+
+	for (int i = 0; i < ACCEPTS_PER_TURN; i++) {
+		struct sockaddr_in from = {0};
+		socklen_t size = sizeof(from);
+		int one = 1;
+		int fd = accept4(peer->listen_fd, (struct sockaddr *)&from, &size,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		if (peer->unproved_count >= PEER_UNPROVED_MAX ||
+		    peer->connection_count >= PEER_CONNECTIONS_MAX) {
+			metrics_add(
+			    kernel_metrics(peer->kernel), METRIC_PEER_AUTH_FAILURES, 1);
+			close(fd);
+			continue;
+		}
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		peer_connection_create(
+		    peer, fd, AUTH_ACCEPTOR, ntohl(from.sin_addr.s_addr), NULL);
+	}
+}
+
+static void
+flush_callback(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+	peer_t *peer = watcher->data;
+	list_t *node;
+
+	peer->in_flush = true;
+	while ((node = list_take_first(&peer->dirty)) != NULL) {
+		peer_connection_t *connection =
+		    LIST_ENTRY(node, peer_connection_t, dirty_link);
+
+		if (!connection->failed &&
+		    peer_connection_flush(connection) != MASTICPITCH_OK)
+			peer_connection_fail(connection);
+	}
+	peer->in_flush = false;
+}
+
+static void
+reap_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	peer_t *peer = watcher->data;
+
+	LIST_FOREACH_SAFE (node, &peer->connections) {
+		peer_connection_t *connection = LIST_ENTRY(node, peer_connection_t, link);
+
+		if (connection->failed)
+			peer_connection_close(connection);
+	}
+}
+
+static void
+tick_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	peer_t *peer = watcher->data;
+	uint64_t now = kernel_now(peer->kernel);
+
+	LIST_FOREACH_SAFE (node, &peer->connections)
+		peer_connection_tick(LIST_ENTRY(node, peer_connection_t, link), now);
+	reap_callback(loop, watcher, events);
+}
+
+int
+peer_create(kernel_t *kernel, const settings_t *settings, peer_t **result)
+{
+	peer_t *peer = calloc(1, sizeof(*peer));
+	struct ev_loop *loop = kernel_loop(kernel);
+	int error;
+
+	if (peer == NULL)
+		return MASTICPITCH_E_NOMEM;
+	peer->kernel = kernel;
+	peer->settings = settings;
+	peer->node = address_to_node_id(&settings->peers);
+	auth_keys_init(&peer->keys, settings);
+	list_init(&peer->connections);
+	list_init(&peer->dirty);
+	hash_table_init(&peer->remotes);
+	hash_table_init(&peer->outgoing);
+	hash_table_init(&peer->incoming);
+	hash_table_init(&peer->wires);
+	peer->service.name = "peer";
+	peer->service.state = peer;
+	peer->service.receive = peer_receive;
+	peer->service.is_idle = peer_is_idle;
+	error = os_socket_listen(&settings->peers, &peer->listen_fd);
+	if (error != MASTICPITCH_OK)
+		goto fail;
+	error = kernel_service_register(kernel, &peer->service);
+	if (error != MASTICPITCH_OK) {
+		close(peer->listen_fd);
+		goto fail;
+	}
+	peer->fault = fault_acquire(kernel, settings);
+	ev_io_init(&peer->listener, listen_callback, peer->listen_fd, EV_READ);
+	peer->listener.data = peer;
+	ev_io_start(loop, &peer->listener);
+	ev_prepare_init(&peer->flusher, flush_callback);
+	ev_set_priority(&peer->flusher, EV_MINPRI);
+	peer->flusher.data = peer;
+	ev_prepare_start(loop, &peer->flusher);
+	ev_timer_init(&peer->reaper, reap_callback, 0., 0.);
+	peer->reaper.data = peer;
+	ev_timer_init(
+	    &peer->ticker, tick_callback, PEER_TICK_MS / 1e3, PEER_TICK_MS / 1e3);
+	peer->ticker.data = peer;
+	ev_timer_start(loop, &peer->ticker);
+	*result = peer;
+	return MASTICPITCH_OK;
+fail:
+	free(peer);
+	return error;
+}
+
+void
+peer_destroy(peer_t *peer)
+{
+	struct ev_loop *loop;
+
+	if (peer == NULL)
+		return;
+	loop = kernel_loop(peer->kernel);
+	ev_io_stop(loop, &peer->listener);
+	ev_prepare_stop(loop, &peer->flusher);
+	ev_timer_stop(loop, &peer->reaper);
+	ev_timer_stop(loop, &peer->ticker);
+	close(peer->listen_fd);
+	LIST_FOREACH_SAFE (node, &peer->connections)
+		peer_connection_close(LIST_ENTRY(node, peer_connection_t, link));
+	peer_remotes_destroy(peer);
+	ev_timer_stop(loop, &peer->reaper);
+	hash_table_free(&peer->outgoing);
+	hash_table_free(&peer->incoming);
+	hash_table_free(&peer->wires);
+	kernel_service_unregister(peer->kernel, &peer->service);
+	fault_release(peer->fault);
+	free(peer);
+}
--- /dev/null
+++ b/src/peer_stream.c
@@ -0,0 +1,398 @@
+/*
+ * Streams: calls from this node's entry to gates of other nodes (outgoing) and
+ * from other nodes to this node's gate (incoming).
+ */
+#include "peer_internal.h"
+
+#include <stdlib.h>
+
+/* Both sides count wire ids from 1; the direction keeps them apart. */
+static uint64_t
+wire_key(bool outgoing, uint64_t wire)
+{
+	return wire << 1 | (outgoing ? 1 : 0);
+}
+
+peer_stream_t *
+peer_stream_find_wire(peer_connection_t *connection, bool outgoing, uint64_t wire)
+{
+	hash_node_t *node = hash_table_find(
+	    &connection->peer->wires, connection->id, wire_key(outgoing, wire));
+
+	return node != NULL ? HASH_ENTRY(node, peer_stream_t, by_wire) : NULL;
+}
+
+static peer_stream_t *
+stream_find_local(peer_t *peer, bool outgoing, uint64_t node, uint64_t local)
+{
+	hash_node_t *found = outgoing ? hash_table_find(&peer->outgoing, node, local)
+				      : hash_table_find(&peer->incoming, 0, local);
+
+	return found != NULL ? HASH_ENTRY(found, peer_stream_t, by_local) : NULL;
+}
+
+static peer_stream_t *
+stream_create(peer_t *peer, peer_remote_t *remote, bool outgoing, uint64_t local)
+{
+	peer_stream_t *stream = calloc(1, sizeof(*stream));
+	int error;
+
+	if (stream == NULL)
+		return NULL;
+	list_init(&stream->owner_link);
+	list_init(&stream->body_link);
+	list_init(&stream->queue);
+	stream->remote = remote;
+	stream->outgoing = outgoing;
+	stream->local = local;
+	stream->receive_window = STREAM_WINDOW;
+	error = outgoing
+		    ? hash_table_insert(
+			  &peer->outgoing, &stream->by_local, remote->node, local)
+		    : hash_table_insert(&peer->incoming, &stream->by_local, 0, local);
+	if (error != MASTICPITCH_OK) {
+		free(stream);
+		return NULL;
+	}
+	if (outgoing)
+		remote->stream_count++;
+	return stream;
+}
+
+void
+peer_stream_destroy(peer_t *peer, peer_stream_t *stream)
+{
+	if (stream->connection != NULL) {
+		hash_table_remove(&peer->wires, &stream->by_wire);
+		if (!stream->outgoing)
+			stream->connection->incoming_count--;
+	}
+	if (stream->outgoing)
+		stream->remote->stream_count--;
+	hash_table_remove(
+	    stream->outgoing ? &peer->outgoing : &peer->incoming, &stream->by_local);
+	list_remove(&stream->owner_link);
+	list_remove(&stream->body_link);
+	peer_message_queue_clear(&stream->queue);
+	free(stream);
+}
+
+void
+peer_stream_end(peer_t *peer, peer_stream_t *stream, message_type_t type, reason_t reason,
+    run_state_t run)
+{
+	message_t *message = message_create(type, stream->remote->node, stream->local);
+
+	if (message != NULL) {
+		message->u.refusal.reason = reason;
+		message->u.refusal.run = run;
+	}
+	peer_post(peer, stream->outgoing ? "entry" : "gate", message);
+	peer_stream_destroy(peer, stream);
+}
+
+void
+peer_stream_lost(peer_t *peer, peer_stream_t *stream)
+{
+	const peer_connection_t *connection = stream->connection;
+	bool written =
+	    stream->open_encoded && connection->sent_total > stream->open_offset;
+
+	/* The gate has sent its whole answer; only bytes of it were waiting. */
+	if (stream->body_ended) {
+		peer_stream_destroy(peer, stream);
+		return;
+	}
+	peer_stream_end(peer, stream, MESSAGE_STREAM_LOST, REASON_STREAM_LOST,
+	    stream->outgoing && !written ? RUN_NO : RUN_UNKNOWN);
+}
+
+/* Puts a message of an attached stream into the queue of its priority. */
+static void
+stream_enqueue(peer_stream_t *stream, message_t *message)
+{
+	peer_connection_t *connection = stream->connection;
+	bool is_data =
+	    message->type == MESSAGE_CALL_DATA || message->type == MESSAGE_ANSWER_DATA;
+	bool is_small = !is_data || (message->u.data.end && !stream->data_seen &&
+					list_is_empty(&stream->queue));
+
+	message->stream = stream->wire;
+	peer_connection_dirty(connection);
+	if (is_small) {
+		list_append(&connection->small, &message->link);
+		return;
+	}
+	stream->data_seen = true;
+	list_append(&stream->queue, &message->link);
+	if (list_is_empty(&stream->body_link))
+		list_append(&connection->bodies, &stream->body_link);
+}
+
+void
+peer_stream_attach(peer_stream_t *stream, peer_connection_t *connection)
+{
+	list_t queue;
+	list_t *node;
+
+	list_remove(&stream->owner_link);
+	stream->wire = ++connection->next_wire;
+	if (hash_table_insert(&connection->peer->wires, &stream->by_wire, connection->id,
+		wire_key(true, stream->wire)) != MASTICPITCH_OK) {
+		peer_stream_end(connection->peer, stream, MESSAGE_REFUSAL,
+		    REASON_PEER_UNREACHABLE, RUN_NO);
+		return;
+	}
+	stream->connection = connection;
+	list_append(&connection->streams, &stream->owner_link);
+	list_init(&queue);
+	while ((node = list_take_first(&stream->queue)) != NULL)
+		list_append(&queue, node);
+	while ((node = list_take_first(&queue)) != NULL)
+		stream_enqueue(stream, LIST_ENTRY(node, message_t, link));
+}
+
+/* Answers a call that cannot be passed on. */
+static void
+call_refuse(peer_t *peer, const message_t *message, reason_t reason)
+{
+	message_t *answer =
+	    message_create(MESSAGE_REFUSAL, message->node, message->stream);
+
+	if (answer != NULL) {
+		answer->u.refusal.reason = reason;
+		answer->u.refusal.run = RUN_NO;
+	}
+	peer_post(peer, "entry", answer);
+}
+
+static void
+call_open_send(peer_t *peer, message_t *message)
+{
+	peer_remote_t *remote = peer_remote_find(peer, message->node);
+	peer_connection_t *connection;
+	peer_stream_t *stream;
+	message_t *taken;
+
+	if (remote == NULL) {
+		call_refuse(peer, message, REASON_PEER_UNREACHABLE);
+		return;
+	}
+	if (remote->stream_count >= peer->settings->streams_per_peer_max) {
+		call_refuse(peer, message, REASON_STREAM_LIMIT);
+		return;
+	}
+	connection = peer_remote_connection(peer, remote);
+	if (connection == NULL && peer_remote_connect(peer, remote) != MASTICPITCH_OK) {
+		call_refuse(peer, message, REASON_PEER_UNREACHABLE);
+		return;
+	}
+	if (stream_find_local(peer, true, message->node, message->stream) != NULL)
+		return;
+	stream = stream_create(peer, remote, true, message->stream);
+	taken = stream != NULL ? peer_message_take(message) : NULL;
+	if (taken == NULL) {
+		call_refuse(peer, message, REASON_PEER_UNREACHABLE);
+		if (stream != NULL)
+			peer_stream_destroy(peer, stream);
+		return;
+	}
+	list_append(&stream->queue, &taken->link);
+	if (connection != NULL)
+		peer_stream_attach(stream, connection);
+	else
+		list_append(&remote->waiting, &stream->owner_link);
+}
+
+static void
+call_cancel_send(peer_t *peer, peer_stream_t *stream, message_t *message)
+{
+	message_t *taken = stream->open_encoded ? peer_message_take(message) : NULL;
+
+	if (taken != NULL) {
+		taken->stream = stream->wire;
+		peer_send_control(stream->connection, taken);
+	}
+	peer_stream_destroy(peer, stream);
+}
+
+static void
+credit_send(peer_stream_t *stream, message_t *message)
+{
+	message_t *taken = stream->connection != NULL ? peer_message_take(message) : NULL;
+
+	if (taken == NULL)
+		return;
+	stream->receive_window += taken->u.credit;
+	taken->stream = stream->wire;
+	peer_send_control(stream->connection, taken);
+}
+
+static void
+data_send(peer_stream_t *stream, message_t *message)
+{
+	message_t *taken = peer_message_take(message);
+
+	if (taken == NULL)
+		return;
+	if (stream->connection == NULL)
+		list_append(&stream->queue, &taken->link);
+	else
+		stream_enqueue(stream, taken);
+}
+
+/* From the gate. The stream is gone once its last frame is in a queue. */
+static void
+answer_send(peer_t *peer, peer_stream_t *stream, message_t *message)
+{
+	bool end = message->type == MESSAGE_REFUSAL ||
+		   message->type == MESSAGE_ANSWER_ABORT ||
+		   (message->type == MESSAGE_ANSWER_DATA && message->u.data.end);
+
+	if (stream->body_ended)
+		return;
+	data_send(stream, message);
+	if (!end)
+		return;
+	if (message->type == MESSAGE_ANSWER_DATA && !list_is_empty(&stream->queue))
+		stream->body_ended = true;
+	else
+		peer_stream_destroy(peer, stream);
+}
+
+void
+peer_stream_send(peer_t *peer, message_t *message)
+{
+	bool outgoing = message->type == MESSAGE_CALL_DATA ||
+			message->type == MESSAGE_CALL_CANCEL ||
+			message->type == MESSAGE_ANSWER_CREDIT;
+	peer_stream_t *stream;
+
+	if (message->type == MESSAGE_CALL_OPEN) {
+		call_open_send(peer, message);
+		return;
+	}
+	stream = stream_find_local(peer, outgoing, message->node, message->stream);
+	/* The stream ended while the message was on its way. */
+	if (stream == NULL)
+		return;
+	switch (message->type) {
+	case MESSAGE_CALL_DATA:
+		data_send(stream, message);
+		break;
+	case MESSAGE_CALL_CANCEL:
+		call_cancel_send(peer, stream, message);
+		break;
+	case MESSAGE_ANSWER_CREDIT:
+	case MESSAGE_CALL_CREDIT:
+		credit_send(stream, message);
+		break;
+	default:
+		answer_send(peer, stream, message);
+		break;
+	}
+}
+
+/* Refuses an incoming call without telling the gate. */
+static int
+incoming_refuse(peer_connection_t *connection, uint64_t wire, reason_t reason)
+{
+	message_t *refusal =
+	    message_create(MESSAGE_REFUSAL, connection->remote->node, wire);
+
+	if (refusal == NULL)
+		return MASTICPITCH_E_NOMEM;
+	refusal->u.refusal.reason = reason;
+	refusal->u.refusal.run = RUN_NO;
+	list_append(&connection->small, &refusal->link);
+	peer_connection_dirty(connection);
+	metrics_refusal_add(kernel_metrics(connection->peer->kernel), reason);
+	return MASTICPITCH_OK;
+}
+
+/* Takes the message. */
+static int
+call_open_receive(peer_connection_t *connection, message_t *message)
+{
+	peer_t *peer = connection->peer;
+	uint64_t wire = message->stream;
+	peer_stream_t *stream;
+
+	if (wire <= connection->last_incoming_wire || wire >> 63 != 0) {
+		message_destroy(message);
+		return MASTICPITCH_E_INVALID;
+	}
+	connection->last_incoming_wire = wire;
+	if (connection->incoming_count >= peer->settings->streams_per_peer_max ||
+	    kernel_service_find(peer->kernel, "gate") == NULL) {
+		message_destroy(message);
+		return incoming_refuse(connection, wire,
+		    connection->incoming_count > 0 ? REASON_STREAM_LIMIT
+						   : REASON_INSTANCE_GONE);
+	}
+	stream = stream_create(peer, connection->remote, false, ++peer->next_incoming);
+	if (stream == NULL ||
+	    hash_table_insert(&peer->wires, &stream->by_wire, connection->id,
+		wire_key(false, wire)) != MASTICPITCH_OK) {
+		if (stream != NULL)
+			peer_stream_destroy(peer, stream);
+		message_destroy(message);
+		return MASTICPITCH_E_NOMEM;
+	}
+	stream->wire = wire;
+	stream->connection = connection;
+	connection->incoming_count++;
+	list_append(&connection->streams, &stream->owner_link);
+	message->node = connection->remote->node;
+	message->stream = stream->local;
+	peer_post(peer, "gate", message);
+	return MASTICPITCH_OK;
+}
+
+static bool
+message_ends_answer(const message_t *message)
+{
+	return message->type == MESSAGE_REFUSAL ||
+	       message->type == MESSAGE_ANSWER_ABORT ||
+	       (message->type == MESSAGE_ANSWER_DATA && message->u.data.end);
+}
+
+int
+peer_stream_receive(peer_connection_t *connection, const Masticpitch__Frame *frame)
+{
+	peer_t *peer = connection->peer;
+	peer_stream_t *stream;
+	message_t *message;
+	bool outgoing;
+	int error = frame_to_message(frame, kernel_now(peer->kernel), &message);
+
+	if (error != MASTICPITCH_OK)
+		return error;
+	if (message->type == MESSAGE_CALL_OPEN)
+		return call_open_receive(connection, message);
+	outgoing = message->type != MESSAGE_CALL_DATA &&
+		   message->type != MESSAGE_CALL_CANCEL &&
+		   message->type != MESSAGE_ANSWER_CREDIT;
+	stream = peer_stream_find_wire(connection, outgoing, message->stream);
+	if (stream == NULL || stream->body_ended) {
+		metrics_add(kernel_metrics(peer->kernel), METRIC_LATE_FRAMES, 1);
+		message_destroy(message);
+		return MASTICPITCH_OK;
+	}
+	if ((message->type == MESSAGE_CALL_DATA ||
+		message->type == MESSAGE_ANSWER_DATA) &&
+	    message->u.data.chunk != NULL) {
+		stream->receive_window -= (int64_t)message->u.data.chunk->size;
+		if (stream->receive_window < 0) {
+			message_destroy(message);
+			return MASTICPITCH_E_LIMIT;
+		}
+	}
+	message->node = connection->remote->node;
+	message->stream = stream->local;
+	if ((outgoing && message_ends_answer(message)) ||
+	    message->type == MESSAGE_CALL_CANCEL)
+		peer_stream_destroy(peer, stream);
+	peer_post(peer, outgoing ? "entry" : "gate", message);
+	return MASTICPITCH_OK;
+}
