Parse and validate presets

Cause: operators' presets need the same strict verdict in the client and on every node.

Change: json_text reads strict JSON (comments on request, duplicate keys refused by comparing the number of keys written and kept); preset checks every count, length, range and reference; preset_index finds a route by one hash lookup for each prefix length in use.

Conclusion: other modules can parse presets and look up routes.

--- /dev/null
+++ b/src/json_text.c
@@ -0,0 +1,332 @@
+#include "json_text.h"
+
+#include "masticpitch/masticpitch.h"
+#include "util.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+json_report_init(json_report_t *report, char *message, size_t size)
+{
+	report->message = message;
+	report->size = size;
+	report->error = MASTICPITCH_OK;
+	if (size > 0)
+		message[0] = '\0';
+}
+
+int
+json_report_fail(
+    json_report_t *report, int error, const char *place, const char *format, ...)
+{
+	va_list arguments;
+	size_t used = 0;
+
+	if (report->error != MASTICPITCH_OK)
+		return report->error;
+	report->error = error;
+	if (report->size == 0)
+		return error;
+	if (place[0] != '\0') {
+		snprintf(report->message, report->size, "%s: ", place);
+		used = strlen(report->message);
+	}
+	va_start(arguments, format);
+	/* The analyzer misses va_start() when it reads several files at once. */
+	vsnprintf(report->message + used, report->size - used, format, /* NOLINT */
+	    arguments);
+	va_end(arguments);
+	return error;
+}
+
+/* What a pass over the raw text finds out and changes. */
+typedef struct scan {
+	char *text;
+	size_t size;
+	size_t at;
+	uint64_t colons; /* outside texts: the number of keys */
+} scan_t;
+
+static void
+scan_skip_string(scan_t *scan)
+{
+	for (scan->at++; scan->at < scan->size && scan->text[scan->at] != '"';
+	     scan->at++) {
+		if (scan->text[scan->at] == '\\')
+			scan->at++;
+	}
+	scan->at++;
+}
+
+/* Replaces one comment by spaces; line ends stay, so that lines keep their numbers. */
+static bool
+scan_blank_comment(scan_t *scan)
+{
+	char kind = scan->at + 1 < scan->size ? scan->text[scan->at + 1] : '\0';
+	bool ended = false;
+
+	if (kind != '/' && kind != '*')
+		return false;
+	scan->text[scan->at++] = ' ';
+	scan->text[scan->at++] = ' ';
+	while (scan->at < scan->size && !ended) {
+		char *c = &scan->text[scan->at++];
+
+		if (*c == '\n') {
+			ended = kind == '/';
+			continue;
+		}
+		if (kind == '*' && *c == '*' && scan->at < scan->size && c[1] == '/') {
+			scan->text[scan->at++] = ' ';
+			ended = true;
+		}
+		*c = ' ';
+	}
+	return ended || kind == '/';
+}
+
+static int
+scan_run(scan_t *scan, bool comments, json_report_t *report)
+{
+	while (scan->at < scan->size) {
+		switch (scan->text[scan->at]) {
+		case '"':
+			scan_skip_string(scan);
+			break;
+		case '/':
+			if (!comments || !scan_blank_comment(scan))
+				return json_report_fail(report, MASTICPITCH_E_INVALID, "",
+				    comments ? "unfinished comment"
+					     : "comments are not allowed here");
+			break;
+		case ':':
+			scan->colons++;
+			scan->at++;
+			break;
+		case '\0':
+			return json_report_fail(
+			    report, MASTICPITCH_E_INVALID, "", "contains a zero byte");
+		default:
+			scan->at++;
+			break;
+		}
+	}
+	return MASTICPITCH_OK;
+}
+
+/* Recursion is bounded by the tokener's depth. */
+static uint64_t
+keys_count(struct json_object *value)
+{
+	uint64_t count = 0;
+
+	if (json_object_is_type(value, json_type_array)) {
+		size_t length = json_object_array_length(value);
+
+		for (size_t i = 0; i < length; i++)
+			count += keys_count(json_object_array_get_idx(value, i));
+	} else if (json_object_is_type(value, json_type_object)) {
+		json_object_object_foreach(value, key, item)
+		{
+			(void)key;
+			count += 1 + keys_count(item);
+		}
+	}
+	return count;
+}
+
+static size_t
+line_of(const char *text, size_t offset)
+{
+	size_t line = 1;
+
+	for (size_t i = 0; i < offset; i++)
+		line += text[i] == '\n';
+	return line;
+}
+
+static bool
+is_blank(const char *text, size_t from, size_t size)
+{
+	for (size_t i = from; i < size; i++) {
+		if (strchr(" \t\r\n", text[i]) == NULL)
+			return false;
+	}
+	return true;
+}
+
+static int
+tokens_parse(const scan_t *scan, struct json_object **result, json_report_t *report)
+{
+	struct json_tokener *tokener = json_tokener_new_ex(JSON_TEXT_DEPTH_MAX);
+	struct json_object *object = NULL;
+	enum json_tokener_error fault;
+	char place[32];
+	size_t end;
+
+	if (tokener == NULL)
+		return json_report_fail(report, MASTICPITCH_E_NOMEM, "", "out of memory");
+	json_tokener_set_flags(tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8 |
+					    JSON_TOKENER_ALLOW_TRAILING_CHARS);
+	object = json_tokener_parse_ex(tokener, scan->text, (int)scan->size);
+	fault = json_tokener_get_error(tokener);
+	end = MIN_OF(json_tokener_get_parse_end(tokener), scan->size);
+	snprintf(place, sizeof(place), "line %zu", line_of(scan->text, end));
+	if (fault == json_tokener_continue)
+		json_report_fail(report, MASTICPITCH_E_INVALID, place, "unfinished JSON");
+	else if (fault != json_tokener_success)
+		json_report_fail(report, MASTICPITCH_E_INVALID, place, "%s",
+		    json_tokener_error_desc(fault));
+	else if (!is_blank(scan->text, end, scan->size))
+		json_report_fail(
+		    report, MASTICPITCH_E_INVALID, place, "text after the end");
+	else if (!json_object_is_type(object, json_type_object))
+		json_report_fail(report, MASTICPITCH_E_INVALID, "", "must be an object");
+	else if (keys_count(object) != scan->colons)
+		json_report_fail(report, MASTICPITCH_E_INVALID, "",
+		    "a key appears twice in an object");
+	json_tokener_free(tokener);
+	if (report->error != MASTICPITCH_OK) {
+		json_object_put(object);
+		return report->error;
+	}
+	*result = object;
+	return MASTICPITCH_OK;
+}
+
+int
+json_text_parse(const char *text, size_t size, size_t size_max, bool comments,
+    struct json_object **object, json_report_t *report)
+{
+	scan_t scan = {.size = size};
+	int error;
+
+	if (size > size_max)
+		return json_report_fail(
+		    report, MASTICPITCH_E_LIMIT, "", "longer than %zu bytes", size_max);
+	scan.text = malloc(size + 1);
+	if (scan.text == NULL)
+		return json_report_fail(report, MASTICPITCH_E_NOMEM, "", "out of memory");
+	if (size > 0)
+		memcpy(scan.text, text, size);
+	scan.text[size] = '\0';
+	error = scan_run(&scan, comments, report);
+	if (error == MASTICPITCH_OK)
+		error = tokens_parse(&scan, object, report);
+	free(scan.text);
+	return error;
+}
+
+int
+json_keys_check(json_report_t *report, const char *place, struct json_object *object,
+    const char *const *keys)
+{
+	json_object_object_foreach(object, key, item)
+	{
+		const char *const *known = keys;
+
+		(void)item;
+		while (*known != NULL && strcmp(*known, key) != 0)
+			known++;
+		if (*known == NULL)
+			return json_report_fail(report, MASTICPITCH_E_INVALID, place,
+			    "unknown key \"%.64s\"", key);
+	}
+	return MASTICPITCH_OK;
+}
+
+int
+json_read_uint(json_report_t *report, const char *place, struct json_object *object,
+    const char *key, bool required, uint64_t min, uint64_t max, uint64_t *value)
+{
+	struct json_object *item = NULL;
+	uint64_t number;
+
+	if (!json_object_object_get_ex(object, key, &item)) {
+		if (!required)
+			return MASTICPITCH_OK;
+		return json_report_fail(
+		    report, MASTICPITCH_E_INVALID, place, "%s: is missing", key);
+	}
+	if (!json_object_is_type(item, json_type_int) || json_object_get_int64(item) < 0)
+		return json_report_fail(report, MASTICPITCH_E_INVALID, place,
+		    "%s: must be a whole number from %" PRIu64 " to %" PRIu64, key, min,
+		    max);
+	number = json_object_get_uint64(item);
+	if (number < min || number > max)
+		return json_report_fail(report, MASTICPITCH_E_INVALID, place,
+		    "%s: must be from %" PRIu64 " to %" PRIu64, key, min, max);
+	*value = number;
+	return MASTICPITCH_OK;
+}
+
+int
+json_read_uint32(json_report_t *report, const char *place, struct json_object *object,
+    const char *key, uint32_t min, uint32_t max, uint32_t *value)
+{
+	uint64_t number = *value;
+	int error = json_read_uint(report, place, object, key, false, min, max, &number);
+
+	if (error == MASTICPITCH_OK)
+		*value = (uint32_t)number;
+	return error;
+}
+
+int
+json_read_bool(json_report_t *report, const char *place, struct json_object *object,
+    const char *key, bool *value, bool *given)
+{
+	struct json_object *item = NULL;
+
+	*given = json_object_object_get_ex(object, key, &item);
+	if (!*given)
+		return MASTICPITCH_OK;
+	if (!json_object_is_type(item, json_type_boolean))
+		return json_report_fail(report, MASTICPITCH_E_INVALID, place,
+		    "%s: must be true or false", key);
+	*value = json_object_get_boolean(item);
+	return MASTICPITCH_OK;
+}
+
+int
+json_read_text(json_report_t *report, const char *place, struct json_object *object,
+    const char *key, char *target, size_t size)
+{
+	struct json_object *item = NULL;
+	const char *text;
+	size_t length;
+
+	if (!json_object_object_get_ex(object, key, &item))
+		return json_report_fail(
+		    report, MASTICPITCH_E_INVALID, place, "%s: is missing", key);
+	if (!json_object_is_type(item, json_type_string))
+		return json_report_fail(
+		    report, MASTICPITCH_E_INVALID, place, "%s: must be a text", key);
+	text = json_object_get_string(item);
+	length = (size_t)json_object_get_string_len(item);
+	if (length == 0 || length >= size)
+		return json_report_fail(report, MASTICPITCH_E_INVALID, place,
+		    "%s: must have 1 to %zu bytes", key, size - 1);
+	for (size_t i = 0; i < length; i++) {
+		if ((unsigned char)text[i] < 0x20 || text[i] == 0x7f)
+			return json_report_fail(report, MASTICPITCH_E_INVALID, place,
+			    "%s: contains a control character", key);
+	}
+	memcpy(target, text, length + 1);
+	return MASTICPITCH_OK;
+}
+
+bool
+json_name_is_valid(const char *name, size_t size)
+{
+	static const char allowed[] =
+	    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	    "0123456789-_.";
+
+	return size >= 1 && size <= 64 && strlen(name) == size &&
+	       strspn(name, allowed) == size;
+}
--- a/src/preset.h
+++ b/src/preset.h
@@ -23,8 +23,14 @@
 #define PRESET_METHODS_MAX 8
 #define PRESET_ATTEMPTS_MAX 5
 #define PRESET_DEADLINE_MS_MAX (24 * 60 * 60 * 1000)
-/* Longest text of a preset file, bytes. */
+/* Longest text of a preset file or of one part, bytes. */
 #define PRESET_TEXT_MAX (1024 * 1024)
+#define PRESET_IN_FLIGHT_MAX 65536
+#define PRESET_QUEUE_MAX 65536
+#define PRESET_SLOW_START_MS_MAX (10 * 60 * 1000)
+#define PRESET_BODY_LIMIT_MAX (UINT64_C(1) << 40)
+/* Texts that preset_parse_parts() takes: routes and 32 buckets of services. */
+#define PRESET_PARTS_MAX 33
 
 typedef enum route_class {
 	ROUTE_CALL,	/* non-idempotent; the safe default */
@@ -61,10 +67,19 @@
 typedef struct preset {
 	preset_service_t *services; /* sorted by name */
 	size_t service_count;
-	preset_route_t *routes; /* sorted: longest prefix first */
+	preset_route_t *routes; /* sorted: longest prefix first, then prefix, name */
 	size_t route_count;
+	uint32_t *index;     /* hash table: prefix to its first route; private */
+	uint32_t index_mask; /* slots - 1; private */
+	uint64_t lengths[(PRESET_PREFIX_BYTES + 63) / 64]; /* prefix lengths in use */
 } preset_t;
 
+/* One text of a preset that is stored in parts. */
+typedef struct preset_text {
+	const char *text;
+	size_t size;
+} preset_text_t;
+
 /*
  * Parses and checks a preset: JSON, in operators' files with comments. On
  * failure message names the place and the reason. The result is freed with
@@ -73,9 +88,22 @@
  */
 int preset_parse(
     const char *text, size_t size, preset_t **preset, char *message, size_t message_size);
+/*
+ * The same for a preset in parts, plain JSON: the first part has the routes,
+ * each further one has services. Messages name the part. Errors as above.
+ */
+int preset_parse_parts(const preset_text_t *parts, size_t count, preset_t **preset,
+    char *message, size_t message_size);
 void preset_destroy(preset_t *preset);
 
-/* The route with the longest matching prefix, or NULL. */
+/* A service with every setting at its default. */
+void preset_service_init(preset_service_t *service);
+
+/*
+ * The route with the longest prefix among those that match the method and the
+ * path up to its query, or NULL. The cost grows with the path's length, at
+ * most 256 bytes, and not with the number of routes.
+ */
 const preset_route_t *preset_route_find(
     const preset_t *preset, const char *method, const char *path);
 /* Errors: none; NULL if there is no such service. */
