Put the admission policies into the gate

Cause: the gate had a first-come queue of its own; the policy modules are in the tree now.

Change: adaptive limit, ordered queue, idempotency tickets and quarantine decide on admission; the gate issues tickets, replays their outcomes, probes the backend server's port after a broken exchange and reports fingerprints in flight at a death. Header lines moved to gate_fields.

Conclusion: the gate is complete but untested.

--- a/src/gate.c
+++ b/src/gate.c
@@ -8,7 +8,8 @@
 {
 	memset(load, 0, sizeof(*load));
 	load->running = gate->running;
-	load->queued = gate->queued;
+	load->queued = queue_length(&gate->queue);
+	load->latency_us = limit_gate_latency_us(&gate->limit);
 	load->limit = gate_limit(gate);
 	load->slots = gate->backend.live ? gate->backend.slots : 0;
 }
@@ -50,6 +51,7 @@
 	    call, call->answered ? MESSAGE_ANSWER_ABORT : MESSAGE_REFUSAL);
 
 	metrics_refusal_add(kernel_metrics(gate->kernel), reason);
+	gate_ticket_fail(call, run);
 	if (message != NULL) {
 		message->u.refusal.reason = reason;
 		message->u.refusal.run = run;
@@ -69,6 +71,7 @@
 	stream_table_remove(&gate->streams, &call->stream);
 	list_remove(&call->link);
 	chunk_queue_free(&call->body);
+	buffer_free(&call->kept);
 	answer_head_destroy(call->answer);
 	call_head_destroy(call->head);
 	free(call);
@@ -79,6 +82,8 @@
 {
 	gate_t *gate = call->gate;
 
+	gate_ticket_fail(call, call->sent ? RUN_UNKNOWN : RUN_NO);
+	gate_crash_end(call, false);
 	gate_exchange_stop(call);
 	gate_call_leave(call);
 	gate_call_free(call);
@@ -111,7 +116,9 @@
 	call->stream.service = message->from;
 	call->stream.node = message->node;
 	call->stream.stream = message->stream;
-	list_init(&call->queue_link);
+	list_init(&call->item.link);
+	/* One byte more tells the ticket table that the body is too large to keep. */
+	buffer_init(&call->kept, TICKET_BODY_MAX + 1);
 	chunk_queue_init(&call->body);
 	call->body_end = !call->head->has_body;
 	call->answer_credit = STREAM_WINDOW;
@@ -217,8 +224,9 @@
 	    "\"queued\":%u,\"announced_load\":%.3f,\"leaving\":%s}}",
 	    gate->backend.live ? states[gate->backend.state] : "none",
 	    gate->backend.service, gate->backend.instance, gate->backend.slots,
-	    gate->backend.connections, gate_limit(gate), gate->running, gate->queued,
-	    gate->backend.load, gate->leaving ? "true" : "false");
+	    gate->backend.connections, gate_limit(gate), gate->running,
+	    queue_length(&gate->queue), gate->backend.load,
+	    gate->leaving ? "true" : "false");
 	if (message != NULL)
 		message->u.report = chunk_copy(text.data, text.size);
 	buffer_free(&text);
@@ -265,6 +273,15 @@
 	case MESSAGE_STREAM_LOST:
 		gate_call_receive(gate, message);
 		break;
+	case MESSAGE_CRASH_REPORT:
+		gate_crash_receive(gate, message);
+		break;
+	case MESSAGE_SNAPSHOT:
+		snapshot_release(gate->snapshot);
+		gate->snapshot = message->u.snapshot;
+		message->u.snapshot = NULL;
+		gate_limits_set(gate);
+		break;
 	case MESSAGE_LEAVE:
 		gate_leave(gate);
 		break;
@@ -299,9 +316,17 @@
 	gate->service.receive = gate_receive;
 	gate->service.is_idle = gate_is_idle;
 	list_init(&gate->calls);
-	list_init(&gate->queue);
 	list_init(&gate->service.link);
+	gate->naive = settings->routing_policy == ROUTING_NAIVE;
+	queue_init(&gate->queue, 0, 1, !gate->naive);
+	limit_gate_init(&gate->limit, 1, !gate->naive, kernel_now(kernel));
+	gate_death_init(gate);
 	error = stream_table_init(&gate->streams);
+	if (error == MASTICPITCH_OK)
+		error = quarantine_create(&gate->quarantine);
+	if (error == MASTICPITCH_OK)
+		error = ticket_table_create(address_to_node_id(&settings->peers),
+		    kernel_boot_id(kernel), TICKET_TABLE_MAX, &gate->tickets);
 	if (error == MASTICPITCH_OK)
 		error = gate_exchange_open(gate);
 	if (error == MASTICPITCH_OK)
@@ -329,7 +354,11 @@
 		gate_call_free(call);
 	}
 	gate_announce_close(gate);
+	gate_death_close(gate);
 	gate_exchange_close(gate);
+	ticket_table_destroy(gate->tickets);
+	quarantine_destroy(gate->quarantine);
+	snapshot_release(gate->snapshot);
 	stream_table_free(&gate->streams);
 	free(gate);
 }
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -5,8 +5,29 @@
 uint32_t
 gate_limit(const gate_t *gate)
 {
-	return gate->backend.live ? MIN_OF(gate->backend.slots, gate->backend.connections)
-				  : 0;
+	if (!gate->backend.live)
+		return 0;
+	if (gate->naive)
+		return gate->backend.connections;
+	return MIN_OF(limit_gate_current(&gate->limit), gate->backend.connections);
+}
+
+void
+gate_limits_set(gate_t *gate)
+{
+	const preset_service_t *service = NULL;
+	uint32_t queue_limit = gate->naive ? QUEUE_LIMIT_MAX : 0;
+
+	if (!gate->backend.live)
+		return;
+	if (gate->snapshot != NULL && !gate->naive)
+		service =
+		    preset_service_find(gate->snapshot->preset, gate->backend.service);
+	if (service != NULL)
+		queue_limit = service->queue_limit;
+	limit_gate_slots_set(&gate->limit, gate->backend.slots);
+	queue_limit_set(&gate->queue, queue_limit, gate->backend.slots);
+	metrics_set(kernel_metrics(gate->kernel), METRIC_GATE_LIMIT, gate_limit(gate));
 }
 
 /* Why the gate takes no call now, or REASON_NONE. */
@@ -24,84 +45,132 @@
 	return REASON_NONE;
 }
 
+static void
+counts_show(gate_t *gate)
+{
+	metrics_t *metrics = kernel_metrics(gate->kernel);
+
+	metrics_set(metrics, METRIC_GATE_RUNNING, gate->running);
+	metrics_set(metrics, METRIC_GATE_QUEUED, queue_length(&gate->queue));
+}
+
 static void
 call_run(gate_call_t *call)
 {
 	gate_t *gate = call->gate;
-	metrics_t *metrics = kernel_metrics(gate->kernel);
 
 	call->state = GATE_CALL_RUNNING;
 	call->started = kernel_now(gate->kernel);
-	gate->running++;
-	metrics_set(metrics, METRIC_GATE_RUNNING, gate->running);
+	call->running_at_start = ++gate->running;
+	gate_crash_start(call);
 	if (gate_exchange_start(call) != MASTICPITCH_OK) {
 		gate_call_refuse(call, REASON_BACKEND_CONNECT, RUN_NO, false);
 		return;
 	}
-	metrics_add(metrics, METRIC_GATE_ADMITTED, 1);
+	metrics_add(kernel_metrics(gate->kernel), METRIC_GATE_ADMITTED, 1);
+	counts_show(gate);
+}
+
+static reason_t
+call_queue(gate_call_t *call, uint64_t now)
+{
+	gate_t *gate = call->gate;
+	queue_item_t *shed = NULL;
+	reason_t reason;
+
+	call->item.route_class = call->head->route_class;
+	call->item.deadline = call->head->deadline;
+	reason = queue_push(&gate->queue, &call->item, gate_limit(gate), now, &shed);
+	if (reason != REASON_NONE)
+		return reason;
+	call->state = GATE_CALL_QUEUED;
+	counts_show(gate);
+	if (shed != NULL)
+		gate_call_refuse(LIST_ENTRY(shed, gate_call_t, item), REASON_QUEUE_SHED,
+		    RUN_NO, false);
+	return REASON_NONE;
 }
 
 void
 gate_call_admit(gate_call_t *call)
 {
 	gate_t *gate = call->gate;
+	uint64_t now = kernel_now(gate->kernel);
 	reason_t reason = gate_closed(gate, call->head);
 
-	if (reason == REASON_NONE && call->head->deadline <= kernel_now(gate->kernel))
+	if (reason == REASON_NONE && call->head->deadline <= now)
 		reason = REASON_DEADLINE_PASSED;
-	if (reason == REASON_NONE && gate->queued >= 4 * gate->backend.slots)
-		reason = REASON_QUEUE_FULL;
+	if (reason == REASON_NONE && !gate->naive &&
+	    quarantine_refuses(gate->quarantine, call->head->fingerprint, now))
+		reason = REASON_CRASH_SUSPECT;
 	if (reason != REASON_NONE) {
 		gate_call_refuse(call, reason, RUN_NO, false);
 		return;
 	}
-	if (gate->running < gate_limit(gate)) {
+	if (gate_ticket_answer(call))
+		return;
+	if (gate->running < gate_limit(gate) && queue_length(&gate->queue) == 0) {
 		call_run(call);
 		return;
 	}
-	call->state = GATE_CALL_QUEUED;
-	call->queued_at = kernel_now(gate->kernel);
-	list_append(&gate->queue, &call->queue_link);
-	gate->queued++;
-	metrics_set(kernel_metrics(gate->kernel), METRIC_GATE_QUEUED, gate->queued);
+	reason = call_queue(call, now);
+	if (reason != REASON_NONE)
+		gate_call_refuse(call, reason, RUN_NO, false);
 }
 
 void
 gate_call_leave(gate_call_t *call)
 {
 	gate_t *gate = call->gate;
-	metrics_t *metrics = kernel_metrics(gate->kernel);
 
-	if (call->state == GATE_CALL_QUEUED) {
-		list_remove(&call->queue_link);
-		gate->queued--;
-	} else if (call->state == GATE_CALL_RUNNING) {
+	queue_remove(&gate->queue, &call->item);
+	if (call->state == GATE_CALL_RUNNING)
 		gate->running--;
-	}
 	call->state = GATE_CALL_NEW;
-	metrics_set(metrics, METRIC_GATE_RUNNING, gate->running);
-	metrics_set(metrics, METRIC_GATE_QUEUED, gate->queued);
+	counts_show(gate);
+}
+
+/* Refuses the queued calls that cannot finish in time any more. */
+static void
+queue_expire_late(gate_t *gate, uint64_t now)
+{
+	queue_item_t *item;
+	reason_t reason = REASON_DEADLINE_PASSED;
+
+	while ((item = queue_expire(&gate->queue, now, &reason)) != NULL)
+		gate_call_refuse(
+		    LIST_ENTRY(item, gate_call_t, item), reason, RUN_NO, false);
 }
 
 void
 gate_queue_run(gate_t *gate)
 {
-	while (gate->running < gate_limit(gate) && !list_is_empty(&gate->queue)) {
-		gate_call_t *call = LIST_ENTRY(gate->queue.next, gate_call_t, queue_link);
+	uint64_t now;
 
-		gate_call_leave(call);
-		metrics_observe(kernel_metrics(gate->kernel), HISTOGRAM_QUEUE,
-		    kernel_now(gate->kernel) - call->queued_at);
-		call_run(call);
+	/* Ending a call leads here again; the outer round goes on by itself. */
+	if (gate->in_queue_run || queue_length(&gate->queue) == 0)
+		return;
+	gate->in_queue_run = true;
+	now = kernel_now(gate->kernel);
+	queue_expire_late(gate, now);
+	while (gate->running < gate_limit(gate)) {
+		queue_item_t *item = queue_pop(&gate->queue, now);
+
+		if (item == NULL)
+			break;
+		metrics_observe(
+		    kernel_metrics(gate->kernel), HISTOGRAM_QUEUE, now - item->queued_at);
+		call_run(LIST_ENTRY(item, gate_call_t, item));
 	}
+	gate->in_queue_run = false;
 }
 
 void
 gate_queue_refuse(gate_t *gate, reason_t reason)
 {
-	while (!list_is_empty(&gate->queue)) {
-		gate_call_t *call = LIST_ENTRY(gate->queue.next, gate_call_t, queue_link);
+	queue_item_t *item;
 
-		gate_call_refuse(call, reason, RUN_NO, false);
-	}
+	while ((item = queue_drain(&gate->queue)) != NULL)
+		gate_call_refuse(
+		    LIST_ENTRY(item, gate_call_t, item), reason, RUN_NO, false);
 }
--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -127,6 +127,19 @@
 	return error;
 }
 
+static void
+backend_log(gate_t *gate, log_level_t level, const char *message, const char *detail)
+{
+	const log_field_t fields[] = {
+	    {LOG_KIND_TEXT, "service", gate->backend.service, 0},
+	    {LOG_KIND_TEXT, "instance", gate->backend.instance, 0},
+	    {LOG_KIND_TEXT, "detail", detail, 0},
+	    {LOG_KIND_END, NULL, NULL, 0},
+	};
+
+	log_write(kernel_log(gate->kernel), level, message, fields);
+}
+
 void
 gate_instance_post(gate_t *gate)
 {
@@ -153,9 +166,7 @@
 {
 	if (!gate->backend.live)
 		return;
-	log_warning(kernel_log(gate->kernel), "backend server dropped",
-	    LOG_TEXT("service", gate->backend.service),
-	    LOG_TEXT("instance", gate->backend.instance), LOG_TEXT("cause", cause));
+	backend_log(gate, LOG_LEVEL_WARNING, "backend server dropped", cause);
 	gate->backend.live = false;
 	ev_timer_stop(kernel_loop(gate->kernel), &gate->silence);
 	gate_queue_refuse(gate, REASON_INSTANCE_GONE);
@@ -180,19 +191,22 @@
 static void
 backend_set(gate_t *gate, const gate_backend_t *announced)
 {
+	static const char *const states[] = {"none", "starting", "ready", "leaving"};
 	bool changed = backend_changed(&gate->backend, announced);
 
+	if (gate->backend.boot[0] != '\0' &&
+	    strcmp(gate->backend.boot, announced->boot) != 0)
+		gate_backend_died(gate, "announced under a new boot id");
 	gate->backend = *announced;
 	gate->backend.live = true;
 	gate->backend.announced = kernel_now(gate->kernel);
 	gate->silence.repeat = (double)GATE_SILENT_MS / 1000.0;
 	ev_timer_again(kernel_loop(gate->kernel), &gate->silence);
 	curl_loop_set_connections(gate->curl, announced->connections);
+	gate_limits_set(gate);
 	if (changed) {
-		log_info(kernel_log(gate->kernel), "backend server announced",
-		    LOG_TEXT("service", announced->service),
-		    LOG_TEXT("instance", announced->instance),
-		    LOG_NUMBER("state", announced->state));
+		backend_log(gate, LOG_LEVEL_INFO, "backend server announced",
+		    states[announced->state]);
 		gate_instance_post(gate);
 	}
 	gate_queue_run(gate);
@@ -217,8 +231,7 @@
 	}
 	error = announcement_parse(request->body, request->body_size, &announced);
 	if (error != NULL) {
-		log_warning(kernel_log(gate->kernel), "announcement refused",
-		    LOG_TEXT("reason", error));
+		backend_log(gate, LOG_LEVEL_WARNING, "announcement refused", error);
 		reply_error(request->exchange, 400, error);
 		return;
 	}
--- /dev/null
+++ b/src/gate_death.c
@@ -0,0 +1,177 @@
+#include "gate_internal.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+static void
+crash_report_post(
+    gate_t *gate, const char *service, uint64_t fingerprint, uint64_t death, bool cleared)
+{
+	message_t *message = message_create(MESSAGE_CRASH_REPORT, 0, 0);
+
+	if (message != NULL) {
+		message->u.crash_report.fingerprint = fingerprint;
+		message->u.crash_report.death = death;
+		message->u.crash_report.cleared = cleared;
+	}
+	kernel_message_post(gate->kernel, &gate->service,
+	    kernel_service_find(gate->kernel, service), message);
+}
+
+void
+gate_crash_start(gate_call_t *call)
+{
+	if (call->head->fingerprint == 0)
+		return;
+	quarantine_start(call->gate->quarantine, call->head->fingerprint);
+	call->fingerprint_open = true;
+}
+
+static void
+fingerprint_end(gate_t *gate, uint64_t fingerprint, bool success)
+{
+	if (!quarantine_end(gate->quarantine, fingerprint, success))
+		return;
+	crash_report_post(gate, "membership", fingerprint, 0, true);
+	crash_report_post(gate, "entry", fingerprint, 0, true);
+}
+
+void
+gate_crash_end(gate_call_t *call, bool answered)
+{
+	if (!call->fingerprint_open)
+		return;
+	call->fingerprint_open = false;
+	fingerprint_end(call->gate, call->head->fingerprint, answered);
+}
+
+static void
+probe_stop(gate_t *gate)
+{
+	if (gate->probe_fd < 0)
+		return;
+	ev_io_stop(kernel_loop(gate->kernel), &gate->probe);
+	ev_timer_stop(kernel_loop(gate->kernel), &gate->probe_deadline);
+	close(gate->probe_fd);
+	gate->probe_fd = -1;
+}
+
+/* The backend server lives: the broken exchanges were no deaths. */
+static void
+lost_clear(gate_t *gate)
+{
+	for (size_t i = 0; i < gate->lost_count; i++)
+		fingerprint_end(gate, gate->lost[i], false);
+	gate->lost_count = 0;
+}
+
+static void
+probe_finish(gate_t *gate, bool listens)
+{
+	probe_stop(gate);
+	if (listens)
+		lost_clear(gate);
+	else
+		gate_backend_died(gate, "connections reset and port refuses");
+}
+
+static void
+probe_callback(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	gate_t *gate = watcher->data;
+	int error = 0;
+	socklen_t size = sizeof(error);
+
+	if (getsockopt(gate->probe_fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+		error = 1;
+	probe_finish(gate, error == 0);
+}
+
+/* No answer is no proof of a death. */
+static void
+probe_deadline_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	probe_finish(watcher->data, true);
+}
+
+static void
+probe_start(gate_t *gate)
+{
+	if (gate->probe_fd >= 0 || !gate->backend.live)
+		return;
+	if (os_socket_connect(&gate->backend.address, 0, &gate->probe_fd) !=
+	    MASTICPITCH_OK) {
+		gate->probe_fd = -1;
+		gate_backend_died(gate, "connections reset and port refuses");
+		return;
+	}
+	ev_io_set(&gate->probe, gate->probe_fd, EV_WRITE);
+	ev_io_start(kernel_loop(gate->kernel), &gate->probe);
+	ev_timer_set(&gate->probe_deadline, (double)GATE_CONNECT_MS / 1000.0, 0.0);
+	ev_timer_start(kernel_loop(gate->kernel), &gate->probe_deadline);
+}
+
+void
+gate_crash_lost(gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+
+	if (call->fingerprint_open && gate->lost_count < GATE_LOST_MAX) {
+		call->fingerprint_open = false;
+		gate->lost[gate->lost_count++] = call->head->fingerprint;
+	}
+	probe_start(gate);
+}
+
+void
+gate_backend_died(gate_t *gate, const char *cause)
+{
+	uint64_t fingerprints[QUARANTINE_IN_FLIGHT_MAX];
+	uint64_t death = rng_next(kernel_rng(gate->kernel));
+	uint64_t now = kernel_now(gate->kernel);
+	size_t count;
+
+	probe_stop(gate);
+	gate->lost_count = 0;
+	count =
+	    quarantine_death(gate->quarantine, fingerprints, ARRAY_LENGTH(fingerprints));
+	for (size_t i = 0; i < count; i++) {
+		quarantine_report(gate->quarantine, fingerprints[i], death, now);
+		crash_report_post(gate, "membership", fingerprints[i], death, false);
+		crash_report_post(gate, "entry", fingerprints[i], death, false);
+	}
+	/* What ran on the dead process must not be ended in the next one's set. */
+	LIST_FOREACH (node, &gate->calls)
+		LIST_ENTRY(node, gate_call_t, link)->fingerprint_open = false;
+	if (gate->backend.live)
+		metrics_add(kernel_metrics(gate->kernel), METRIC_BACKEND_DEATHS, 1);
+	gate_backend_drop(gate, cause);
+}
+
+void
+gate_crash_receive(gate_t *gate, const message_t *message)
+{
+	uint64_t fingerprint = message->u.crash_report.fingerprint;
+
+	if (message->u.crash_report.cleared)
+		quarantine_clear(gate->quarantine, fingerprint);
+	else
+		quarantine_report(gate->quarantine, fingerprint,
+		    message->u.crash_report.death, kernel_now(gate->kernel));
+}
+
+void
+gate_death_init(gate_t *gate)
+{
+	gate->probe_fd = -1;
+	ev_io_init(&gate->probe, probe_callback, -1, EV_WRITE);
+	gate->probe.data = gate;
+	ev_timer_init(&gate->probe_deadline, probe_deadline_callback, 0.0, 0.0);
+	gate->probe_deadline.data = gate;
+}
+
+void
+gate_death_close(gate_t *gate)
+{
+	probe_stop(gate);
+}
--- /dev/null
+++ b/src/gate_fields.c
@@ -0,0 +1,198 @@
+#include "gate_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* True for the fields that are not passed on to the caller as they are. */
+static bool
+answer_field_is_own(const char *name)
+{
+	return header_is_hop_by_hop(name) || strcasecmp(name, "Content-Length") == 0;
+}
+
+static bool
+answer_run_is_no(const answer_head_t *answer)
+{
+	const char *run = headers_find(&answer->headers, HEADER_RUN);
+
+	return answer->status == 503 && run != NULL && strcasecmp(run, "no") == 0;
+}
+
+/* The head is whole: posts it, or notes that the call was shed unrun. */
+static void
+answer_head_post(gate_call_t *call)
+{
+	answer_head_t *answer = call->answer;
+	const char *type;
+	message_t *message;
+	bool final = headers_find(&answer->headers, HEADER_FINAL) != NULL;
+
+	call->shed_final = final;
+	if (answer_run_is_no(answer)) {
+		call->shed = true;
+		return;
+	}
+	headers_strip(&answer->headers);
+	if (final)
+		headers_add(&answer->headers, HEADER_FINAL, "1");
+	gate_load(call->gate, &answer->load);
+	message = gate_call_message(call, MESSAGE_ANSWER_HEAD);
+	if (message == NULL)
+		return;
+	call->status = answer->status;
+	type = headers_find(&answer->headers, "Content-Type");
+	if (type != NULL)
+		string_copy(call->kept_type, sizeof(call->kept_type), type);
+	message->u.answer = answer;
+	call->answer = NULL;
+	call->answered = true;
+	gate_call_post(call, message);
+}
+
+static bool
+answer_begin(gate_call_t *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	answer_head_destroy(call->answer);
+	call->answer = answer_head_create();
+	if (call->answer == NULL)
+		return false;
+	call->answer->status = (int)status;
+	return true;
+}
+
+static bool
+answer_field_add(gate_call_t *call, char *line)
+{
+	char *value = strchr(line, ':');
+	uint64_t length;
+
+	if (value == NULL)
+		return true;
+	*value++ = '\0';
+	value += strspn(value, " \t");
+	if (strcasecmp(line, "Content-Length") == 0 &&
+	    string_parse_uint(value, INT64_MAX, &length) == MASTICPITCH_OK)
+		call->answer->body_length = (int64_t)length;
+	if (answer_field_is_own(line) && strcasecmp(line, "Connection") != 0)
+		return true;
+	return headers_add(&call->answer->headers, line, value) == MASTICPITCH_OK;
+}
+
+/* A whole line without its end. */
+static bool
+answer_line_read(gate_call_t *call, char *line)
+{
+	if (strncmp(line, "HTTP/", 5) == 0)
+		return answer_begin(call);
+	if (call->answer == NULL)
+		return false;
+	if (line[0] != '\0')
+		return answer_field_add(call, line);
+	if (call->answer->status >= 200)
+		answer_head_post(call);
+	return true;
+}
+
+bool
+gate_answer_line(gate_call_t *call, const char *data, size_t length)
+{
+	char small[4096];
+	char *line = small;
+	bool good;
+
+	if (call->answered || call->shed)
+		return true; /* trailer */
+	if (length >= sizeof(small)) {
+		line = malloc(length + 1);
+		if (line == NULL)
+			return false;
+	}
+	memcpy(line, data, length);
+	line[length] = '\0';
+	line[strcspn(line, "\r\n")] = '\0';
+	good = answer_line_read(call, line);
+	if (line != small)
+		free(line);
+	return good;
+}
+
+static bool
+line_add(gate_call_t *call, const char *name, const char *value)
+{
+	size_t size = strlen(name) + strlen(value) + 4;
+	char small[512];
+	char *line = size <= sizeof(small) ? small : malloc(size);
+	struct curl_slist *longer;
+
+	if (line == NULL)
+		return false;
+	/* libcurl sends a field without value only if it ends in a semicolon. */
+	if (value[0] == '\0')
+		snprintf(line, size, "%s;", name);
+	else
+		snprintf(line, size, "%s: %s", name, value);
+	longer = curl_slist_append(call->lines, line);
+	if (line != small)
+		free(line);
+	if (longer == NULL)
+		return false;
+	call->lines = longer;
+	return true;
+}
+
+static bool
+line_suppress(gate_call_t *call, const char *line)
+{
+	struct curl_slist *longer = curl_slist_append(call->lines, line);
+
+	if (longer == NULL)
+		return false;
+	call->lines = longer;
+	return true;
+}
+
+static bool
+lines_add_own(gate_call_t *call, uint64_t now)
+{
+	const call_head_t *head = call->head;
+	uint64_t left_ms = (head->deadline - MIN_OF(now, head->deadline)) / NS_PER_MS;
+	char number[24];
+
+	snprintf(number, sizeof(number), "%" PRIu64, left_ms);
+	if (!line_add(call, HEADER_DEADLINE, number))
+		return false;
+	snprintf(number, sizeof(number), "%u", head->depth + 1);
+	if (!line_add(call, HEADER_DEPTH, number) ||
+	    !line_add(call, HEADER_REQUEST_ID, head->request_id))
+		return false;
+	if (head->trace[0] != '\0' && !line_add(call, HEADER_TRACE, head->trace))
+		return false;
+	return head->ticket[0] == '\0' || line_add(call, HEADER_TICKET, head->ticket);
+}
+
+bool
+gate_lines_build(gate_call_t *call)
+{
+	const headers_t *headers = &call->head->headers;
+
+	for (size_t i = 0; i < headers->count; i++) {
+		const header_t *item = &headers->items[i];
+
+		if (strcasecmp(item->name, "Content-Length") == 0 ||
+		    strcasecmp(item->name, "Expect") == 0 ||
+		    header_is_hop_by_hop(item->name))
+			continue;
+		if (!line_add(call, item->name, item->value))
+			return false;
+	}
+	if (headers_find(headers, "Accept") == NULL && !line_suppress(call, "Accept:"))
+		return false;
+	return line_suppress(call, "Expect:") &&
+	       lines_add_own(call, kernel_now(call->gate->kernel));
+}
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -3,7 +3,9 @@
  *
  * gate.c: the service, its streams and messages. gate_announce.c: the backend
  * server's announcements. gate_admit.c: admission and queue. gate_exchange.c:
- * the exchange of one call with the backend server.
+ * the exchange of one call with the backend server, with its header fields in
+ * gate_fields.c. gate_ticket.c: idempotency tickets. gate_death.c: deaths of
+ * the backend server and crash reports.
  */
 #ifndef MASTICPITCH_GATE_INTERNAL_H
 #define MASTICPITCH_GATE_INTERNAL_H
@@ -12,7 +14,12 @@
 #include "curl_loop.h"
 #include "gate.h"
 #include "http_server.h"
+#include "limit.h"
+#include "quarantine.h"
+#include "queue.h"
+#include "snapshot.h"
 #include "stream_table.h"
+#include "ticket.h"
 
 #define GATE_BOOT_BYTES 65
 /* A backend server announces itself this often. */
@@ -25,6 +32,10 @@
 #define GATE_CREDIT_BYTES (STREAM_WINDOW / 4)
 /* Calls of one gate, waiting and running; beyond it calls are refused. */
 #define GATE_CALLS_MAX 8192
+/* A backend server on the same host accepts at once or is stuck. */
+#define GATE_CONNECT_MS 1000
+/* Broken exchanges whose cause, death or not, is being looked for. */
+#define GATE_LOST_MAX 64
 
 /* The backend server as last announced. */
 typedef struct gate_backend {
@@ -49,14 +60,26 @@
 	CURL *handles[GATE_HANDLES_MAX];
 	size_t handle_count;
 	stream_table_t streams;
-	list_t calls; /* every call, by arrival */
-	list_t queue; /* the waiting ones */
+	list_t calls;  /* every call, by arrival */
+	queue_t queue; /* the waiting ones */
+	limit_gate_t limit;
+	bool naive;
+	bool in_queue_run;
+	ticket_table_t *tickets;
+	quarantine_t *quarantine;
+	snapshot_t *snapshot; /* may be NULL */
 	uint32_t running;
-	uint32_t queued;
 	gate_backend_t backend;
 	uint32_t sequence;
 	bool leaving;
 	ev_timer silence;
+
+	/* Looks whether the backend server still listens. */
+	int probe_fd; /* -1: no probe runs */
+	ev_io probe;
+	ev_timer probe_deadline;
+	uint64_t lost[GATE_LOST_MAX]; /* fingerprints */
+	size_t lost_count;
 };
 
 typedef enum gate_call_state {
@@ -68,13 +91,18 @@
 typedef struct gate_call {
 	stream_entry_t stream;
 	list_t link;
-	list_t queue_link;
+	queue_item_t item;
 	gate_t *gate;
 	call_head_t *head;
 	gate_call_state_t state;
 	ev_timer deadline;
-	uint64_t queued_at;
 	uint64_t started;
+	uint32_t running_at_start;
+	bool fingerprint_open; /* counted in flight by quarantine */
+	ticket_t ticket;
+	bool ticket_open; /* its outcome is still to be told */
+	buffer_t kept;	  /* start of the answer body, for the ticket */
+	char kept_type[TICKET_CONTENT_TYPE_BYTES];
 
 	/* request body */
 	chunk_queue_t body; /* not yet taken by libcurl */
@@ -90,6 +118,7 @@
 	bool resend_blocked;
 	bool shed; /* the backend server refused it unrun */
 	bool shed_final;
+	int status;	       /* of the answer that was posted */
 	answer_head_t *answer; /* until it is posted */
 	bool answered;	       /* the answer head is posted */
 	uint32_t answer_credit;
@@ -114,6 +143,8 @@
 void gate_backend_drop(gate_t *gate, const char *cause);
 
 /* gate_admit.c */
+/* Takes over slots and settings after an announcement or a new configuration. */
+void gate_limits_set(gate_t *gate);
 /* Runs, queues or refuses a call that has just arrived. */
 void gate_call_admit(gate_call_t *call);
 /* Starts queued calls while there are places. */
@@ -124,6 +155,34 @@
 void gate_call_leave(gate_call_t *call);
 uint32_t gate_limit(const gate_t *gate);
 
+/* gate_ticket.c */
+/* True if the call asks for a ticket or carries one that keeps it from running; */
+/* then it has been answered and is gone. */
+bool gate_ticket_answer(gate_call_t *call);
+void gate_ticket_keep(gate_call_t *call, const void *data, size_t size);
+void gate_ticket_finish(gate_call_t *call);
+/* The exchange ended without a whole answer. */
+void gate_ticket_fail(gate_call_t *call, run_state_t run);
+
+/* gate_death.c */
+void gate_death_init(gate_t *gate);
+void gate_death_close(gate_t *gate);
+/* The call went to the backend server. */
+void gate_crash_start(gate_call_t *call);
+/* It ended; answered: with an answer of the backend server. */
+void gate_crash_end(gate_call_t *call, bool answered);
+/* Its exchange broke after the request was sent; starts a probe. */
+void gate_crash_lost(gate_call_t *call);
+/* The backend server's process has ended: reports what it was running. */
+void gate_backend_died(gate_t *gate, const char *cause);
+void gate_crash_receive(gate_t *gate, const message_t *message);
+
+/* gate_fields.c */
+/* Header lines of the request to the backend server; false: no memory. */
+bool gate_lines_build(gate_call_t *call);
+/* One header line of the answer, with its end. False: break the exchange. */
+bool gate_answer_line(gate_call_t *call, const char *data, size_t length);
+
 /* gate_exchange.c */
 int gate_exchange_open(gate_t *gate);
 void gate_exchange_close(gate_t *gate);
--- /dev/null
+++ b/src/gate_ticket.c
@@ -0,0 +1,127 @@
+#include "gate_internal.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define TICKET_PATH "/.masticpitch/ticket"
+
+/* Answers a call without the backend server and ends it. */
+static void
+answer_whole(
+    gate_call_t *call, int status, const char *type, const void *body, size_t size)
+{
+	gate_t *gate = call->gate;
+	message_t *head = gate_call_message(call, MESSAGE_ANSWER_HEAD);
+	message_t *data = gate_call_message(call, MESSAGE_ANSWER_DATA);
+
+	if (head != NULL)
+		head->u.answer = answer_head_create();
+	if (data != NULL)
+		data->u.data.chunk = chunk_copy(body, size);
+	if (head == NULL || data == NULL || head->u.answer == NULL ||
+	    data->u.data.chunk == NULL) {
+		message_destroy(head);
+		message_destroy(data);
+		gate_call_refuse(call, REASON_QUEUE_FULL, RUN_NO, false);
+		return;
+	}
+	head->u.answer->status = status;
+	head->u.answer->body_length = (int64_t)size;
+	if (type[0] != '\0')
+		headers_add(&head->u.answer->headers, "Content-Type", type);
+	gate_load(gate, &head->u.answer->load);
+	data->u.data.end = true;
+	gate_call_post(call, head);
+	gate_call_post(call, data);
+	gate_call_finish(call);
+}
+
+static void
+ticket_issue_answer(gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+	const settings_t *settings = gate->settings;
+	char text[TICKET_BYTES];
+	char body[TICKET_BYTES + 64];
+	ticket_t ticket;
+	int length;
+
+	ticket_issue(&ticket, gate->backend.service, address_to_node_id(&settings->peers),
+	    kernel_boot_id(gate->kernel), kernel_rng(gate->kernel),
+	    kernel_now(gate->kernel));
+	ticket_format(&ticket, &settings->keys[0], text);
+	length = snprintf(body, sizeof(body), "{\"ticket\":\"%s\",\"expires_ms\":%d}",
+	    text, TICKET_LIFE_MS);
+	answer_whole(call, 200, "application/json", body, (size_t)length);
+}
+
+static bool
+path_is_ticket(const char *path)
+{
+	size_t length = sizeof(TICKET_PATH) - 1;
+
+	return strncmp(path, TICKET_PATH, length) == 0 &&
+	       (path[length] == '\0' || path[length] == '?');
+}
+
+bool
+gate_ticket_answer(gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+	const call_head_t *head = call->head;
+	ticket_verdict_t verdict;
+
+	if (path_is_ticket(head->path)) {
+		ticket_issue_answer(call);
+		return true;
+	}
+	if (head->ticket[0] == '\0')
+		return false;
+	verdict = ticket_arrive(gate->tickets, head->ticket, gate->settings->keys,
+	    gate->settings->key_count, head->service, head->fingerprint,
+	    kernel_now(gate->kernel), &call->ticket);
+	switch (verdict.action) {
+	case TICKET_RUN:
+		call->ticket_open = true;
+		return false;
+	case TICKET_REPLAY:
+		answer_whole(call, verdict.outcome.status, verdict.outcome.content_type,
+		    verdict.outcome.body, verdict.outcome.size);
+		return true;
+	case TICKET_REFUSE:
+	default:
+		gate_call_refuse(call, verdict.reason, verdict.run, true);
+		return true;
+	}
+}
+
+void
+gate_ticket_keep(gate_call_t *call, const void *data, size_t size)
+{
+	if (call->ticket_open)
+		(void)buffer_append(
+		    &call->kept, data, MIN_OF(size, call->kept.limit - call->kept.size));
+}
+
+void
+gate_ticket_finish(gate_call_t *call)
+{
+	if (!call->ticket_open)
+		return;
+	call->ticket_open = false;
+	ticket_finish(call->gate->tickets, &call->ticket, call->status,
+	    call->kept_type[0] == '\0' ? NULL : call->kept_type, call->kept.data,
+	    call->kept.size);
+}
+
+void
+gate_ticket_fail(gate_call_t *call, run_state_t run)
+{
+	if (!call->ticket_open)
+		return;
+	call->ticket_open = false;
+	if (run == RUN_NO)
+		ticket_withdraw(call->gate->tickets, &call->ticket);
+	else
+		ticket_finish_unknown(call->gate->tickets, &call->ticket);
+}
