Add the entry: callers' requests, attempts and reports

Cause: callers need one place per node that checks, routes and repeats their requests truthfully.

Conclusion: written against the interfaces of the policy modules.

--- a/src/chunk_queue.c
+++ b/src/chunk_queue.c
@@ -93,3 +93,9 @@
 	queue->size -= queue->slots[queue->first].chunk->size;
 	return first_remove(queue);
 }
+
+size_t
+chunk_queue_first_size(const chunk_queue_t *queue)
+{
+	return queue->count == 0 ? 0 : queue->slots[queue->first].chunk->size;
+}
--- a/src/chunk_queue.h
+++ b/src/chunk_queue.h
@@ -32,6 +32,8 @@
 int chunk_queue_push(chunk_queue_t *queue, chunk_t *chunk);
 /* Copies and removes at most size bytes; returns how many. */
 size_t chunk_queue_read(chunk_queue_t *queue, void *target, size_t size);
+/* Size of the first chunk, 0 if there is none. */
+size_t chunk_queue_first_size(const chunk_queue_t *queue);
 /* Takes out the first chunk, which must not be partly read; NULL: empty. */
 chunk_t *chunk_queue_take(chunk_queue_t *queue);
 
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,191 @@
+#include "entry_internal.h"
+
+#include <stdlib.h>
+
+void
+entry_stream_post(entry_request_t *request, message_t *message)
+{
+	entry_t *entry = request->entry;
+
+	kernel_message_post(
+	    entry->kernel, &entry->service, request->stream.service, message);
+}
+
+static void
+member_update(entry_t *entry, const member_t *member)
+{
+	int error =
+	    balance_member_update(entry->balance, member, kernel_now(entry->kernel));
+
+	if (error != MASTICPITCH_OK) {
+		const log_field_t fields[] = {
+		    {LOG_KIND_TEXT, "reason", masticpitch_strerror(error), 0},
+		    {LOG_KIND_END, NULL, NULL, 0},
+		};
+
+		log_write(kernel_log(entry->kernel), LOG_LEVEL_WARNING,
+		    "instance not used", fields);
+	}
+}
+
+/* The local gate's own word on its instance. */
+static void
+local_instance_update(entry_t *entry, const instance_t *instance)
+{
+	const settings_t *settings = entry->settings;
+	member_t member = {
+	    .node = entry->node,
+	    .address = settings->peers,
+	    .state = MEMBER_ALIVE,
+	    .instance = *instance,
+	    .reachable = true,
+	};
+
+	string_copy(member.zone, sizeof(member.zone), settings->zone);
+	string_copy(member.region, sizeof(member.region), settings->region);
+	member_update(entry, &member);
+}
+
+static void
+crash_report_receive(entry_t *entry, const message_t *message)
+{
+	uint64_t fingerprint = message->u.crash_report.fingerprint;
+
+	if (message->u.crash_report.cleared)
+		quarantine_clear(entry->quarantine, fingerprint);
+	else
+		quarantine_report(entry->quarantine, fingerprint,
+		    message->u.crash_report.death, kernel_now(entry->kernel));
+}
+
+static void
+stream_receive(entry_t *entry, message_t *message)
+{
+	stream_entry_t *found = stream_table_find(&entry->streams, message);
+
+	if (found == NULL) {
+		metrics_add(kernel_metrics(entry->kernel), METRIC_LATE_FRAMES, 1);
+		return;
+	}
+	entry_attempt_receive(LIST_ENTRY(found, entry_request_t, stream), message);
+}
+
+static void
+entry_receive(void *state, message_t *message)
+{
+	entry_t *entry = state;
+
+	switch (message->type) {
+	case MESSAGE_CALL_CREDIT:
+	case MESSAGE_ANSWER_HEAD:
+	case MESSAGE_ANSWER_DATA:
+	case MESSAGE_ANSWER_ABORT:
+	case MESSAGE_REFUSAL:
+	case MESSAGE_STREAM_LOST:
+		stream_receive(entry, message);
+		break;
+	case MESSAGE_MEMBER:
+		if (message->u.member.node != entry->node)
+			member_update(entry, &message->u.member);
+		break;
+	case MESSAGE_MEMBER_REMOVED:
+		if (message->u.member.node != entry->node)
+			balance_member_remove(entry->balance, message->u.member.node);
+		break;
+	case MESSAGE_INSTANCE:
+		local_instance_update(entry, &message->u.instance);
+		break;
+	case MESSAGE_CRASH_REPORT:
+		crash_report_receive(entry, message);
+		break;
+	case MESSAGE_SNAPSHOT:
+		snapshot_release(entry->snapshot);
+		entry->snapshot = message->u.snapshot;
+		message->u.snapshot = NULL;
+		break;
+	case MESSAGE_QUERY:
+		entry_report(entry, message);
+		break;
+	case MESSAGE_LEAVE:
+		entry->leaving = true;
+		break;
+	default:
+		break;
+	}
+}
+
+static bool
+entry_is_idle(const void *state)
+{
+	const entry_t *entry = state;
+
+	return list_is_empty(&entry->requests);
+}
+
+static int
+policies_create(entry_t *entry)
+{
+	const settings_t *settings = entry->settings;
+	int error = balance_create(entry->naive ? BALANCE_NAIVE : BALANCE_ADAPTIVE,
+	    settings->zone, settings->region, &entry->balance);
+
+	if (error == MASTICPITCH_OK)
+		error = retry_create(
+		    entry->naive ? RETRY_NAIVE : RETRY_ADAPTIVE, &entry->retry);
+	if (error == MASTICPITCH_OK)
+		error = limit_entry_create(
+		    settings->requests_max, !entry->naive, &entry->limit);
+	if (error == MASTICPITCH_OK)
+		error = quarantine_create(&entry->quarantine);
+	return error;
+}
+
+int
+entry_create(kernel_t *kernel, const settings_t *settings, entry_t **result)
+{
+	entry_t *entry = calloc(1, sizeof(*entry));
+	int error;
+
+	if (entry == NULL)
+		return MASTICPITCH_E_NOMEM;
+	entry->kernel = kernel;
+	entry->settings = settings;
+	entry->node = address_to_node_id(&settings->peers);
+	entry->naive = settings->routing_policy == ROUTING_NAIVE;
+	entry->service.name = "entry";
+	entry->service.state = entry;
+	entry->service.receive = entry_receive;
+	entry->service.is_idle = entry_is_idle;
+	entry->hangup_fd = -1;
+	list_init(&entry->service.link);
+	list_init(&entry->requests);
+	error = stream_table_init(&entry->streams);
+	if (error == MASTICPITCH_OK)
+		error = policies_create(entry);
+	if (error == MASTICPITCH_OK)
+		error = entry_http_open(entry);
+	if (error == MASTICPITCH_OK)
+		error = kernel_service_register(kernel, &entry->service);
+	if (error != MASTICPITCH_OK) {
+		entry_destroy(entry);
+		return error;
+	}
+	*result = entry;
+	return MASTICPITCH_OK;
+}
+
+void
+entry_destroy(entry_t *entry)
+{
+	if (entry == NULL)
+		return;
+	kernel_service_unregister(entry->kernel, &entry->service);
+	entry_http_close(entry);
+	balance_destroy(entry->balance);
+	retry_destroy(entry->retry);
+	limit_entry_destroy(entry->limit);
+	quarantine_destroy(entry->quarantine);
+	snapshot_release(entry->snapshot);
+	stream_table_free(&entry->streams);
+	free(entry);
+}
--- /dev/null
+++ b/src/entry_attempt.c
@@ -0,0 +1,338 @@
+#include "entry_internal.h"
+
+#include <string.h>
+
+static message_t *
+stream_message(const entry_request_t *request, message_type_t type)
+{
+	return message_create(type, request->stream.node, request->stream.stream);
+}
+
+static void
+stream_close(entry_request_t *request)
+{
+	if (!request->stream_open)
+		return;
+	request->stream_open = false;
+	stream_table_remove(&request->entry->streams, &request->stream);
+}
+
+void
+entry_attempt_cancel(entry_request_t *request)
+{
+	entry_t *entry = request->entry;
+
+	ev_timer_stop(kernel_loop(entry->kernel), &request->backoff);
+	if (!request->stream_open)
+		return;
+	entry_stream_post(request, stream_message(request, MESSAGE_CALL_CANCEL));
+	stream_close(request);
+	balance_attempt_end(entry->balance, &request->attempt, kernel_now(entry->kernel));
+}
+
+/* Nothing more is tried; what an earlier attempt may have run stays said. */
+static void
+attempt_give_up(entry_request_t *request, reason_t reason)
+{
+	if (request->last_reason != REASON_NONE && reason == REASON_NO_INSTANCE)
+		reason = request->last_reason;
+	entry_request_refuse(request, reason, request->run, false);
+}
+
+static bool
+instance_choose(entry_request_t *request, uint64_t *node)
+{
+	entry_t *entry = request->entry;
+
+	if (request->ticket_bound) {
+		*node = request->ticket_node;
+		return true;
+	}
+	return balance_choose(entry->balance, request->preset_service, request->tried,
+		   MIN_OF(request->attempts, (uint32_t)PRESET_ATTEMPTS_MAX),
+		   kernel_rng(entry->kernel), kernel_now(entry->kernel),
+		   node) == MASTICPITCH_OK;
+}
+
+static bool
+stream_open(entry_request_t *request, uint64_t node)
+{
+	entry_t *entry = request->entry;
+	bool local = node == entry->node;
+	message_t *message;
+	call_head_t *head;
+
+	request->stream.service =
+	    kernel_service_find(entry->kernel, local ? "gate" : "peer");
+	request->stream.node = local ? 0 : node;
+	request->stream.stream = ++entry->stream_last;
+	head = request->stream.service == NULL ? NULL : call_head_copy(request->head);
+	message = head == NULL ? NULL : stream_message(request, MESSAGE_CALL_OPEN);
+	if (message == NULL ||
+	    stream_table_insert(&entry->streams, &request->stream) != MASTICPITCH_OK) {
+		call_head_destroy(head);
+		message_destroy(message);
+		return false;
+	}
+	message->u.call = head;
+	request->stream_open = true;
+	entry_stream_post(request, message);
+	return true;
+}
+
+void
+entry_attempt_start(entry_request_t *request)
+{
+	entry_t *entry = request->entry;
+	uint64_t now = kernel_now(entry->kernel);
+	uint64_t node;
+
+	if (!retry_time_suffices(
+		request->head->deadline, request->route->min_attempt_ms, now)) {
+		attempt_give_up(request, REASON_DEADLINE_TOO_SHORT);
+		return;
+	}
+	if (!instance_choose(request, &node)) {
+		attempt_give_up(request, REASON_NO_INSTANCE);
+		return;
+	}
+	request->head->attempt = request->attempts + 1;
+	if (!stream_open(request, node)) {
+		attempt_give_up(request, REASON_INSTANCE_GONE);
+		return;
+	}
+	if (request->attempts < PRESET_ATTEMPTS_MAX)
+		request->tried[request->attempts] = node;
+	request->attempts++;
+	request->window = STREAM_WINDOW;
+	request->end_sent = !request->head->has_body;
+	balance_attempt_start(
+	    entry->balance, node, request->route->route_class, now, &request->attempt);
+	metrics_add(kernel_metrics(entry->kernel), METRIC_ATTEMPTS, 1);
+	entry_attempt_pump(request);
+}
+
+/* Body bytes left the entry that are not kept: no other attempt is possible. */
+static void
+body_send(entry_request_t *request)
+{
+	message_t *message = stream_message(request, MESSAGE_CALL_DATA);
+	chunk_t *chunk = chunk_queue_take(&request->unsent);
+
+	if (chunk != NULL)
+		request->window -= (uint32_t)chunk->size;
+	if (message == NULL) {
+		chunk_release(chunk);
+		entry_request_refuse(request, REASON_ENTRY_LIMIT, RUN_UNKNOWN, false);
+		return;
+	}
+	message->u.data.chunk = chunk;
+	message->u.data.end = request->body_end && request->unsent.count == 0;
+	request->end_sent = message->u.data.end;
+	entry_stream_post(request, message);
+}
+
+void
+entry_attempt_pump(entry_request_t *request)
+{
+	while (request->stream_open && !request->end_sent) {
+		size_t size = chunk_queue_first_size(&request->unsent);
+
+		if (size == 0 && !request->body_end)
+			break;
+		if (size > request->window)
+			break;
+		body_send(request);
+	}
+	if (request->state == REQUEST_BODY &&
+	    request->unsent.size <= ENTRY_BODY_HELD_MAX / 2)
+		entry_request_resume(request);
+}
+
+/* Queues the kept body again from its start. */
+static bool
+body_rewind(entry_request_t *request)
+{
+	chunk_queue_free(&request->unsent);
+	for (size_t done = 0; done < request->kept.size;) {
+		size_t part = MIN_OF(request->kept.size - done, (size_t)STREAM_DATA_MAX);
+		chunk_t *chunk = chunk_copy(request->kept.data + done, part);
+
+		if (chunk == NULL ||
+		    chunk_queue_push(&request->unsent, chunk) != MASTICPITCH_OK)
+			return false;
+		done += part;
+	}
+	return true;
+}
+
+/* Decides on another attempt after one has failed. */
+static void
+attempt_failed(entry_request_t *request, const refusal_t *refusal)
+{
+	entry_t *entry = request->entry;
+	uint64_t now = kernel_now(entry->kernel);
+	const preset_route_t *route = request->route;
+	retry_request_t facts = {
+	    .idempotent = request->head->idempotent,
+	    .body_kept = request->body_kept,
+	    .answer_started = request->answer != NULL,
+	    .attempts_made = request->attempts,
+	    .attempts_max = request->ticket_bound ? 1 : route->attempts,
+	    .min_attempt_ms = route->min_attempt_ms,
+	    .deadline = request->head->deadline,
+	};
+	retry_failure_t failure = {.reason = refusal->reason, .final = refusal->final};
+	retry_decision_t decision;
+
+	request->run = MAX_OF(request->run, refusal->run);
+	failure.run = request->run;
+	request->last_reason = refusal->reason;
+	if (entry->naive && !request->ticket_bound)
+		facts.attempts_max = facts.idempotent ? ENTRY_NAIVE_ATTEMPTS : 1;
+	decision = retry_decide(entry->retry, request->preset_service, &facts, &failure,
+	    kernel_rng(entry->kernel), now);
+	if (decision.stop != RETRY_STOP_NONE) {
+		request->refusal.retry_after_ms = refusal->retry_after_ms;
+		entry_request_refuse(
+		    request, decision.reason, decision.run, decision.final);
+		return;
+	}
+	if (!body_rewind(request)) {
+		attempt_give_up(request, REASON_ENTRY_LIMIT);
+		return;
+	}
+	metrics_retry_add(kernel_metrics(entry->kernel), refusal->reason);
+	if (decision.at <= now) {
+		entry_attempt_start(request);
+		return;
+	}
+	ev_timer_set(&request->backoff, (double)(decision.at - now) / 1e9, 0.0);
+	ev_timer_start(kernel_loop(entry->kernel), &request->backoff);
+}
+
+/* The answer ends short; a caller that has not got its head gets a refusal. */
+static void
+answer_cut(entry_request_t *request, reason_t reason, run_state_t run)
+{
+	if (request->state != REQUEST_ANSWERING) {
+		answer_head_destroy(request->answer);
+		request->answer = NULL;
+		entry_request_refuse(request, reason, MAX_OF(run, RUN_UNKNOWN), false);
+		return;
+	}
+	request->answer_cut = true;
+	entry_request_resume(request);
+}
+
+static void
+refusal_receive(entry_request_t *request, const message_t *message)
+{
+	entry_t *entry = request->entry;
+	refusal_t refusal = message->u.refusal;
+	uint64_t now = kernel_now(entry->kernel);
+
+	stream_close(request);
+	if (message->type == MESSAGE_REFUSAL)
+		balance_attempt_refused(entry->balance, &request->attempt, refusal.reason,
+		    &refusal.load, now);
+	else
+		balance_attempt_failed(entry->balance, &request->attempt, now);
+	if (request->answer != NULL) {
+		answer_cut(request, refusal.reason, refusal.run);
+		return;
+	}
+	/* An earlier request with this ticket may have been run by that gate. */
+	if (request->ticket_bound && message->type == MESSAGE_STREAM_LOST) {
+		refusal.reason = REASON_TICKET_LOST;
+		refusal.run = RUN_UNKNOWN;
+	}
+	attempt_failed(request, &refusal);
+}
+
+/* The other end breaks the rules of the stream: what it ran is not known. */
+static void
+stream_violated(entry_request_t *request)
+{
+	static const refusal_t refusal = {
+	    .reason = REASON_BACKEND_PROTOCOL, .run = RUN_UNKNOWN};
+
+	balance_attempt_failed(request->entry->balance, &request->attempt,
+	    kernel_now(request->entry->kernel));
+	entry_attempt_cancel(request);
+	if (request->answer != NULL)
+		answer_cut(request, refusal.reason, refusal.run);
+	else
+		attempt_failed(request, &refusal);
+}
+
+static void
+head_receive(entry_request_t *request, message_t *message)
+{
+	entry_t *entry = request->entry;
+	answer_head_t *answer = message->u.answer;
+
+	if (request->answer != NULL || answer->status < 200 || answer->status > 599) {
+		stream_violated(request);
+		return;
+	}
+	message->u.answer = NULL;
+	request->answer = answer;
+	balance_attempt_answer(entry->balance, &request->attempt, answer->status,
+	    &answer->load, kernel_now(entry->kernel));
+	request->body_kept = false;
+	buffer_free(&request->kept);
+	if (request->state == REQUEST_WAITING)
+		entry_request_resume(request);
+}
+
+static void
+answer_data_receive(entry_request_t *request, message_t *message)
+{
+	entry_t *entry = request->entry;
+	chunk_t *chunk = message->u.data.chunk;
+	size_t size = chunk == NULL ? 0 : chunk->size;
+
+	if (request->answer == NULL || request->answer_body.size + size > STREAM_WINDOW) {
+		stream_violated(request);
+		return;
+	}
+	message->u.data.chunk = NULL;
+	if (size > 0 &&
+	    chunk_queue_push(&request->answer_body, chunk) != MASTICPITCH_OK) {
+		stream_violated(request);
+		return;
+	}
+	if (size == 0)
+		chunk_release(chunk);
+	if (message->u.data.end) {
+		request->answer_end = true;
+		stream_close(request);
+		balance_attempt_end(
+		    entry->balance, &request->attempt, kernel_now(entry->kernel));
+		/* The caller may still send a body that nobody reads any more. */
+		chunk_queue_free(&request->unsent);
+	}
+	entry_request_resume(request);
+}
+
+void
+entry_attempt_receive(entry_request_t *request, message_t *message)
+{
+	switch (message->type) {
+	case MESSAGE_CALL_CREDIT:
+		request->window =
+		    MIN_OF(request->window + message->u.credit, (uint32_t)STREAM_WINDOW);
+		entry_attempt_pump(request);
+		break;
+	case MESSAGE_ANSWER_HEAD:
+		head_receive(request, message);
+		break;
+	case MESSAGE_ANSWER_DATA:
+		answer_data_receive(request, message);
+		break;
+	default:
+		refusal_receive(request, message);
+		break;
+	}
+}
--- /dev/null
+++ b/src/entry_head.c
@@ -0,0 +1,295 @@
+#include "entry_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define OWN_PATH "/.masticpitch/"
+#define TICKET_PATH "/.masticpitch/ticket"
+
+/* What is collected from the header fields. */
+typedef struct head_fields {
+	call_head_t *head;
+	size_t bytes;
+	size_t count;
+	size_t length_count;
+	size_t encoding_count;
+	size_t ticket_count;
+	bool chunked;
+	reason_t reason;
+	uint64_t length;
+	uint64_t deadline_ms;
+	uint64_t depth;
+	const char *request_id;
+	const char *trace;
+	const char *ticket;
+} head_fields_t;
+
+static bool
+number_parse(head_fields_t *fields, const char *value, uint64_t max, uint64_t *number)
+{
+	if (string_parse_uint(value, max, number) == MASTICPITCH_OK)
+		return true;
+	fields->reason = REASON_BAD_REQUEST;
+	return false;
+}
+
+static void
+length_read(head_fields_t *fields, const char *value)
+{
+	if (++fields->length_count > 1 ||
+	    string_parse_uint(value, INT64_MAX, &fields->length) != MASTICPITCH_OK)
+		fields->reason = REASON_BAD_FRAMING;
+}
+
+static void
+encoding_read(head_fields_t *fields, const char *value)
+{
+	fields->chunked = true;
+	if (++fields->encoding_count > 1 || strcasecmp(value, "chunked") != 0)
+		fields->reason = REASON_BAD_FRAMING;
+}
+
+/* True if the field has a meaning here and is not passed on as it is. */
+static bool
+field_is_own(head_fields_t *fields, const char *name, const char *value)
+{
+	if (strcasecmp(name, "Content-Length") == 0)
+		length_read(fields, value);
+	else if (strcasecmp(name, "Transfer-Encoding") == 0)
+		encoding_read(fields, value);
+	else if (strcasecmp(name, HEADER_DEADLINE) == 0)
+		number_parse(fields, value, UINT32_MAX, &fields->deadline_ms);
+	else if (strcasecmp(name, HEADER_DEPTH) == 0)
+		number_parse(fields, value, UINT32_MAX, &fields->depth);
+	else if (strcasecmp(name, HEADER_REQUEST_ID) == 0)
+		fields->request_id = value;
+	else if (strcasecmp(name, HEADER_TRACE) == 0)
+		fields->trace = value;
+	else if (strcasecmp(name, HEADER_TICKET) == 0) {
+		fields->ticket = value;
+		fields->ticket_count++;
+	} else
+		return strcasecmp(name, "Expect") == 0;
+	return true;
+}
+
+static enum MHD_Result
+field_callback(void *state, enum MHD_ValueKind kind, const char *name, size_t name_size,
+    const char *value, size_t value_size)
+{
+	head_fields_t *fields = state;
+
+	fields->bytes += name_size + value_size;
+	if (++fields->count > HEADERS_COUNT_MAX ||
+	    fields->bytes > ENTRY_HEADER_BYTES_MAX) {
+		fields->reason = REASON_HEADERS_TOO_LARGE;
+		return MHD_NO;
+	}
+	if (value == NULL)
+		value = "";
+	if (strlen(name) != name_size || strlen(value) != value_size) {
+		fields->reason = REASON_BAD_REQUEST;
+		return MHD_NO;
+	}
+	if (!field_is_own(fields, name, value) &&
+	    headers_add(&fields->head->headers, name, value) != MASTICPITCH_OK)
+		fields->reason = REASON_BAD_REQUEST;
+	return fields->reason == REASON_NONE ? MHD_YES : MHD_NO;
+}
+
+/* Refuses every request whose end two programs could see at different places. */
+static reason_t
+framing_check(entry_request_t *request, const head_fields_t *fields)
+{
+	if (fields->length_count > 0 && fields->encoding_count > 0)
+		return REASON_BAD_FRAMING;
+	if (fields->chunked && request->http_1_0)
+		return REASON_BAD_FRAMING;
+	request->body_length = fields->chunked ? -1 : (int64_t)fields->length;
+	request->head->body_length = request->body_length;
+	request->head->has_body = request->body_length != 0;
+	return REASON_NONE;
+}
+
+static reason_t
+path_check(const char *path)
+{
+	if (strlen(path) > ENTRY_PATH_MAX)
+		return REASON_PATH_TOO_LONG;
+	if (path[0] != '/')
+		return REASON_BAD_REQUEST;
+	for (const char *at = path; *at != '\0'; at++) {
+		if ((unsigned char)*at <= ' ' || *at == 0x7f || *at == '#')
+			return REASON_BAD_REQUEST;
+	}
+	/* Dot segments would be routed by another path than the server sees. */
+	for (const char *at = path; *at != '\0' && *at != '?'; at++) {
+		size_t dots = *at == '/' ? strspn(at + 1, ".") : 0;
+
+		if ((dots == 1 || dots == 2) && strchr("/?", at[1 + dots]) != NULL)
+			return REASON_BAD_REQUEST;
+	}
+	return REASON_NONE;
+}
+
+static void
+hex_random(rng_t *rng, char *text, size_t digits)
+{
+	for (size_t i = 0; i < digits; i += 16)
+		snprintf(text + i, digits - i + 1, "%016llx",
+		    (unsigned long long)rng_next(rng));
+}
+
+static bool
+id_is_valid(const char *id)
+{
+	static const char allowed[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWX"
+				      "YZ0123456789-_.";
+	size_t length = strlen(id);
+
+	return length > 0 && length < REQUEST_ID_BYTES && strspn(id, allowed) == length;
+}
+
+/* version "00", trace id, parent id, flags. */
+static bool
+trace_is_valid(const char *trace)
+{
+	static const char digits[] = "0123456789abcdef";
+
+	return strlen(trace) == TRACE_BYTES - 1 && memcmp(trace, "00-", 3) == 0 &&
+	       strspn(trace + 3, digits) == 32 && trace[35] == '-' &&
+	       strspn(trace + 36, digits) == 16 && trace[52] == '-' &&
+	       strspn(trace + 53, digits) == 2;
+}
+
+static void
+identity_set(entry_request_t *request, const head_fields_t *fields)
+{
+	rng_t *rng = kernel_rng(request->entry->kernel);
+	call_head_t *head = request->head;
+
+	if (fields->request_id != NULL && id_is_valid(fields->request_id))
+		string_copy(head->request_id, REQUEST_ID_BYTES, fields->request_id);
+	else
+		hex_random(rng, head->request_id, 32);
+	if (fields->trace != NULL && trace_is_valid(fields->trace)) {
+		string_copy(head->trace, TRACE_BYTES, fields->trace);
+		return;
+	}
+	memcpy(head->trace, "00-", 3);
+	hex_random(rng, head->trace + 3, 32);
+	head->trace[35] = '-';
+	hex_random(rng, head->trace + 36, 16);
+	memcpy(head->trace + 52, "-00", 4);
+}
+
+/* The path that the request asks a ticket for, or its own path. */
+static reason_t
+route_find(entry_request_t *request)
+{
+	const preset_t *preset = request->snapshot->preset;
+	const char *path = request->head->path;
+	const char *method = request->head->method;
+	size_t length = sizeof(TICKET_PATH) - 1;
+
+	if (strncmp(path, OWN_PATH, sizeof(OWN_PATH) - 1) == 0) {
+		if (strncmp(path, TICKET_PATH, length) != 0 ||
+		    strchr("?", path[length]) == NULL || strcmp(method, "GET") != 0)
+			return REASON_NO_ROUTE;
+		path = MHD_lookup_connection_value(
+		    request->mhd, MHD_GET_ARGUMENT_KIND, "path");
+		method = MHD_lookup_connection_value(
+		    request->mhd, MHD_GET_ARGUMENT_KIND, "method");
+		if (path == NULL || method == NULL)
+			return REASON_BAD_REQUEST;
+		request->asks_ticket = true;
+	}
+	request->route = preset_route_find(preset, method, path);
+	if (request->route == NULL)
+		return REASON_NO_ROUTE;
+	request->preset_service = &preset->services[request->route->service];
+	return REASON_NONE;
+}
+
+static reason_t
+ticket_read(entry_request_t *request, const head_fields_t *fields)
+{
+	const settings_t *settings = request->entry->settings;
+	call_head_t *head = request->head;
+	ticket_t ticket;
+
+	if (fields->ticket == NULL || request->asks_ticket)
+		return REASON_NONE;
+	if (fields->ticket_count > 1 ||
+	    string_copy(head->ticket, TICKET_BYTES, fields->ticket) != MASTICPITCH_OK ||
+	    ticket_parse(head->ticket, settings->keys, settings->key_count, &ticket) !=
+		MASTICPITCH_OK)
+		return REASON_TICKET_REQUIRED;
+	request->ticket_bound = true;
+	request->ticket_node = ticket.node;
+	return REASON_NONE;
+}
+
+static reason_t
+route_apply(entry_request_t *request, const head_fields_t *fields)
+{
+	const preset_route_t *route = request->route;
+	call_head_t *head = request->head;
+
+	string_copy(head->service, NAME_BYTES, request->preset_service->name);
+	head->route_class = route->route_class;
+	head->idempotent = route->idempotent || request->asks_ticket;
+	head->depth = (uint32_t)fields->depth;
+	head->deadline =
+	    request->accepted +
+	    MIN_OF(fields->deadline_ms, (uint64_t)route->deadline_ms) * NS_PER_MS;
+	if (fields->depth > CALL_DEPTH_MAX)
+		return REASON_DEPTH_EXCEEDED;
+	if (fields->deadline_ms == 0)
+		return REASON_DEADLINE_PASSED;
+	if (request->body_length > 0 &&
+	    (uint64_t)request->body_length > route->body_limit_bytes)
+		return REASON_BODY_TOO_LARGE;
+	return REASON_NONE;
+}
+
+reason_t
+entry_head_read(entry_request_t *request, const char *method, const char *version)
+{
+	entry_t *entry = request->entry;
+	head_fields_t fields = {.head = request->head, .deadline_ms = UINT32_MAX};
+	reason_t reason;
+
+	request->http_1_0 = strcmp(version, "HTTP/1.1") != 0;
+	if (string_copy(request->head->method, sizeof(request->head->method), method) !=
+		MASTICPITCH_OK ||
+	    strcmp(method, "CONNECT") == 0)
+		return REASON_BAD_REQUEST;
+	MHD_get_connection_values_n(
+	    request->mhd, MHD_HEADER_KIND, field_callback, &fields);
+	reason = fields.reason;
+	if (reason == REASON_NONE)
+		reason = framing_check(request, &fields);
+	/* Where the body ends is not known, or not worth finding out. */
+	request->close = reason != REASON_NONE;
+	identity_set(request, &fields);
+	if (reason == REASON_NONE)
+		reason = path_check(request->head->path);
+	if (reason != REASON_NONE)
+		return reason;
+	headers_strip(&request->head->headers);
+	/* Calls of running work continue while the node leaves. */
+	if (entry->leaving && fields.depth == 0)
+		return REASON_SHUTDOWN;
+	if (entry->snapshot == NULL)
+		return REASON_NO_CONFIGURATION;
+	request->snapshot = snapshot_hold(entry->snapshot);
+	reason = route_find(request);
+	if (reason == REASON_NONE)
+		reason = ticket_read(request, &fields);
+	if (reason == REASON_NONE)
+		reason = route_apply(request, &fields);
+	return reason;
+}
--- /dev/null
+++ b/src/entry_report.c
@@ -0,0 +1,107 @@
+#include "entry_internal.h"
+
+#include <stdlib.h>
+
+#define REPORT_TEXT_MAX (4 * 1024 * 1024)
+
+static void
+views_write(entry_t *entry, const preset_service_t *service, buffer_t *text)
+{
+	static const char *const states[] = {"none", "starting", "ready", "leaving"};
+	size_t max = balance_instance_count(entry->balance);
+	balance_view_t *views = calloc(max + 1, sizeof(*views));
+	size_t count = 0;
+
+	if (views != NULL)
+		count = balance_views(
+		    entry->balance, service, kernel_now(entry->kernel), views, max);
+	buffer_printf(text, "\"instances\":[");
+	for (size_t i = 0; i < count; i++) {
+		const balance_view_t *view = &views[i];
+
+		buffer_printf(text,
+		    "%s{\"node\":\"%016llx\",\"service\":\"%s\",\"zone\":\"%s\","
+		    "\"state\":\"%s\",\"reachable\":%s,\"usable\":%s,\"ejected\":%s,"
+		    "\"in_flight\":%u,\"running\":%u,\"queued\":%u,\"limit\":%u,"
+		    "\"slots\":%u,\"latency_us\":%u,\"weight_percent\":%u,"
+		    "\"successes\":%llu,\"failures\":%llu}",
+		    i == 0 ? "" : ",", (unsigned long long)view->node, view->service,
+		    view->zone, states[view->state], view->reachable ? "true" : "false",
+		    view->usable ? "true" : "false", view->ejected ? "true" : "false",
+		    view->in_flight, view->load.running, view->load.queued,
+		    view->load.limit, view->load.slots, view->latency_us,
+		    view->weight_percent, (unsigned long long)view->successes,
+		    (unsigned long long)view->failures);
+	}
+	buffer_printf(text, "]");
+	free(views);
+}
+
+static void
+explain_write(entry_t *entry, const query_t *query, buffer_t *text)
+{
+	const preset_t *preset = entry->snapshot == NULL ? NULL : entry->snapshot->preset;
+	const preset_route_t *route =
+	    preset == NULL ? NULL : preset_route_find(preset, query->method, query->path);
+	const preset_service_t *service;
+
+	if (route == NULL) {
+		buffer_printf(text, "{\"route\":null,\"reason\":\"%s\"}",
+		    reason_text(
+			preset == NULL ? REASON_NO_CONFIGURATION : REASON_NO_ROUTE));
+		return;
+	}
+	service = &preset->services[route->service];
+	buffer_printf(text,
+	    "{\"route\":\"%s\",\"prefix\":\"%s\",\"service\":\"%s\",\"class\":\"%s\","
+	    "\"idempotent\":%s,\"deadline_ms\":%u,\"min_attempt_ms\":%u,\"attempts\":%u,"
+	    "\"body_limit_bytes\":%llu,\"retry_budget\":%.1f,\"queue_limit\":%u,"
+	    "\"in_flight_limit\":%u,\"spill_percent\":%u,",
+	    route->name, route->prefix, service->name,
+	    route_class_text(route->route_class), route->idempotent ? "true" : "false",
+	    route->deadline_ms, route->min_attempt_ms, route->attempts,
+	    (unsigned long long)route->body_limit_bytes,
+	    retry_budget(entry->retry, service->name), service->queue_limit,
+	    service->in_flight_limit, service->spill_percent);
+	views_write(entry, service, text);
+	buffer_printf(text, "}");
+}
+
+static void
+status_write(entry_t *entry, buffer_t *text)
+{
+	buffer_printf(text,
+	    "{\"entry\":{\"in_flight\":%u,\"version\":%llu,\"policy\":\"%s\","
+	    "\"instances\":%zu,\"crash_suspects\":%zu,\"leaving\":%s}}",
+	    limit_entry_in_flight(entry->limit),
+	    (unsigned long long)(entry->snapshot == NULL ? 0 : entry->snapshot->version),
+	    entry->naive ? "naive" : "adaptive", balance_instance_count(entry->balance),
+	    quarantine_count(entry->quarantine, kernel_now(entry->kernel)),
+	    entry->leaving ? "true" : "false");
+}
+
+void
+entry_report(entry_t *entry, const message_t *query)
+{
+	message_t *message = message_create(MESSAGE_REPORT, query->node, query->stream);
+	buffer_t text;
+
+	buffer_init(&text, REPORT_TEXT_MAX);
+	switch (query->u.query.kind) {
+	case QUERY_STATUS:
+		status_write(entry, &text);
+		break;
+	case QUERY_INSTANCES:
+		buffer_printf(&text, "{");
+		views_write(entry, NULL, &text);
+		buffer_printf(&text, "}");
+		break;
+	case QUERY_EXPLAIN:
+		explain_write(entry, &query->u.query, &text);
+		break;
+	}
+	if (message != NULL)
+		message->u.report = chunk_copy(text.data, text.size);
+	buffer_free(&text);
+	kernel_message_post(entry->kernel, &entry->service, query->from, message);
+}
--- /dev/null
+++ b/src/entry_request.c
@@ -0,0 +1,414 @@
+#include "entry_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#define REFUSAL_TEXT_MAX 512
+
+static void
+deadline_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	entry_request_t *request = watcher->data;
+
+	if (request->stream_open) {
+		request->run = MAX_OF(request->run, RUN_UNKNOWN);
+		balance_attempt_failed(request->entry->balance, &request->attempt,
+		    kernel_now(request->entry->kernel));
+	}
+	if (request->state == REQUEST_ANSWERING) {
+		/* A caller that reads a whole answer slowly may finish. */
+		if (!request->answer_end)
+			request->answer_cut = true;
+		entry_attempt_cancel(request);
+		entry_request_resume(request);
+		return;
+	}
+	if (request->refusal.reason == REASON_NONE)
+		entry_request_refuse(
+		    request, REASON_DEADLINE_PASSED, request->run, false);
+	/* libmicrohttpd cannot answer inside a body, and this one does not end. */
+	if (request->state == REQUEST_BODY)
+		entry_request_break(request);
+}
+
+static void
+backoff_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	entry_attempt_start(watcher->data);
+}
+
+entry_request_t *
+entry_request_create(entry_t *entry, struct MHD_Connection *mhd, const char *path)
+{
+	entry_request_t *request = calloc(1, sizeof(*request));
+
+	if (request == NULL)
+		return NULL;
+	request->head = call_head_create();
+	if (request->head != NULL)
+		request->head->path = strdup(path);
+	if (request->head == NULL || request->head->path == NULL) {
+		call_head_destroy(request->head);
+		free(request);
+		return NULL;
+	}
+	request->entry = entry;
+	request->mhd = mhd;
+	request->accepted = kernel_now(entry->kernel);
+	request->body_kept = true;
+	buffer_init(&request->kept, RETRY_BODY_MAX);
+	chunk_queue_init(&request->unsent);
+	chunk_queue_init(&request->answer_body);
+	ev_timer_init(&request->deadline, deadline_callback, 0.0, 0.0);
+	request->deadline.data = request;
+	ev_timer_init(&request->backoff, backoff_callback, 0.0, 0.0);
+	request->backoff.data = request;
+	list_append(&entry->requests, &request->link);
+	metrics_add(kernel_metrics(entry->kernel), METRIC_REQUESTS, 1);
+	return request;
+}
+
+void
+entry_request_destroy(entry_request_t *request)
+{
+	entry_t *entry = request->entry;
+	struct ev_loop *loop = kernel_loop(entry->kernel);
+
+	entry_attempt_cancel(request);
+	limit_entry_release(entry->limit, &request->permit);
+	metrics_set(kernel_metrics(entry->kernel), METRIC_REQUESTS_IN_FLIGHT,
+	    limit_entry_in_flight(entry->limit));
+	ev_timer_stop(loop, &request->deadline);
+	ev_timer_stop(loop, &request->backoff);
+	list_remove(&request->link);
+	buffer_free(&request->kept);
+	chunk_queue_free(&request->unsent);
+	chunk_queue_free(&request->answer_body);
+	answer_head_destroy(request->answer);
+	call_head_destroy(request->head);
+	snapshot_release(request->snapshot);
+	free(request);
+}
+
+void
+entry_request_refuse(
+    entry_request_t *request, reason_t reason, run_state_t run, bool final)
+{
+	metrics_refusal_add(kernel_metrics(request->entry->kernel), reason);
+	entry_attempt_cancel(request);
+	request->refusal.reason = reason;
+	request->refusal.run = run;
+	request->refusal.final = final;
+	chunk_queue_free(&request->unsent);
+	entry_request_resume(request);
+}
+
+void
+entry_request_begin(entry_request_t *request, const char *method, const char *version)
+{
+	entry_t *entry = request->entry;
+	reason_t reason = entry_head_read(request, method, version);
+	double left = ENTRY_DROP_S;
+
+	if (reason == REASON_NONE)
+		reason = limit_entry_acquire(entry->limit, request->preset_service,
+		    request->route->route_class, &request->permit);
+	if (reason == REASON_NONE)
+		left = (double)(request->head->deadline - request->accepted) / 1e9 +
+		       (double)ENTRY_DEADLINE_GRACE_MS / 1000.0;
+	ev_timer_set(&request->deadline, left, 0.0);
+	ev_timer_start(kernel_loop(entry->kernel), &request->deadline);
+	if (reason != REASON_NONE) {
+		entry_request_refuse(request, reason, RUN_NO, false);
+		return;
+	}
+	metrics_set(kernel_metrics(entry->kernel), METRIC_REQUESTS_IN_FLIGHT,
+	    limit_entry_in_flight(entry->limit));
+	retry_request_record(entry->retry, request->preset_service);
+}
+
+/* True once the request needs no more of its body. */
+static bool
+body_is_dropped(const entry_request_t *request)
+{
+	return request->refusal.reason != REASON_NONE || request->answer_end ||
+	       request->answer_cut;
+}
+
+/* Keeps a copy for another attempt as long as the body is small. */
+static void
+body_keep(entry_request_t *request, const char *data, size_t size)
+{
+	if (!request->body_kept)
+		return;
+	if (buffer_append(&request->kept, data, size) == MASTICPITCH_OK)
+		return;
+	request->body_kept = false;
+	/* Until the first attempt its start still counts for the fingerprint. */
+	if (request->started)
+		buffer_free(&request->kept);
+}
+
+static void
+request_start(entry_request_t *request)
+{
+	entry_t *entry = request->entry;
+	call_head_t *head = request->head;
+
+	request->started = true;
+	head->fingerprint = quarantine_fingerprint(head->method, head->path,
+	    request->body_length, request->kept.data,
+	    MIN_OF(request->kept.size, (size_t)QUARANTINE_BODY_BYTES));
+	if (!entry->naive && quarantine_refuses(entry->quarantine, head->fingerprint,
+				 kernel_now(entry->kernel))) {
+		entry_request_refuse(request, REASON_CRASH_SUSPECT, RUN_NO, true);
+		return;
+	}
+	entry_attempt_start(request);
+}
+
+/* Starts the first attempt once the part of the body that names it is there. */
+static void
+body_advance(entry_request_t *request)
+{
+	if (!request->started &&
+	    (request->body_end || request->body_received >= QUARANTINE_BODY_BYTES))
+		request_start(request);
+	else
+		entry_attempt_pump(request);
+}
+
+/* Reads past a body that is not needed, up to a bound. */
+static void
+body_drop(entry_request_t *request, size_t size)
+{
+	uint64_t limit = ENTRY_BODY_DROPPED_MAX;
+
+	if (request->route != NULL)
+		limit = MAX_OF(limit, request->route->body_limit_bytes);
+	request->body_received += size;
+	if (request->body_received > limit)
+		entry_request_break(request);
+}
+
+size_t
+entry_request_body(entry_request_t *request, const char *data, size_t size)
+{
+	size_t taken = 0;
+
+	if (body_is_dropped(request)) {
+		body_drop(request, size);
+		return size;
+	}
+	if (request->body_received + size > request->route->body_limit_bytes) {
+		entry_request_refuse(request, REASON_BODY_TOO_LARGE,
+		    request->stream_open ? RUN_UNKNOWN : request->run, false);
+		return size;
+	}
+	while (taken < size && request->unsent.size < ENTRY_BODY_HELD_MAX) {
+		size_t part = MIN_OF(size - taken, (size_t)STREAM_DATA_MAX);
+		chunk_t *chunk = chunk_copy(data + taken, part);
+
+		if (chunk == NULL ||
+		    chunk_queue_push(&request->unsent, chunk) != MASTICPITCH_OK) {
+			entry_request_refuse(request, REASON_ENTRY_LIMIT,
+			    request->stream_open ? RUN_UNKNOWN : request->run, false);
+			return size;
+		}
+		body_keep(request, data + taken, part);
+		taken += part;
+		request->body_received += part;
+		request->body_end =
+		    request->body_length >= 0 &&
+		    request->body_received == (uint64_t)request->body_length;
+		body_advance(request);
+		if (body_is_dropped(request))
+			return size;
+	}
+	return taken;
+}
+
+void
+entry_request_body_end(entry_request_t *request)
+{
+	if (body_is_dropped(request))
+		return;
+	request->body_end = true;
+	body_advance(request);
+}
+
+/* Nothing of such an answer could be held back until its end mark comes. */
+static bool
+answer_is_bodiless(const entry_request_t *request)
+{
+	int status = request->answer->status;
+
+	return request->answer->body_length == 0 || status == 204 || status == 304 ||
+	       strcmp(request->head->method, "HEAD") == 0;
+}
+
+bool
+entry_request_is_ready(const entry_request_t *request)
+{
+	if (request->refusal.reason != REASON_NONE)
+		return true;
+	return request->answer != NULL &&
+	       (request->answer_end || !answer_is_bodiless(request));
+}
+
+static struct MHD_Response *
+refusal_response(entry_request_t *request)
+{
+	const refusal_t *refusal = &request->refusal;
+	char text[REFUSAL_TEXT_MAX];
+	char seconds[16];
+	struct MHD_Response *response;
+	int length = snprintf(text, sizeof(text),
+	    "{\"error\":\"%s\",\"meaning\":\"%s\",\"run\":\"%s\",\"request_id\":\"%s\"}",
+	    reason_text(refusal->reason), reason_meaning(refusal->reason),
+	    run_state_text(refusal->run), request->head->request_id);
+
+	response =
+	    MHD_create_response_from_buffer((size_t)length, text, MHD_RESPMEM_MUST_COPY);
+	if (response == NULL)
+		return NULL;
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	MHD_add_response_header(response, HEADER_REASON, reason_text(refusal->reason));
+	MHD_add_response_header(response, HEADER_RUN, run_state_text(refusal->run));
+	MHD_add_response_header(response, HEADER_REQUEST_ID, request->head->request_id);
+	if (refusal->final)
+		MHD_add_response_header(response, HEADER_FINAL, "1");
+	if (refusal->retry_after_ms > 0) {
+		snprintf(seconds, sizeof(seconds), "%u",
+		    (refusal->retry_after_ms + 999) / 1000);
+		MHD_add_response_header(response, "Retry-After", seconds);
+	}
+	return response;
+}
+
+/* Gives credit back for the answer bytes that the caller has taken. */
+static void
+answer_credit_return(entry_request_t *request)
+{
+	message_t *message;
+
+	if (request->answer_end || !request->stream_open ||
+	    request->answer_credit < ENTRY_CREDIT_BYTES)
+		return;
+	message = message_create(
+	    MESSAGE_ANSWER_CREDIT, request->stream.node, request->stream.stream);
+	if (message == NULL)
+		return;
+	message->u.credit = request->answer_credit;
+	request->answer_credit = 0;
+	entry_stream_post(request, message);
+}
+
+/*
+ * Without a length, HTTP/1.0 ends a body by closing the connection; only a
+ * reset tells the caller that it is not the whole.
+ */
+static ssize_t
+answer_break(entry_request_t *request)
+{
+	const struct sockaddr unspecified = {.sa_family = AF_UNSPEC};
+
+	request->answer_cut = true;
+	if (request->http_1_0)
+		(void)connect(request->connection->fd, &unspecified, sizeof(unspecified));
+	return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+static ssize_t
+answer_reader(void *state, uint64_t position, char *target, size_t size)
+{
+	entry_request_t *request = state;
+	int64_t length = request->answer->body_length;
+	size_t given;
+
+	if (request->dead || request->answer_cut)
+		return answer_break(request);
+	/* The last byte waits for the end mark; a cut answer never looks whole. */
+	if (length >= 0 && !request->answer_end && position + size >= (uint64_t)length &&
+	    size > 0)
+		size = (uint64_t)length > position + 1
+			   ? (size_t)((uint64_t)length - position - 1)
+			   : 0;
+	given = chunk_queue_read(&request->answer_body, target, size);
+	if (given > 0) {
+		request->answer_credit += (uint32_t)given;
+		answer_credit_return(request);
+		return (ssize_t)given;
+	}
+	if (request->answer_end)
+		return length >= 0 ? answer_break(request)
+				   : MHD_CONTENT_READER_END_OF_STREAM;
+	request->suspended = true;
+	MHD_suspend_connection(request->mhd);
+	return 0;
+}
+
+/* A short answer that is whole already needs no reader. */
+static struct MHD_Response *
+answer_whole_response(entry_request_t *request)
+{
+	size_t size = request->answer_body.size;
+	char *body = malloc(MAX_OF(size, (size_t)1));
+	struct MHD_Response *response;
+
+	if (body == NULL)
+		return NULL;
+	(void)chunk_queue_read(&request->answer_body, body, size);
+	response = MHD_create_response_from_buffer(size, body, MHD_RESPMEM_MUST_FREE);
+	if (response == NULL)
+		free(body);
+	return response;
+}
+
+static struct MHD_Response *
+answer_response(entry_request_t *request)
+{
+	const answer_head_t *answer = request->answer;
+	uint64_t length =
+	    answer->body_length >= 0 ? (uint64_t)answer->body_length : MHD_SIZE_UNKNOWN;
+	struct MHD_Response *response;
+
+	if (request->answer_end && !request->answer_cut &&
+	    (answer->body_length < 0 || length == request->answer_body.size))
+		response = answer_whole_response(request);
+	else
+		response = MHD_create_response_from_callback(
+		    length, STREAM_DATA_MAX, answer_reader, request, NULL);
+	if (response == NULL)
+		return NULL;
+	for (size_t i = 0; i < answer->headers.count; i++) {
+		const header_t *item = &answer->headers.items[i];
+
+		if (strcasecmp(item->name, "Content-Length") != 0)
+			MHD_add_response_header(response, item->name, item->value);
+	}
+	return response;
+}
+
+enum MHD_Result
+entry_request_answer(entry_request_t *request)
+{
+	bool refused = request->refusal.reason != REASON_NONE;
+	int status =
+	    refused ? reason_status(request->refusal.reason) : request->answer->status;
+	struct MHD_Response *response =
+	    refused ? refusal_response(request) : answer_response(request);
+	enum MHD_Result result;
+
+	if (response == NULL)
+		return MHD_NO;
+	request->state = REQUEST_ANSWERING;
+	if (request->close || request->entry->leaving)
+		MHD_add_response_header(response, "Connection", "close");
+	result = MHD_queue_response(request->mhd, (unsigned)status, response);
+	MHD_destroy_response(response);
+	return result;
+}
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -96,8 +96,12 @@
 {
 	gate_t *gate = call->gate;
 	uint64_t now = kernel_now(gate->kernel);
-	reason_t reason = gate_closed(gate, call->head);
+	reason_t reason;
 
+	/* A ticket that was run has its outcome, whatever the gate's state is now. */
+	if (gate_ticket_answer(call))
+		return;
+	reason = gate_closed(gate, call->head);
 	if (reason == REASON_NONE && call->head->deadline <= now)
 		reason = REASON_DEADLINE_PASSED;
 	if (reason == REASON_NONE && !gate->naive &&
@@ -107,7 +111,7 @@
 		gate_call_refuse(call, reason, RUN_NO, false);
 		return;
 	}
-	if (gate_ticket_answer(call))
+	if (gate_ticket_issue(call))
 		return;
 	if (gate->running < gate_limit(gate) && queue_length(&gate->queue) == 0) {
 		call_run(call);
--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -143,22 +143,24 @@
 void
 gate_instance_post(gate_t *gate)
 {
-	message_t *message = message_create(MESSAGE_INSTANCE, 0, 0);
-	instance_t *instance;
+	/* The entry of this node learns of it at once, not by way of gossip. */
+	static const char *const targets[] = {"membership", "entry"};
+	instance_t instance = {.sequence = ++gate->sequence};
 
-	if (message != NULL) {
-		instance = &message->u.instance;
-		instance->sequence = ++gate->sequence;
-		if (gate->backend.live) {
-			instance->state =
-			    gate->leaving ? INSTANCE_LEAVING : gate->backend.state;
-			string_copy(instance->service, NAME_BYTES, gate->backend.service);
-			instance->slots = gate->backend.slots;
-			instance->connections = gate->backend.connections;
-		}
+	if (gate->backend.live) {
+		instance.state = gate->leaving ? INSTANCE_LEAVING : gate->backend.state;
+		string_copy(instance.service, NAME_BYTES, gate->backend.service);
+		instance.slots = gate->backend.slots;
+		instance.connections = gate->backend.connections;
+	}
+	for (size_t i = 0; i < ARRAY_LENGTH(targets); i++) {
+		message_t *message = message_create(MESSAGE_INSTANCE, 0, 0);
+
+		if (message != NULL)
+			message->u.instance = instance;
+		kernel_message_post(gate->kernel, &gate->service,
+		    kernel_service_find(gate->kernel, targets[i]), message);
 	}
-	kernel_message_post(gate->kernel, &gate->service,
-	    kernel_service_find(gate->kernel, "membership"), message);
 }
 
 void
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -156,8 +156,9 @@
 uint32_t gate_limit(const gate_t *gate);
 
 /* gate_ticket.c */
-/* True if the call asks for a ticket or carries one that keeps it from running; */
-/* then it has been answered and is gone. */
+/* True if the call asks for a ticket; then it has been answered and is gone. */
+bool gate_ticket_issue(gate_call_t *call);
+/* True if its ticket keeps it from running; then it has been answered and is gone. */
 bool gate_ticket_answer(gate_call_t *call);
 void gate_ticket_keep(gate_call_t *call, const void *data, size_t size);
 void gate_ticket_finish(gate_call_t *call);
--- a/src/gate_ticket.c
+++ b/src/gate_ticket.c
@@ -36,8 +36,17 @@
 	gate_call_finish(call);
 }
 
-static void
-ticket_issue_answer(gate_call_t *call)
+static bool
+path_is_ticket(const char *path)
+{
+	size_t length = sizeof(TICKET_PATH) - 1;
+
+	return strncmp(path, TICKET_PATH, length) == 0 &&
+	       (path[length] == '\0' || path[length] == '?');
+}
+
+bool
+gate_ticket_issue(gate_call_t *call)
 {
 	gate_t *gate = call->gate;
 	const settings_t *settings = gate->settings;
@@ -46,6 +55,8 @@
 	ticket_t ticket;
 	int length;
 
+	if (!path_is_ticket(call->head->path))
+		return false;
 	ticket_issue(&ticket, gate->backend.service, address_to_node_id(&settings->peers),
 	    kernel_boot_id(gate->kernel), kernel_rng(gate->kernel),
 	    kernel_now(gate->kernel));
@@ -53,15 +64,7 @@
 	length = snprintf(body, sizeof(body), "{\"ticket\":\"%s\",\"expires_ms\":%d}",
 	    text, TICKET_LIFE_MS);
 	answer_whole(call, 200, "application/json", body, (size_t)length);
-}
-
-static bool
-path_is_ticket(const char *path)
-{
-	size_t length = sizeof(TICKET_PATH) - 1;
-
-	return strncmp(path, TICKET_PATH, length) == 0 &&
-	       (path[length] == '\0' || path[length] == '?');
+	return true;
 }
 
 bool
@@ -71,10 +74,6 @@
 	const call_head_t *head = call->head;
 	ticket_verdict_t verdict;
 
-	if (path_is_ticket(head->path)) {
-		ticket_issue_answer(call);
-		return true;
-	}
 	if (head->ticket[0] == '\0')
 		return false;
 	verdict = ticket_arrive(gate->tickets, head->ticket, gate->settings->keys,
