--- /dev/null
+++ b/src/cli.h
@@ -0,0 +1,164 @@
+/*
+ * The command line of the program: subcommands, their common options, and
+ * output as tables for people or JSON for programs. One thread.
+ */
+#ifndef MASTICPITCH_CLI_H
+#define MASTICPITCH_CLI_H
+
+#include "buffer.h"
+#include "http_client.h"
+#include "os.h"
+
+#include <argtable2.h>
+#include <ev.h>
+#include <json-c/json.h>
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Exit codes; they are stable, see docs/operations.md. */
+typedef enum cli_exit {
+	CLI_EXIT_OK = 0,
+	CLI_EXIT_INTERNAL = 1,
+	CLI_EXIT_SYNTAX = 2,
+	CLI_EXIT_INVALID = 3,
+	CLI_EXIT_ADDRESS_IN_USE = 4,
+	CLI_EXIT_UNREACHABLE = 5,
+	CLI_EXIT_CONFLICT = 6,
+	CLI_EXIT_UNKNOWN = 7,
+	CLI_EXIT_REFUSED = 8,
+	CLI_EXIT_TIMEOUT = 9
+} cli_exit_t;
+
+#define CLI_TIMEOUT_MS_DEFAULT 10000
+#define CLI_ANSWER_MAX (16 * 1024 * 1024)
+#define CLI_COLUMNS_MAX 12
+
+/* What every client subcommand can be given. */
+typedef struct cli_options {
+	struct arg_lit *help;
+	struct arg_lit *json;
+	struct arg_str *platform;
+	struct arg_str *prefix;
+	struct arg_str *node;
+	struct arg_str *token;
+	struct arg_int *timeout;
+	struct arg_end *end;
+} cli_options_t;
+
+/* State of one run of a client subcommand. */
+typedef struct cli {
+	const char *command; /* for messages, such as "preset edit" */
+	struct ev_loop *loop;
+	http_client_t *http;
+	const char *platform_url; /* NULL: not given */
+	const char *platform_prefix;
+	const char *node_url; /* NULL: not given */
+	const char *token;    /* NULL: not given */
+	uint64_t deadline;    /* of the whole command; monotonic, ns */
+	bool json;
+} cli_t;
+
+/* An answer that is kept after the call. */
+typedef struct cli_answer {
+	int error;
+	int status;
+	buffer_t body;
+} cli_answer_t;
+
+typedef struct cli_command {
+	const char *name; /* "status", or "preset list" */
+	const char *summary;
+	const char *example;
+	int (*run)(int argc, char **argv, const struct cli_command *command);
+} cli_command_t;
+
+/* The whole program; returns its exit code. */
+int cli_main(int argc, char **argv);
+/* The command table, ended by a row with a NULL name. */
+const cli_command_t *cli_commands(void);
+
+/* Creates the common options; each subcommand puts them into its table. */
+void cli_options_create(cli_options_t *options);
+/*
+ * Parses the command line into the table and prepares cli. Returns -1 to go
+ * on, or the exit code with which the command ends (help, syntax error).
+ */
+int cli_begin(cli_t *cli, int argc, char **argv, const cli_command_t *command, void **table,
+    const cli_options_t *options);
+/* Prints what --help of a subcommand prints. */
+void cli_print_usage(const cli_command_t *command, void **table);
+/* Frees what cli_begin() made; the table is freed by arg_freetable(). */
+void cli_end(cli_t *cli);
+
+/* Prints "masticpitch COMMAND: text" to stderr. */
+void cli_error(const cli_t *cli, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+/* The exit code that goes with an error number. */
+int cli_exit_code(int error);
+
+/*
+ * Asks the node's operators' interface and waits for the answer. Returns an
+ * exit code; on success *answer is the parsed JSON, freed by the caller.
+ */
+int cli_node_get(cli_t *cli, const char *path, struct json_object **answer);
+/* The same for a text answer; the buffer is freed by the caller. */
+int cli_node_get_text(cli_t *cli, const char *path, cli_answer_t *answer);
+/* Lets the loop run for some time, at most until the command's deadline. */
+void cli_sleep(cli_t *cli, double seconds);
+
+/* A table of text cells whose columns are as wide as needed. */
+typedef struct cli_table {
+	size_t columns;
+	size_t count; /* cells */
+	size_t capacity;
+	char **cells;
+} cli_table_t;
+
+void cli_table_init(cli_table_t *table, size_t columns);
+void cli_table_add(cli_table_t *table, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+/* Prints and frees the table. */
+void cli_table_print(cli_table_t *table);
+void cli_json_print(struct json_object *value);
+
+/* Members of a JSON object with a default. */
+const char *cli_json_text(struct json_object *object, const char *key, const char *missing);
+int64_t cli_json_number(struct json_object *object, const char *key, int64_t missing);
+bool cli_json_bool(struct json_object *object, const char *key);
+/* NULL if absent. */
+struct json_object *cli_json_get(struct json_object *object, const char *key);
+
+/* Subcommands, by file. */
+int cli_run_status(int argc, char **argv, const cli_command_t *command);
+int cli_run_instances(int argc, char **argv, const cli_command_t *command);
+int cli_run_explain(int argc, char **argv, const cli_command_t *command);
+int cli_run_metrics(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_list(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_show(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_create(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_edit(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_delete(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_diff(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_history(int argc, char **argv, const cli_command_t *command);
+int cli_run_use(int argc, char **argv, const cli_command_t *command);
+int cli_run_operation(int argc, char **argv, const cli_command_t *command);
+
+/* What is known of the versions that members hold, from a node's status. */
+typedef struct cli_spread {
+	int64_t members; /* alive in a reachable zone */
+	int64_t holding; /* of these, at the version or above it */
+	int64_t unreachable; /* members in zones that are cut off */
+} cli_spread_t;
+
+cli_spread_t cli_spread_of(struct json_object *status, int64_t version);
+/* Prints the members below the version, by zone, to stderr. */
+void cli_print_laggards(struct json_object *status, int64_t version);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/cli_status.c
@@ -0,0 +1,340 @@
+/*
+ * Subcommands that ask a node: status, instances, explain, metrics.
+ */
+#include "cli.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LAGGARDS_PRINTED_MAX 20
+
+/* True for members that are expected to hold the version in force. */
+static bool
+member_counts(struct json_object *member)
+{
+	const char *state = cli_json_text(member, "state", "");
+
+	return strcmp(state, "alive") == 0 || strcmp(state, "leaving") == 0;
+}
+
+cli_spread_t
+cli_spread_of(struct json_object *status, int64_t version)
+{
+	struct json_object *members = cli_json_get(status, "members");
+	cli_spread_t spread = {0};
+
+	if (!json_object_is_type(members, json_type_array))
+		return spread;
+	for (size_t i = 0; i < json_object_array_length(members); i++) {
+		struct json_object *member = json_object_array_get_idx(members, i);
+
+		if (!member_counts(member))
+			continue;
+		if (!cli_json_bool(member, "reachable")) {
+			spread.unreachable++;
+			continue;
+		}
+		spread.members++;
+		spread.holding += cli_json_number(member, "version", 0) >= version;
+	}
+	return spread;
+}
+
+void
+cli_print_laggards(struct json_object *status, int64_t version)
+{
+	struct json_object *members = cli_json_get(status, "members");
+	int printed = 0;
+
+	if (!json_object_is_type(members, json_type_array))
+		return;
+	for (size_t i = 0; i < json_object_array_length(members); i++) {
+		struct json_object *member = json_object_array_get_idx(members, i);
+		int64_t held = cli_json_number(member, "version", 0);
+
+		if (!member_counts(member) || held >= version)
+			continue;
+		if (printed++ == LAGGARDS_PRINTED_MAX) {
+			fputs("  ...\n", stderr);
+			return;
+		}
+		fprintf(stderr, "  %s %s holds %lld%s\n", cli_json_text(member, "zone", "?"),
+		    cli_json_text(member, "node", "?"), (long long)held,
+		    cli_json_bool(member, "reachable") ? "" : ", its zone is unreachable");
+	}
+}
+
+static void
+print_versions(struct json_object *versions, char *text, size_t size)
+{
+	size_t used = 0;
+
+	text[0] = '\0';
+	if (!json_object_is_type(versions, json_type_object))
+		return;
+	json_object_object_foreach(versions, version, count)
+	{
+		int length = snprintf(text + used, size - used, "%s%s: %lld",
+		    used > 0 ? ", " : "", version, (long long)json_object_get_int64(count));
+
+		if (length < 0 || (size_t)length >= size - used)
+			return;
+		used += (size_t)length;
+	}
+}
+
+static void
+print_zones(struct json_object *zones)
+{
+	cli_table_t table;
+	char versions[256];
+
+	if (!json_object_is_type(zones, json_type_array))
+		return;
+	cli_table_init(&table, 5);
+	cli_table_add(&table, "ZONE");
+	cli_table_add(&table, "ALIVE");
+	cli_table_add(&table, "DOWN");
+	cli_table_add(&table, "REACHABLE");
+	cli_table_add(&table, "NODES BY VERSION");
+	for (size_t i = 0; i < json_object_array_length(zones); i++) {
+		struct json_object *zone = json_object_array_get_idx(zones, i);
+
+		print_versions(cli_json_get(zone, "versions"), versions, sizeof(versions));
+		cli_table_add(&table, "%s", cli_json_text(zone, "zone", "?"));
+		cli_table_add(&table, "%lld", (long long)cli_json_number(zone, "alive", 0));
+		cli_table_add(&table, "%lld", (long long)cli_json_number(zone, "down", 0));
+		cli_table_add(&table, "%s", cli_json_bool(zone, "reachable") ? "yes" : "no");
+		cli_table_add(&table, "%s", versions);
+	}
+	cli_table_print(&table);
+}
+
+static void
+print_status(struct json_object *status)
+{
+	struct json_object *platform = cli_json_get(status, "platform");
+	struct json_object *alarms = cli_json_get(status, "alarms");
+
+	printf("node      %s  zone %s  region %s%s\n", cli_json_text(status, "node", "?"),
+	    cli_json_text(status, "zone", "?"), cli_json_text(status, "region", "?"),
+	    cli_json_bool(status, "leaving") ? "  leaving" : "");
+	printf("preset    %s  version %lld  confirmed %lld ms ago\n",
+	    cli_json_text(status, "preset", "none"),
+	    (long long)cli_json_number(status, "version", 0),
+	    (long long)cli_json_number(status, "version_age_ms", -1));
+	printf("platform  %s%s\n\n",
+	    cli_json_bool(platform, "reachable") ? "reachable" : "unreachable",
+	    cli_json_bool(platform, "regressed") ? ", older than the version in force" : "");
+	print_zones(cli_json_get(status, "zones"));
+	if (!json_object_is_type(alarms, json_type_array) ||
+	    json_object_array_length(alarms) == 0) {
+		printf("\nno alarms\n");
+		return;
+	}
+	for (size_t i = 0; i < json_object_array_length(alarms); i++)
+		printf("\nALARM %s",
+		    json_object_get_string(json_object_array_get_idx(alarms, i)));
+	printf("\n");
+}
+
+int
+cli_run_status(int argc, char **argv, const cli_command_t *command)
+{
+	cli_options_t common;
+	struct json_object *status = NULL;
+	cli_t cli;
+	int code;
+
+	cli_options_create(&common);
+	void *table[] = {common.node, common.token, common.timeout, common.json, common.help,
+	    common.platform, common.prefix, common.end};
+
+	code = cli_begin(&cli, argc, argv, command, table, &common);
+	if (code >= 0)
+		goto out;
+	code = cli_node_get(&cli, "/status", &status);
+	if (code == CLI_EXIT_OK) {
+		if (cli.json)
+			cli_json_print(status);
+		else
+			print_status(status);
+	}
+	json_object_put(status);
+	cli_end(&cli);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
+
+static void
+print_instances(struct json_object *instances)
+{
+	cli_table_t table;
+
+	cli_table_init(&table, 8);
+	cli_table_add(&table, "SERVICE");
+	cli_table_add(&table, "NODE");
+	cli_table_add(&table, "ZONE");
+	cli_table_add(&table, "STATE");
+	cli_table_add(&table, "SLOTS");
+	cli_table_add(&table, "IN FLIGHT");
+	cli_table_add(&table, "LATENCY US");
+	cli_table_add(&table, "EJECTED");
+	for (size_t i = 0; i < json_object_array_length(instances); i++) {
+		struct json_object *item = json_object_array_get_idx(instances, i);
+
+		cli_table_add(&table, "%s", cli_json_text(item, "service", "?"));
+		cli_table_add(&table, "%s", cli_json_text(item, "node", "?"));
+		cli_table_add(&table, "%s", cli_json_text(item, "zone", "?"));
+		cli_table_add(&table, "%s", cli_json_text(item, "state", "?"));
+		cli_table_add(&table, "%lld", (long long)cli_json_number(item, "slots", 0));
+		cli_table_add(
+		    &table, "%lld", (long long)cli_json_number(item, "in_flight", 0));
+		cli_table_add(
+		    &table, "%lld", (long long)cli_json_number(item, "latency_us", 0));
+		cli_table_add(&table, "%s", cli_json_bool(item, "ejected") ? "yes" : "no");
+	}
+	cli_table_print(&table);
+}
+
+int
+cli_run_instances(int argc, char **argv, const cli_command_t *command)
+{
+	cli_options_t common;
+	struct json_object *answer = NULL;
+	struct json_object *instances;
+	cli_t cli;
+	int code;
+
+	cli_options_create(&common);
+	void *table[] = {common.node, common.token, common.timeout, common.json, common.help,
+	    common.platform, common.prefix, common.end};
+
+	code = cli_begin(&cli, argc, argv, command, table, &common);
+	if (code >= 0)
+		goto out;
+	code = cli_node_get(&cli, "/instances", &answer);
+	instances = cli_json_get(answer, "instances");
+	if (code == CLI_EXIT_OK && cli.json)
+		cli_json_print(answer);
+	else if (code == CLI_EXIT_OK && json_object_is_type(instances, json_type_array))
+		print_instances(instances);
+	json_object_put(answer);
+	cli_end(&cli);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
+
+static void
+print_explanation(struct json_object *answer)
+{
+	cli_table_t table;
+
+	cli_table_init(&table, 2);
+	json_object_object_foreach(answer, key, value)
+	{
+		if (json_object_is_type(value, json_type_array))
+			continue;
+		cli_table_add(&table, "%s", key);
+		cli_table_add(&table, "%s", json_object_get_string(value));
+	}
+	cli_table_print(&table);
+	if (json_object_is_type(cli_json_get(answer, "instances"), json_type_array)) {
+		printf("\n");
+		print_instances(cli_json_get(answer, "instances"));
+	}
+}
+
+int
+cli_run_explain(int argc, char **argv, const cli_command_t *command)
+{
+	cli_options_t common;
+	struct arg_str *method = arg_str1(NULL, NULL, "METHOD", "such as GET");
+	struct arg_str *path = arg_str1(NULL, NULL, "PATH", "such as /katalogo/list");
+	struct json_object *answer = NULL;
+	char target[1024];
+	char *escaped;
+	cli_t cli;
+	int code;
+
+	cli_options_create(&common);
+	void *table[] = {method, path, common.node, common.token, common.timeout, common.json,
+	    common.help, common.platform, common.prefix, common.end};
+
+	code = cli_begin(&cli, argc, argv, command, table, &common);
+	if (code >= 0)
+		goto out;
+	escaped = curl_easy_escape(NULL, path->sval[0], 0);
+	snprintf(target, sizeof(target), "/explain?method=%s&path=%s", method->sval[0],
+	    escaped != NULL ? escaped : "");
+	curl_free(escaped);
+	code = cli_node_get(&cli, target, &answer);
+	if (code == CLI_EXIT_OK) {
+		if (cli.json)
+			cli_json_print(answer);
+		else
+			print_explanation(answer);
+	}
+	json_object_put(answer);
+	cli_end(&cli);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
+
+/* The exposition text as one JSON object, series by value. */
+static struct json_object *
+metrics_to_json(char *text)
+{
+	struct json_object *answer = json_object_new_object();
+	char *rest;
+
+	for (char *line = strtok_r(text, "\n", &rest); line != NULL;
+	     line = strtok_r(NULL, "\n", &rest)) {
+		char *space = strrchr(line, ' ');
+
+		if (line[0] == '#' || space == NULL)
+			continue;
+		*space = '\0';
+		json_object_object_add(
+		    answer, line, json_object_new_double_s(strtod(space + 1, NULL), space + 1));
+	}
+	return answer;
+}
+
+int
+cli_run_metrics(int argc, char **argv, const cli_command_t *command)
+{
+	cli_options_t common;
+	struct json_object *json;
+	cli_answer_t answer;
+	cli_t cli;
+	int code;
+
+	cli_options_create(&common);
+	void *table[] = {common.node, common.token, common.timeout, common.json, common.help,
+	    common.platform, common.prefix, common.end};
+
+	code = cli_begin(&cli, argc, argv, command, table, &common);
+	if (code >= 0)
+		goto out;
+	code = cli_node_get_text(&cli, "/metrics", &answer);
+	if (code == CLI_EXIT_OK && buffer_text(&answer.body) != NULL) {
+		if (cli.json) {
+			json = metrics_to_json((char *)answer.body.data);
+			cli_json_print(json);
+			json_object_put(json);
+		} else {
+			fputs((const char *)answer.body.data, stdout);
+		}
+	}
+	buffer_free(&answer.body);
+	cli_end(&cli);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,271 @@
+/*
+ * Puts the services of a node together and runs the two-stage shutdown.
+ */
+#include "masticpitch/masticpitch.h"
+
+#include "config.h"
+#include "entry.h"
+#include "gate.h"
+#include "kernel.h"
+#include "membership.h"
+#include "operators.h"
+#include "os.h"
+#include "peer.h"
+#include "preset.h"
+#include "settings.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* How often a leaving node looks whether its work is done. */
+#define SHUTDOWN_POLL_S 0.02
+/*
+ * A leaving node stays this long after its last work, so that late calls of
+ * peers that have not heard of it yet get a true refusal.
+ */
+#define SHUTDOWN_LINGER_NS (500 * NS_PER_MS)
+
+struct masticpitch_node {
+	settings_t settings;
+	kernel_t *kernel;
+	membership_t *membership;
+	peer_t *peer;
+	gate_t *gate;
+	entry_t *entry;
+	config_t *config;
+	operators_t *operators;
+	ev_async stop;
+	ev_signal signals[2];
+	ev_timer shutdown_poll;
+	bool leaving;
+	uint64_t grace_deadline;
+	uint64_t idle_deadline; /* TIME_NEVER while work runs */
+};
+
+static const char *const service_names[] = {
+    "entry", "gate", "peer", "membership", "config", "operators"};
+
+static void
+node_begin_leaving(masticpitch_node_t *node)
+{
+	kernel_t *kernel = node->kernel;
+
+	if (node->leaving)
+		return;
+	node->leaving = true;
+	node->grace_deadline =
+	    kernel_now(kernel) + node->settings.shutdown_grace_ms * NS_PER_MS;
+	node->idle_deadline = TIME_NEVER;
+	log_info(kernel_log(kernel), "leaving: taking no new work");
+	for (size_t i = 0; i < ARRAY_LENGTH(service_names); i++)
+		kernel_message_post(kernel, NULL,
+		    kernel_service_find(kernel, service_names[i]),
+		    message_create(MESSAGE_LEAVE, 0, 0));
+	ev_timer_start(kernel_loop(kernel), &node->shutdown_poll);
+}
+
+static void
+shutdown_poll_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	masticpitch_node_t *node = watcher->data;
+	uint64_t now = kernel_now(node->kernel);
+
+	if (now >= node->grace_deadline) {
+		log_error(kernel_log(node->kernel), "grace period over: running work is cut");
+		kernel_stop(node->kernel);
+		return;
+	}
+	if (!kernel_is_idle(node->kernel)) {
+		node->idle_deadline = TIME_NEVER;
+		return;
+	}
+	if (node->idle_deadline == TIME_NEVER)
+		node->idle_deadline = now + SHUTDOWN_LINGER_NS;
+	if (now >= node->idle_deadline) {
+		log_info(kernel_log(node->kernel), "left: all work is finished");
+		kernel_stop(node->kernel);
+	}
+}
+
+static void
+stop_callback(struct ev_loop *loop, ev_async *watcher, int events)
+{
+	node_begin_leaving(watcher->data);
+}
+
+static void
+signal_callback(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	node_begin_leaving(watcher->data);
+}
+
+static void
+node_start_watchers(masticpitch_node_t *node)
+{
+	struct ev_loop *loop = kernel_loop(node->kernel);
+	const int numbers[] = {SIGTERM, SIGINT};
+
+	ev_async_init(&node->stop, stop_callback);
+	node->stop.data = node;
+	ev_async_start(loop, &node->stop);
+	for (size_t i = 0; i < ARRAY_LENGTH(numbers); i++) {
+		ev_signal_init(&node->signals[i], signal_callback, numbers[i]);
+		node->signals[i].data = node;
+		ev_signal_start(loop, &node->signals[i]);
+	}
+	ev_timer_init(
+	    &node->shutdown_poll, shutdown_poll_callback, SHUTDOWN_POLL_S, SHUTDOWN_POLL_S);
+	node->shutdown_poll.data = node;
+}
+
+static void
+node_stop_watchers(masticpitch_node_t *node)
+{
+	struct ev_loop *loop = kernel_loop(node->kernel);
+
+	ev_async_stop(loop, &node->stop);
+	ev_timer_stop(loop, &node->shutdown_poll);
+	for (size_t i = 0; i < ARRAY_LENGTH(node->signals); i++)
+		ev_signal_stop(loop, &node->signals[i]);
+}
+
+/* Creates the services; *what names the one that failed. */
+static int
+node_create_services(masticpitch_node_t *node, const char **what, const address_t **address)
+{
+	settings_t *settings = &node->settings;
+	int error;
+
+	*what = "listen.operators";
+	*address = &settings->operators;
+	error = operators_create(node->kernel, settings, &node->operators);
+	if (error != MASTICPITCH_OK)
+		return error;
+	*what = "listen.peers";
+	*address = &settings->peers;
+	error = peer_create(node->kernel, settings, &node->peer);
+	if (error == MASTICPITCH_OK)
+		error = membership_create(node->kernel, settings, &node->membership);
+	if (error != MASTICPITCH_OK)
+		return error;
+	*what = "listen.backend_servers";
+	*address = &settings->backend_servers;
+	error = gate_create(node->kernel, settings, &node->gate);
+	if (error != MASTICPITCH_OK)
+		return error;
+	*what = "listen.callers";
+	*address = &settings->callers;
+	error = entry_create(node->kernel, settings, &node->entry);
+	if (error != MASTICPITCH_OK)
+		return error;
+	*what = "platform.url";
+	return config_create(node->kernel, settings, &node->config);
+}
+
+int
+masticpitch_node_create(
+    const char *settings_path, masticpitch_node_t **result, char *message, size_t size)
+{
+	masticpitch_node_t *node = calloc(1, sizeof(*node));
+	const address_t *address;
+	const char *what;
+	char text[ADDRESS_TEXT_BYTES];
+	uint64_t seed;
+	int error;
+
+	if (node == NULL)
+		return MASTICPITCH_E_NOMEM;
+	error = settings_load(settings_path, &node->settings, message, size);
+	if (error != MASTICPITCH_OK)
+		goto fail;
+	randombytes_buf(&seed, sizeof(seed));
+	error = kernel_create(seed, &node->kernel);
+	if (error != MASTICPITCH_OK) {
+		snprintf(message, size, "%s", masticpitch_strerror(error));
+		goto fail;
+	}
+	kernel_log(node->kernel)->level = node->settings.log_level;
+	address_format(&node->settings.peers, kernel_log(node->kernel)->node);
+	error = node_create_services(node, &what, &address);
+	if (error != MASTICPITCH_OK) {
+		address_format(address, text);
+		snprintf(message, size, "%s: %s: %s: %s", settings_path, what, text,
+		    masticpitch_strerror(error));
+		log_error(kernel_log(node->kernel), "start failed", LOG_TEXT("key", what),
+		    LOG_TEXT("address", text), LOG_TEXT("reason", masticpitch_strerror(error)));
+		goto fail;
+	}
+	node_start_watchers(node);
+	*result = node;
+	return MASTICPITCH_OK;
+fail:
+	masticpitch_node_destroy(node);
+	return error;
+}
+
+int
+masticpitch_node_run(masticpitch_node_t *node)
+{
+	char text[ADDRESS_TEXT_BYTES];
+
+	address_format(&node->settings.callers, text);
+	log_info(kernel_log(node->kernel), "node started",
+	    LOG_TEXT("zone", node->settings.zone), LOG_TEXT("callers", text),
+	    LOG_TEXT("version", masticpitch_version()));
+	kernel_run(node->kernel);
+	return MASTICPITCH_OK;
+}
+
+void
+masticpitch_node_stop(masticpitch_node_t *node)
+{
+	ev_async_send(kernel_loop(node->kernel), &node->stop);
+}
+
+void
+masticpitch_node_destroy(masticpitch_node_t *node)
+{
+	if (node == NULL)
+		return;
+	config_destroy(node->config);
+	entry_destroy(node->entry);
+	gate_destroy(node->gate);
+	membership_destroy(node->membership);
+	peer_destroy(node->peer);
+	operators_destroy(node->operators);
+	if (node->kernel != NULL)
+		node_stop_watchers(node);
+	kernel_destroy(node->kernel);
+	free(node);
+}
+
+int
+masticpitch_settings_check(const char *path, char *message, size_t size)
+{
+	settings_t settings;
+
+	return settings_load(path, &settings, message, size);
+}
+
+int
+masticpitch_preset_check(const char *path, char *message, size_t size)
+{
+	char reason[MASTICPITCH_MESSAGE_MAX];
+	preset_t *preset = NULL;
+	char *text = NULL;
+	size_t length;
+	int error = file_read(path, PRESET_TEXT_MAX, &text, &length);
+
+	if (error != MASTICPITCH_OK) {
+		snprintf(message, size, "%s: cannot be read: %s", path,
+		    masticpitch_strerror(error));
+		return error;
+	}
+	error = preset_parse(text, length, &preset, reason, sizeof(reason));
+	if (error != MASTICPITCH_OK)
+		snprintf(message, size, "%s: %s", path, reason);
+	preset_destroy(preset);
+	free(text);
+	return error;
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,460 @@
+#include "settings.h"
+
+#include "util.h"
+
+#include <json-c/json.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define TOKEN_MIN 16
+
+/* Where an error message goes; the first error is kept. */
+typedef struct reader {
+	const char *name;
+	char *message;
+	size_t message_size;
+	int error;
+} reader_t;
+
+typedef struct choice {
+	const char *text;
+	int value;
+} choice_t;
+
+static const choice_t spread_choices[] = {
+    {"fast", SPREAD_FAST}, {"frugal", SPREAD_FRUGAL}, {NULL, 0}};
+static const choice_t source_choices[] = {
+    {"relay", CONFIG_SOURCE_RELAY}, {"watch", CONFIG_SOURCE_WATCH}, {NULL, 0}};
+static const choice_t policy_choices[] = {
+    {"adaptive", ROUTING_ADAPTIVE}, {"naive", ROUTING_NAIVE}, {NULL, 0}};
+
+static void reader_fail(reader_t *reader, int error, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+
+static void
+reader_fail(reader_t *reader, int error, const char *format, ...)
+{
+	va_list arguments;
+	int used;
+
+	if (reader->error != MASTICPITCH_OK)
+		return;
+	reader->error = error;
+	used = snprintf(reader->message, reader->message_size, "%s: ", reader->name);
+	if (used < 0 || (size_t)used >= reader->message_size)
+		return;
+	va_start(arguments, format);
+	vsnprintf(reader->message + used, reader->message_size - (size_t)used, format,
+	    arguments);
+	va_end(arguments);
+}
+
+/* The value of a key such as "listen.peers", or NULL. */
+static struct json_object *
+settings_lookup(struct json_object *root, const char *key)
+{
+	char path[64];
+	char *rest, *name;
+	struct json_object *value = root;
+
+	if (string_copy(path, sizeof(path), key) != MASTICPITCH_OK)
+		return NULL;
+	for (name = strtok_r(path, ".", &rest); name != NULL;
+	     name = strtok_r(NULL, ".", &rest)) {
+		if (!json_object_is_type(value, json_type_object) ||
+		    !json_object_object_get_ex(value, name, &value))
+			return NULL;
+	}
+	return value;
+}
+
+/* NULL after an error or for an optional key that is not there. */
+static const char *
+read_text(reader_t *reader, struct json_object *root, const char *key, bool required)
+{
+	struct json_object *value = settings_lookup(root, key);
+
+	if (value == NULL) {
+		if (required)
+			reader_fail(reader, MASTICPITCH_E_INVALID, "%s: missing", key);
+		return NULL;
+	}
+	if (!json_object_is_type(value, json_type_string)) {
+		reader_fail(reader, MASTICPITCH_E_INVALID, "%s: must be a text", key);
+		return NULL;
+	}
+	return json_object_get_string(value);
+}
+
+static void
+read_label(reader_t *reader, struct json_object *root, const char *key, char *target)
+{
+	const char *text = read_text(reader, root, key, true);
+
+	if (text == NULL)
+		return;
+	if (*text == '\0' || strlen(text) >= ZONE_BYTES ||
+	    strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-") != strlen(text)) {
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "%s: must have 1 to 32 characters of a-z, 0-9 and -", key);
+		return;
+	}
+	string_copy(target, ZONE_BYTES, text);
+}
+
+static void
+read_address(
+    reader_t *reader, struct json_object *root, const char *key, address_t *target)
+{
+	const char *text = read_text(reader, root, key, true);
+
+	if (text != NULL && address_parse(text, target) != MASTICPITCH_OK)
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "%s: \"%s\" is not an address of the form IP:PORT", key, text);
+}
+
+static void
+read_number(reader_t *reader, struct json_object *root, const char *key, uint32_t low,
+    uint32_t high, uint32_t *target)
+{
+	struct json_object *value = settings_lookup(root, key);
+	int64_t number;
+
+	if (value == NULL)
+		return;
+	if (!json_object_is_type(value, json_type_int)) {
+		reader_fail(
+		    reader, MASTICPITCH_E_INVALID, "%s: must be a whole number", key);
+		return;
+	}
+	number = json_object_get_int64(value);
+	if (number < (int64_t)low || number > (int64_t)high) {
+		reader_fail(reader, MASTICPITCH_E_INVALID, "%s: must be from %u to %u",
+		    key, low, high);
+		return;
+	}
+	*target = (uint32_t)number;
+}
+
+static int
+read_choice(reader_t *reader, struct json_object *root, const char *key,
+    const choice_t *choices, int preset_value)
+{
+	const char *text = read_text(reader, root, key, false);
+
+	if (text == NULL)
+		return preset_value;
+	for (; choices->text != NULL; choices++) {
+		if (strcmp(choices->text, text) == 0)
+			return choices->value;
+	}
+	reader_fail(reader, MASTICPITCH_E_INVALID, "%s: unknown value \"%s\"", key, text);
+	return preset_value;
+}
+
+/* Refuses keys that the table does not name; space-separated names. */
+static void
+check_keys(
+    reader_t *reader, struct json_object *root, const char *section, const char *names)
+{
+	struct json_object *object =
+	    section[0] != '\0' ? settings_lookup(root, section) : root;
+	size_t length;
+
+	if (object == NULL)
+		return;
+	if (!json_object_is_type(object, json_type_object)) {
+		reader_fail(reader, MASTICPITCH_E_INVALID, "%s: must be an object",
+		    section[0] != '\0' ? section : "settings");
+		return;
+	}
+	json_object_object_foreach(object, key, value)
+	{
+		const char *found = names;
+
+		(void)value;
+		length = strlen(key);
+		while ((found = strstr(found, key)) != NULL) {
+			if ((found == names || found[-1] == ' ') && length > 0 &&
+			    (found[length] == ' ' || found[length] == '\0'))
+				break;
+			found++;
+		}
+		if (found == NULL)
+			reader_fail(reader, MASTICPITCH_E_INVALID, "%s%s%s: unknown key",
+			    section, section[0] != '\0' ? "." : "", key);
+	}
+}
+
+static void
+read_seeds(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	struct json_object *list = settings_lookup(root, "mesh.seeds");
+	size_t count;
+
+	if (list == NULL)
+		return;
+	if (!json_object_is_type(list, json_type_array)) {
+		reader_fail(reader, MASTICPITCH_E_INVALID, "mesh.seeds: must be a list");
+		return;
+	}
+	count = json_object_array_length(list);
+	if (count > SETTINGS_SEEDS_MAX) {
+		reader_fail(reader, MASTICPITCH_E_LIMIT,
+		    "mesh.seeds: at most %d addresses", SETTINGS_SEEDS_MAX);
+		return;
+	}
+	for (size_t i = 0; i < count; i++) {
+		struct json_object *item = json_object_array_get_idx(list, i);
+		const char *text = json_object_get_string(item);
+
+		if (!json_object_is_type(item, json_type_string) ||
+		    address_parse(text, &settings->seeds[i]) != MASTICPITCH_OK) {
+			reader_fail(reader, MASTICPITCH_E_INVALID,
+			    "mesh.seeds[%zu]: must be an address of the form IP:PORT", i);
+			return;
+		}
+	}
+	settings->seed_count = count;
+}
+
+static void
+read_key(reader_t *reader, struct json_object *item, size_t index, mesh_key_t *key)
+{
+	struct json_object *id = settings_lookup(item, "id");
+	struct json_object *secret = settings_lookup(item, "secret");
+	int64_t number;
+
+	if (!json_object_is_type(id, json_type_int) ||
+	    !json_object_is_type(secret, json_type_string)) {
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "mesh.keys[%zu]: must be {\"id\": number, \"secret\": text}", index);
+		return;
+	}
+	number = json_object_get_int64(id);
+	if (number < 1 || number > 255) {
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "mesh.keys[%zu].id: must be 1 to 255", index);
+		return;
+	}
+	key->id = (uint8_t)number;
+	if (hex_decode(json_object_get_string(secret), key->secret, SETTINGS_KEY_BYTES) !=
+	    MASTICPITCH_OK)
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "mesh.keys[%zu].secret: must be %d hex digits", index,
+		    2 * SETTINGS_KEY_BYTES);
+}
+
+static void
+read_keys(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	struct json_object *list = settings_lookup(root, "mesh.keys");
+	size_t count;
+
+	if (!json_object_is_type(list, json_type_array)) {
+		reader_fail(reader, MASTICPITCH_E_INVALID, "mesh.keys: must be a list");
+		return;
+	}
+	count = json_object_array_length(list);
+	if (count < 1 || count > SETTINGS_KEYS_MAX) {
+		reader_fail(
+		    reader, MASTICPITCH_E_INVALID, "mesh.keys: must have 1 or 2 keys");
+		return;
+	}
+	for (size_t i = 0; i < count; i++)
+		read_key(
+		    reader, json_object_array_get_idx(list, i), i, &settings->keys[i]);
+	if (count == 2 && settings->keys[0].id == settings->keys[1].id)
+		reader_fail(
+		    reader, MASTICPITCH_E_INVALID, "mesh.keys: both have the same id");
+	settings->key_count = count;
+}
+
+static void
+read_listen(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	const char *const keys[] = {"listen.callers", "listen.backend_servers",
+	    "listen.peers", "listen.operators"};
+	address_t *const targets[] = {&settings->callers, &settings->backend_servers,
+	    &settings->peers, &settings->operators};
+
+	for (size_t i = 0; i < ARRAY_LENGTH(keys); i++)
+		read_address(reader, root, keys[i], targets[i]);
+	if (reader->error != MASTICPITCH_OK)
+		return;
+	if (settings->peers.ip == 0)
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "listen.peers: must name the host's own address, not 0.0.0.0");
+	if (settings->peers.port == 0)
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "listen.peers: needs a port other than 0");
+	for (size_t i = 0; i < ARRAY_LENGTH(keys); i++) {
+		for (size_t j = 0; j < i; j++) {
+			if (targets[i]->ip == targets[j]->ip && targets[i]->port != 0 &&
+			    targets[i]->port == targets[j]->port)
+				reader_fail(reader, MASTICPITCH_E_INVALID,
+				    "%s: same address as %s", keys[i], keys[j]);
+		}
+	}
+}
+
+static void
+read_platform(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	const char *url = read_text(reader, root, "platform.url", true);
+	const char *prefix = read_text(reader, root, "platform.prefix", false);
+	address_t address;
+
+	if (url != NULL && (strncmp(url, "http://", 7) != 0 ||
+			       address_parse(url + 7, &address) != MASTICPITCH_OK ||
+			       string_copy(settings->platform_url, SETTINGS_URL_BYTES,
+				   url) != MASTICPITCH_OK))
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "platform.url: \"%s\" is not of the form http://IP:PORT", url);
+	if (prefix != NULL && (prefix[0] == '\0' || strpbrk(prefix, "?#% \t") != NULL ||
+				  string_copy(settings->platform_prefix,
+				      SETTINGS_PREFIX_BYTES, prefix) != MASTICPITCH_OK))
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "platform.prefix: must have 1 to 64 characters without ? # %% and "
+		    "blanks");
+	read_number(reader, root, "platform.timeout_ms", 10, 60000,
+	    &settings->platform_timeout_ms);
+}
+
+static void
+read_token(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	const char *token = read_text(reader, root, "operators.token", true);
+
+	if (token == NULL)
+		return;
+	if (strlen(token) < TOKEN_MIN ||
+	    string_copy(settings->operators_token, SETTINGS_TOKEN_BYTES, token) !=
+		MASTICPITCH_OK)
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "operators.token: must have 16 to 128 characters");
+}
+
+static void
+read_log_level(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	const char *name = read_text(reader, root, "log.level", false);
+
+	if (name != NULL && log_level_parse(name, &settings->log_level) != MASTICPITCH_OK)
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "log.level: must be debug, info, warning or error");
+}
+
+static void
+settings_set_defaults(settings_t *settings)
+{
+	memset(settings, 0, sizeof(*settings));
+	string_copy(settings->platform_prefix, SETTINGS_PREFIX_BYTES, "masticpitch/");
+	settings->platform_timeout_ms = 2000;
+	settings->requests_max = 4096;
+	settings->streams_per_peer_max = 1024;
+	settings->shutdown_grace_ms = 600 * 1000;
+	settings->log_level = LOG_LEVEL_INFO;
+}
+
+static void
+settings_read(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	check_keys(reader, root, "",
+	    "availability_zone region listen platform mesh operators configuration "
+	    "routing "
+	    "limits shutdown log");
+	check_keys(reader, root, "listen", "callers backend_servers peers operators");
+	check_keys(reader, root, "platform", "url prefix timeout_ms");
+	check_keys(reader, root, "mesh", "seeds keys");
+	check_keys(reader, root, "operators", "token");
+	check_keys(reader, root, "configuration", "spread source");
+	check_keys(reader, root, "routing", "policy");
+	check_keys(reader, root, "limits", "requests streams_per_peer");
+	check_keys(reader, root, "shutdown", "grace_ms");
+	check_keys(reader, root, "log", "level");
+	if (reader->error != MASTICPITCH_OK)
+		return;
+	read_label(reader, root, "availability_zone", settings->zone);
+	read_label(reader, root, "region", settings->region);
+	read_listen(reader, root, settings);
+	read_platform(reader, root, settings);
+	read_seeds(reader, root, settings);
+	read_keys(reader, root, settings);
+	read_token(reader, root, settings);
+	settings->spread = (spread_mode_t)read_choice(
+	    reader, root, "configuration.spread", spread_choices, SPREAD_FAST);
+	settings->config_source = (config_source_t)read_choice(
+	    reader, root, "configuration.source", source_choices, CONFIG_SOURCE_RELAY);
+	settings->routing_policy = (routing_policy_t)read_choice(
+	    reader, root, "routing.policy", policy_choices, ROUTING_ADAPTIVE);
+	read_number(reader, root, "limits.requests", 1, 65536, &settings->requests_max);
+	read_number(reader, root, "limits.streams_per_peer", 1, 65536,
+	    &settings->streams_per_peer_max);
+	read_number(
+	    reader, root, "shutdown.grace_ms", 0, 86400000, &settings->shutdown_grace_ms);
+	read_log_level(reader, root, settings);
+}
+
+/* The line of a byte offset, for messages. */
+static size_t
+line_at(const char *text, size_t offset)
+{
+	size_t line = 1;
+
+	for (size_t i = 0; i < offset; i++)
+		line += text[i] == '\n';
+	return line;
+}
+
+int
+settings_parse(const char *name, const char *text, size_t size, settings_t *settings,
+    char *message, size_t message_size)
+{
+	reader_t reader = {
+	    .name = name, .message = message, .message_size = message_size};
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *root = NULL;
+
+	if (tokener == NULL)
+		return MASTICPITCH_E_NOMEM;
+	message[0] = '\0';
+	settings_set_defaults(settings);
+	if (size > SETTINGS_TEXT_MAX) {
+		reader_fail(&reader, MASTICPITCH_E_LIMIT, "longer than %d bytes",
+		    SETTINGS_TEXT_MAX);
+		goto out;
+	}
+	root = json_tokener_parse_ex(tokener, text, (int)size);
+	if (json_tokener_get_error(tokener) != json_tokener_success) {
+		reader_fail(&reader, MASTICPITCH_E_INVALID, "line %zu: %s",
+		    line_at(text, json_tokener_get_parse_end(tokener)),
+		    json_tokener_error_desc(json_tokener_get_error(tokener)));
+		goto out;
+	}
+	settings_read(&reader, root, settings);
+out:
+	json_object_put(root);
+	json_tokener_free(tokener);
+	return reader.error;
+}
+
+int
+settings_load(const char *path, settings_t *settings, char *message, size_t message_size)
+{
+	char *text = NULL;
+	size_t size;
+	int error = file_read(path, SETTINGS_TEXT_MAX, &text, &size);
+
+	if (error != MASTICPITCH_OK) {
+		snprintf(message, message_size, "%s: cannot be read: %s", path,
+		    masticpitch_strerror(error));
+		return error;
+	}
+	error = settings_parse(path, text, size, settings, message, message_size);
+	free(text);
+	return error;
+}
--- /dev/null
+++ b/test/test_settings.cc
@@ -0,0 +1,77 @@
+// Guards against settings that start a node with a value nobody meant: unknown
+// keys, wrong types, values out of range. Each message names file and key.
+#include "settings.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+static const std::string SECRET(64, 'a');
+
+static std::string
+text_with(const std::string &more, const std::string &peers = "127.1.1.1:7000")
+{
+	return "// a comment\n{\"availability_zone\":\"cebu-a\",\"region\":\"visayas\","
+	       "\"listen\":{\"callers\":\"127.1.1.1:8080\","
+	       "\"backend_servers\":\"127.1.1.1:8081\",\"peers\":\"" +
+	       peers +
+	       "\",\"operators\":\"127.1.1.1:8082\"},"
+	       "\"platform\":{\"url\":\"http://127.0.0.1:9000\"},"
+	       "\"mesh\":{\"keys\":[{\"id\":1,\"secret\":\"" +
+	       SECRET + "\"}]},\"operators\":{\"token\":\"0123456789abcdef\"}" + more +
+	       "}";
+}
+
+static std::string
+error_of(const std::string &text)
+{
+	settings_t settings;
+	char message[MASTICPITCH_MESSAGE_MAX] = "";
+
+	int error = settings_parse(
+	    "f.json", text.c_str(), text.size(), &settings, message, sizeof(message));
+	EXPECT_EQ(error == 0, message[0] == '\0') << message;
+	return message;
+}
+
+TEST(Settings, GoodFileIsTakenWithDefaults)
+{
+	settings_t settings;
+	char message[MASTICPITCH_MESSAGE_MAX];
+	std::string text = text_with("");
+
+	ASSERT_EQ(settings_parse("f", text.c_str(), text.size(), &settings, message,
+		      sizeof(message)),
+	    0)
+	    << message;
+	EXPECT_STREQ(settings.zone, "cebu-a");
+	EXPECT_EQ(settings.peers.port, 7000);
+	EXPECT_EQ(settings.spread, SPREAD_FAST);
+	EXPECT_EQ(settings.keys[0].secret[31], 0xaa);
+	EXPECT_STREQ(settings.platform_prefix, "masticpitch/");
+}
+
+TEST(Settings, EachFaultNamesItsKey)
+{
+	const std::pair<std::string, std::string> cases[] = {
+	    {text_with(",\"colour\":1"), "f.json: colour: unknown key"},
+	    {text_with(",\"log\":{\"levle\":1}"), "f.json: log.levle: unknown key"},
+	    {text_with(",\"log\":{\"level\":\"loud\"}"), "f.json: log.level: must be"},
+	    {text_with(",\"limits\":{\"requests\":0}"),
+		"f.json: limits.requests: must be from"},
+	    {text_with(",\"limits\":{\"requests\":\"9\"}"),
+		"f.json: limits.requests: must be a"},
+	    {text_with(",\"limits\":7"), "f.json: limits: must be an object"},
+	    {text_with(",\"configuration\":{\"spread\":\"slow\"}"),
+		"f.json: configuration.spread: unknown value"},
+	    {text_with("", "127.1.1.1:8080"), "f.json: listen.peers: same address"},
+	    {text_with("", "127.1.1.1"), "f.json: listen.peers: \"127.1.1.1\""},
+	    {text_with("", "0.0.0.0:7000"), "f.json: listen.peers: must name"},
+	    {"{\"a\":", "f.json: line 1: "},
+	    {"[]", "f.json: settings: must be an object"},
+	    {"{}", "f.json: availability_zone: missing"},
+	};
+
+	for (const auto &item : cases)
+		EXPECT_EQ(
+		    error_of(item.first).substr(0, item.second.size()), item.second);
+}
