--- a/src/balance.h
+++ b/src/balance.h
@@ -83,7 +83,8 @@
 /*
  * Chooses an instance of the service for the next attempt; excluded are the
  * nodes already tried for this request. service gives name, spill_percent and
- * slow_start_ms. Errors: MASTICPITCH_E_NOT_FOUND (no usable instance).
+ * slow_start_ms. Errors: MASTICPITCH_E_NOT_FOUND (no usable instance; with
+ * exclusions, an instance already tried may still be usable).
  */
 int balance_choose(balance_t *balance, const preset_service_t *service,
     const uint64_t *excluded, size_t excluded_count, rng_t *rng, uint64_t now,
--- /dev/null
+++ b/src/balance_table.c
@@ -0,0 +1,223 @@
+#include "balance_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int
+balance_create(
+    balance_kind_t kind, const char *zone, const char *region, balance_t **result)
+{
+	balance_t *balance = calloc(1, sizeof(*balance));
+
+	if (balance == NULL)
+		return MASTICPITCH_E_NOMEM;
+	balance->kind = kind;
+	if (string_copy(balance->zone, sizeof(balance->zone), zone) != MASTICPITCH_OK ||
+	    string_copy(balance->region, sizeof(balance->region), region) !=
+		MASTICPITCH_OK) {
+		free(balance);
+		return MASTICPITCH_E_LIMIT;
+	}
+	*result = balance;
+	return MASTICPITCH_OK;
+}
+
+void
+balance_destroy(balance_t *balance)
+{
+	if (balance == NULL)
+		return;
+	for (size_t i = 0; i < BALANCE_SERVICE_BUCKETS; i++) {
+		while (balance->services[i] != NULL) {
+			balance_service_t *service = balance->services[i];
+
+			balance->services[i] = service->next;
+			for (size_t j = 0; j < service->count; j++)
+				free(service->instances[j]);
+			free(service->instances);
+			free(service);
+		}
+	}
+	free(balance);
+}
+
+static balance_instance_t **
+instance_slot(const balance_t *balance, uint64_t node)
+{
+	size_t bucket = hash_bytes(&node, sizeof(node), 0) % BALANCE_INSTANCE_BUCKETS;
+	balance_instance_t **slot = (balance_instance_t **)&balance->instances[bucket];
+
+	while (*slot != NULL && (*slot)->node != node)
+		slot = &(*slot)->next;
+	return slot;
+}
+
+static balance_service_t **
+service_slot(const balance_t *balance, const char *name)
+{
+	size_t bucket = hash_string(name) % BALANCE_SERVICE_BUCKETS;
+	balance_service_t **slot = (balance_service_t **)&balance->services[bucket];
+
+	while (*slot != NULL && strcmp((*slot)->name, name) != 0)
+		slot = &(*slot)->next;
+	return slot;
+}
+
+balance_instance_t *
+balance_instance_find(const balance_t *balance, uint64_t node)
+{
+	return *instance_slot(balance, node);
+}
+
+balance_service_t *
+balance_service_find(const balance_t *balance, const char *name)
+{
+	return *service_slot(balance, name);
+}
+
+/* Makes room for one more instance; the service is created if it is new. */
+static int
+service_reserve(balance_t *balance, const char *name, balance_service_t **result)
+{
+	balance_service_t **slot = service_slot(balance, name);
+	balance_service_t *service = *slot;
+
+	if (service == NULL) {
+		service = calloc(1, sizeof(*service));
+		if (service == NULL)
+			return MASTICPITCH_E_NOMEM;
+		string_copy(service->name, sizeof(service->name), name);
+		*slot = service;
+	}
+	if (service->count == service->capacity) {
+		size_t capacity = service->capacity == 0 ? 4 : 2 * service->capacity;
+		balance_instance_t **grown =
+		    realloc(service->instances, capacity * sizeof(balance_instance_t *));
+
+		if (grown == NULL)
+			return MASTICPITCH_E_NOMEM;
+		service->instances = grown;
+		service->capacity = capacity;
+	}
+	*result = service;
+	return MASTICPITCH_OK;
+}
+
+/* A service without instances is forgotten, so that names stay bounded. */
+static void
+service_drop_if_empty(balance_t *balance, balance_service_t *service)
+{
+	balance_service_t **slot;
+
+	if (service->count > 0)
+		return;
+	slot = service_slot(balance, service->name);
+	*slot = service->next;
+	free(service->instances);
+	free(service);
+}
+
+static int
+instance_add(balance_t *balance, const member_t *member, balance_instance_t **result)
+{
+	balance_instance_t *instance;
+	balance_service_t *service;
+	balance_instance_t **slot;
+	int error;
+
+	if (balance->count >= BALANCE_INSTANCES_MAX)
+		return MASTICPITCH_E_LIMIT;
+	instance = calloc(1, sizeof(*instance));
+	if (instance == NULL)
+		return MASTICPITCH_E_NOMEM;
+	error = service_reserve(balance, member->instance.service, &service);
+	if (error != MASTICPITCH_OK) {
+		free(instance);
+		return error;
+	}
+	slot = instance_slot(balance, member->node);
+	instance->node = member->node;
+	instance->generation = ++balance->generation;
+	instance->service = service;
+	instance->position = service->count;
+	service->instances[service->count++] = instance;
+	*slot = instance;
+	balance->count++;
+	*result = instance;
+	return MASTICPITCH_OK;
+}
+
+void
+balance_member_remove(balance_t *balance, uint64_t node)
+{
+	balance_instance_t **slot = instance_slot(balance, node);
+	balance_instance_t *instance = *slot;
+	balance_service_t *service;
+
+	if (instance == NULL)
+		return;
+	service = instance->service;
+	*slot = instance->next;
+	service->instances[instance->position] = service->instances[--service->count];
+	service->instances[instance->position]->position = instance->position;
+	balance->count--;
+	free(instance);
+	service_drop_if_empty(balance, service);
+}
+
+static tier_t
+member_tier(const balance_t *balance, const member_t *member)
+{
+	if (strcmp(member->zone, balance->zone) == 0)
+		return TIER_ZONE;
+	return strcmp(member->region, balance->region) == 0 ? TIER_REGION : TIER_FAR;
+}
+
+int
+balance_member_update(balance_t *balance, const member_t *member, uint64_t now)
+{
+	balance_instance_t *instance = *instance_slot(balance, member->node);
+	const instance_t *announced = &member->instance;
+	bool restarted = instance == NULL;
+	int error;
+
+	if (announced->state == INSTANCE_NONE || announced->service[0] == '\0' ||
+	    member->state == MEMBER_DOWN) {
+		balance_member_remove(balance, member->node);
+		return MASTICPITCH_OK;
+	}
+	if (instance != NULL &&
+	    strcmp(instance->service->name, announced->service) != 0) {
+		balance_member_remove(balance, member->node);
+		instance = NULL;
+		restarted = true;
+	}
+	if (instance == NULL) {
+		error = instance_add(balance, member, &instance);
+		if (error != MASTICPITCH_OK)
+			return error;
+	}
+	if (instance->incarnation != member->incarnation ||
+	    instance->sequence != announced->sequence) {
+		instance->leaving = false;
+		instance->blocked_until = 0;
+	}
+	if (announced->state == INSTANCE_READY &&
+	    (restarted || instance->state != INSTANCE_READY))
+		instance->ready_since = now;
+	memcpy(instance->zone, member->zone, sizeof(instance->zone));
+	instance->tier = member_tier(balance, member);
+	instance->member_state = member->state;
+	instance->state = announced->state;
+	instance->reachable = member->reachable;
+	instance->incarnation = member->incarnation;
+	instance->sequence = announced->sequence;
+	instance->slots = announced->slots;
+	return MASTICPITCH_OK;
+}
+
+size_t
+balance_instance_count(const balance_t *balance)
+{
+	return balance->count;
+}
--- /dev/null
+++ b/src/balance_table.h
@@ -0,0 +1,77 @@
+/*
+ * The instance table behind balance.h: instances by node id and by service.
+ * Only for balance.c and balance_table.c.
+ */
+#ifndef MASTICPITCH_BALANCE_TABLE_H
+#define MASTICPITCH_BALANCE_TABLE_H
+
+#include "balance.h"
+
+#define BALANCE_INSTANCE_BUCKETS 4096
+#define BALANCE_SERVICE_BUCKETS 1024
+
+/* How near an instance is to the entry. */
+typedef enum tier { TIER_ZONE, TIER_REGION, TIER_FAR, TIER_COUNT } tier_t;
+
+typedef struct balance_service balance_service_t;
+
+typedef struct balance_instance {
+	struct balance_instance *next; /* in its bucket */
+	balance_service_t *service;
+	size_t position; /* in the service's array */
+	uint64_t node;
+	uint64_t generation;
+	char zone[ZONE_BYTES];
+	tier_t tier;
+	member_state_t member_state;
+	instance_state_t state;
+	bool reachable;
+	bool leaving; /* a refusal said so before the member table did */
+	uint64_t incarnation;
+	uint32_t sequence;
+	uint32_t slots;
+	uint64_t blocked_until;
+	uint64_t ready_since;
+	uint32_t in_flight;
+	load_report_t load;
+	uint64_t load_at; /* 0: none yet */
+	double latency_us;
+	uint64_t latency_at; /* 0: no sample yet */
+	uint32_t failures_in_row;
+	double recent_successes; /* both decay */
+	double recent_failures;
+	uint64_t recent_at;
+	uint64_t ejected_until; /* 0: never */
+	uint32_t ejections;	/* in a row, for the backoff */
+	uint64_t successes;
+	uint64_t failures;
+} balance_instance_t;
+
+struct balance_service {
+	balance_service_t *next; /* in its bucket */
+	char name[NAME_BYTES];
+	balance_instance_t **instances;
+	size_t count;
+	size_t capacity;
+	double latency_us; /* smoothed over all instances; 0: no sample */
+	union {
+		size_t next_position; /* BALANCE_NAIVE */
+	} u;
+};
+
+struct balance {
+	balance_kind_t kind;
+	char zone[ZONE_BYTES];
+	char region[ZONE_BYTES];
+	uint64_t generation;
+	size_t count;
+	balance_instance_t *instances[BALANCE_INSTANCE_BUCKETS];
+	balance_service_t *services[BALANCE_SERVICE_BUCKETS];
+};
+
+/* The instance of a node, or NULL. */
+balance_instance_t *balance_instance_find(const balance_t *balance, uint64_t node);
+/* The service of that name, if it has an instance, or NULL. */
+balance_service_t *balance_service_find(const balance_t *balance, const char *name);
+
+#endif
--- a/src/limit.h
+++ b/src/limit.h
@@ -19,12 +19,19 @@
  */
 #define LIMIT_CLASS_RESERVED_PERCENT 15
 
+/*
+ * Share of an entry's requests, the last ones free for a class, of which each
+ * service may take only its first. Without it some ten lagging services take
+ * every place one after another.
+ */
+#define LIMIT_SERVICE_MARGIN_PERCENT 10
+
 typedef struct limit_entry limit_entry_t;
 
 /* What a request holds until limit_entry_release(). */
 typedef struct limit_permit {
 	route_class_t route_class;
-	uint32_t service; /* slot in the table of services */
+	uint32_t service; /* row in the table of services */
 	bool held;
 } limit_permit_t;
 
@@ -39,7 +46,7 @@
  * REASON_NONE: the permit is held. REASON_ENTRY_LIMIT, REASON_CLASS_LIMIT or
  * REASON_SERVICE_LIMIT: nothing changed. A service may have at most its
  * in_flight_limit (0: no such bound) and at most as many requests as places
- * are still free, so some are always left to other services.
+ * are still free for the class, so some are always left to other services.
  */
 reason_t limit_entry_acquire(limit_entry_t *limit, const preset_service_t *service,
     route_class_t route_class, limit_permit_t *permit);
@@ -64,6 +71,7 @@
 /* Latency of one class at a gate, us. */
 typedef struct limit_latency {
 	double smoothed;
+	uint32_t samples;    /* counted up to the fewest that make a baseline */
 	double minimum;	     /* of the current period; 0: no sample */
 	double minimum_last; /* of the period before; 0: no sample */
 } limit_latency_t;
@@ -80,7 +88,9 @@
 	double window_ratio; /* sum of latency over minimum */
 	uint32_t window_running;
 	bool window_overload;
-	double latency_us; /* smoothed over all classes */
+	double decrease_limit; /* when decreases began; 0: none under way */
+	double decrease_ratio; /* the highest since then */
+	double latency_us;     /* smoothed over all classes */
 } limit_gate_t;
 
 /* slots: announced by the backend server, at least 1. Starts at slots. */
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -43,8 +43,9 @@
 /* Gate: a request with this fingerprint goes to the backend server; 0: none. */
 void quarantine_start(quarantine_t *quarantine, uint64_t fingerprint);
 /*
- * Gate: the request ended without the backend server's death. True if a
- * success withdraws reports and the clearing is to be spread.
+ * Gate: the request ended, and not by the backend server's death (then
+ * quarantine_death() has ended it). True if a success withdraws reports and
+ * the clearing is to be spread.
  */
 bool quarantine_end(quarantine_t *quarantine, uint64_t fingerprint, bool success);
 /*
--- a/src/queue.c
+++ b/src/queue.c
@@ -1,5 +1,21 @@
 #include "queue.h"
 
+#include "util.h"
+
+/* Share of a new sample in a class's smoothed service time. */
+#define SERVICE_SAMPLE_SHARE 0.1
+/*
+ * Without new samples a service time counts half after this time, ms. A time
+ * too long to fit any deadline would else refuse everything for good.
+ */
+#define SERVICE_HALF_LIFE_MS 1000
+/* After this many half-lives it counts nothing. */
+#define SERVICE_HALF_LIVES_MAX 40
+
+/* Classes in order of priority. */
+static const route_class_t ranking[ROUTE_CLASS_COUNT] = {
+    ROUTE_INTERNAL, ROUTE_CALL, ROUTE_LOOKUP, ROUTE_UPLOAD};
+
 void
 queue_init(queue_t *queue, uint32_t limit, uint32_t slots, bool ordered)
 {
@@ -12,77 +28,308 @@
 void
 queue_limit_set(queue_t *queue, uint32_t limit, uint32_t slots)
 {
-	queue->limit = limit != 0 ? limit : QUEUE_LIMIT_PER_SLOT * slots;
+	uint64_t places = limit != 0 ? limit : (uint64_t)QUEUE_LIMIT_PER_SLOT * slots;
+
+	queue->limit = (uint32_t)MIN_OF(places, QUEUE_LIMIT_MAX);
 }
 
-reason_t
-queue_push(queue_t *queue, queue_item_t *item, uint32_t running_limit, uint64_t now,
-    queue_item_t **shed)
+static queue_item_t *
+class_first(const queue_class_t *class)
 {
-	*shed = NULL;
-	if (queue->count >= queue->limit)
-		return REASON_QUEUE_FULL;
+	if (list_is_empty(&class->items))
+		return NULL;
+	return LIST_ENTRY(class->items.next, queue_item_t, link);
+}
+
+static queue_item_t *
+class_last(const queue_class_t *class)
+{
+	if (list_is_empty(&class->items))
+		return NULL;
+	return LIST_ENTRY(class->items.prev, queue_item_t, link);
+}
+
+void
+queue_remove(queue_t *queue, queue_item_t *item)
+{
+	queue_class_t *class = &queue->classes[item->route_class];
+
+	if (!item->queued)
+		return;
+	list_remove(&item->link);
+	item->queued = false;
+	class->count--;
+	queue->count--;
+	if (class->count == 0)
+		class->passed = 0;
+}
+
+/* Inserted from the back, since deadlines mostly grow with arrival. */
+static void
+class_insert(queue_class_t *class, queue_item_t *item)
+{
+	list_t *position = class->items.prev;
+
+	while (position != &class->items &&
+	       LIST_ENTRY(position, queue_item_t, link)->deadline > item->deadline)
+		position = position->prev;
+	list_insert_before(position->next, &item->link);
+}
+
+static void
+queue_insert(queue_t *queue, queue_item_t *item, uint64_t now)
+{
+	queue_class_t *class = &queue->classes[item->route_class];
+
 	item->queued_at = now;
 	item->queued = true;
-	list_append(&queue->classes[item->route_class].items, &item->link);
+	if (queue->ordered)
+		class_insert(class, item);
+	else
+		list_append(&class->items, &item->link);
+	class->count++;
 	queue->count++;
-	return REASON_NONE;
 }
 
-queue_item_t *
-queue_pop(queue_t *queue, uint64_t now)
+/* Expected time of one call of the class at the backend server, ns. */
+static double
+class_service_time(const queue_class_t *class, uint64_t now)
 {
-	return queue_drain(queue);
+	uint64_t halvings = 0;
+
+	if (now > class->sampled_at)
+		halvings = (now - class->sampled_at) / (SERVICE_HALF_LIFE_MS * NS_PER_MS);
+	if (halvings > SERVICE_HALF_LIVES_MAX)
+		return 0;
+	return class->service_ns / (double)(UINT64_C(1) << halvings);
 }
 
-queue_item_t *
-queue_expire(queue_t *queue, uint64_t now, reason_t *reason)
+void
+queue_service_record(
+    queue_t *queue, route_class_t route_class, uint64_t duration_ns, uint64_t now)
 {
-	return NULL;
+	queue_class_t *class = &queue->classes[route_class];
+	double expected = class_service_time(class, now);
+
+	if (expected <= 0)
+		class->service_ns = (double)duration_ns;
+	else
+		class->service_ns =
+		    expected + SERVICE_SAMPLE_SHARE * ((double)duration_ns - expected);
+	class->sampled_at = now;
+}
+
+/* Calls of a class ahead of a new one with this deadline. */
+static uint32_t
+class_ahead(const queue_class_t *class, uint64_t deadline)
+{
+	uint32_t ahead = class->count;
+	const list_t *position = class->items.prev;
+
+	while (position != &class->items &&
+	       LIST_ENTRY(position, const queue_item_t, link)->deadline > deadline) {
+		position = position->prev;
+		ahead--;
+	}
+	return ahead;
 }
 
 uint64_t
-queue_next_deadline(const queue_t *queue)
+queue_wait_expected(const queue_t *queue, route_class_t route_class, uint64_t deadline,
+    uint32_t running_limit, uint64_t now)
 {
-	return TIME_NEVER;
+	double work = 0;
+
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		const queue_class_t *class = &queue->classes[ranking[i]];
+		bool own = ranking[i] == route_class;
+		uint32_t ahead = own ? class_ahead(class, deadline) : class->count;
+
+		/* One more, for the rest of what runs at the moment. */
+		work += (ahead + (own ? 1 : 0)) * class_service_time(class, now);
+		if (own)
+			break;
+	}
+	return (uint64_t)(work / MAX_OF(running_limit, 1));
 }
 
-void
-queue_remove(queue_t *queue, queue_item_t *item)
+/* The time that an item still needs once it runs; an upload's is its caller's. */
+static uint64_t
+item_run_expected(const queue_t *queue, const queue_item_t *item, uint64_t now)
 {
-	if (!item->queued)
-		return;
-	list_remove(&item->link);
+	if (item->route_class == ROUTE_UPLOAD)
+		return 0;
+	return (uint64_t)class_service_time(&queue->classes[item->route_class], now);
+}
+
+/*
+ * The item that ranks last: the one with the latest deadline of the lowest
+ * class that holds more than its share. The share keeps a flood of a high
+ * class from pushing every low one out.
+ */
+static queue_item_t *
+queue_last(const queue_t *queue)
+{
+	for (int i = ROUTE_CLASS_COUNT - 1; i >= 0; i--) {
+		const queue_class_t *class = &queue->classes[ranking[i]];
+
+		if ((uint64_t) class->count * 100 >
+		    (uint64_t)queue->limit * QUEUE_SHARE_PERCENT)
+			return class_last(class);
+	}
+	for (int i = ROUTE_CLASS_COUNT - 1; i >= 0; i--) {
+		queue_item_t *last = class_last(&queue->classes[ranking[i]]);
+
+		if (last != NULL)
+			return last;
+	}
+	return NULL;
+}
+
+reason_t
+queue_push(queue_t *queue, queue_item_t *item, uint32_t running_limit, uint64_t now,
+    queue_item_t **shed)
+{
+	uint64_t needed;
+
+	*shed = NULL;
 	item->queued = false;
-	queue->count--;
+	if (!queue->ordered) {
+		if (queue->count >= queue->limit)
+			return REASON_QUEUE_FULL;
+		queue_insert(queue, item, now);
+		return REASON_NONE;
+	}
+	if (item->deadline <= now)
+		return REASON_DEADLINE_PASSED;
+	needed = queue_wait_expected(
+		     queue, item->route_class, item->deadline, running_limit, now) +
+		 item_run_expected(queue, item, now);
+	if (needed > item->deadline - now)
+		return REASON_DEADLINE_TOO_SHORT;
+	queue_insert(queue, item, now);
+	if (queue->count <= queue->limit)
+		return REASON_NONE;
+	*shed = queue_last(queue);
+	INVARIANT(*shed != NULL);
+	queue_remove(queue, *shed);
+	if (*shed != item)
+		return REASON_NONE;
+	*shed = NULL;
+	return REASON_QUEUE_FULL;
 }
 
-queue_item_t *
-queue_drain(queue_t *queue)
+/* The class whose turn it is, or NULL if nothing waits. */
+static queue_class_t *
+queue_turn(queue_t *queue)
 {
+	queue_class_t *turn = NULL;
+
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		queue_class_t *class = &queue->classes[ranking[i]];
+
+		if (class->count == 0)
+			continue;
+		if (turn == NULL || class->passed >= QUEUE_PASSED_MAX)
+			turn = class;
+	}
+	return turn;
+}
+
+/* First come, first served over all classes. */
+static queue_item_t *
+queue_oldest(const queue_t *queue)
+{
+	queue_item_t *oldest = NULL;
+
 	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		if (!list_is_empty(&queue->classes[i].items)) {
-			queue_item_t *item =
-			    LIST_ENTRY(queue->classes[i].items.next, queue_item_t, link);
+		queue_item_t *first = class_first(&queue->classes[ranking[i]]);
+
+		if (first != NULL &&
+		    (oldest == NULL || first->queued_at < oldest->queued_at))
+			oldest = first;
+	}
+	return oldest;
+}
+
+queue_item_t *
+queue_pop(queue_t *queue, uint64_t now)
+{
+	queue_class_t *turn;
+	queue_item_t *item;
+	bool below = false;
 
+	if (!queue->ordered) {
+		item = queue_oldest(queue);
+		if (item != NULL)
 			queue_remove(queue, item);
-			return item;
-		}
+		return item;
 	}
-	return NULL;
+	turn = queue_turn(queue);
+	if (turn == NULL)
+		return NULL;
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		queue_class_t *class = &queue->classes[ranking[i]];
+
+		if (below && class->count > 0)
+			class->passed++;
+		below = below || class == turn;
+	}
+	turn->passed = 0;
+	item = class_first(turn);
+	queue_remove(queue, item);
+	return item;
 }
 
-void
-queue_service_record(
-    queue_t *queue, route_class_t route_class, uint64_t duration_ns, uint64_t now)
+queue_item_t *
+queue_expire(queue_t *queue, uint64_t now, reason_t *reason)
 {
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		queue_item_t *item = class_first(&queue->classes[i]);
+
+		if (item == NULL || !queue->ordered)
+			continue;
+		if (item->deadline <= now)
+			*reason = REASON_DEADLINE_PASSED;
+		else if (item->deadline - now < item_run_expected(queue, item, now))
+			*reason = REASON_DEADLINE_TOO_SHORT;
+		else
+			continue;
+		queue_remove(queue, item);
+		return item;
+	}
+	return NULL;
 }
 
 uint64_t
-queue_wait_expected(const queue_t *queue, route_class_t route_class, uint64_t deadline,
-    uint32_t running_limit, uint64_t now)
+queue_next_deadline(const queue_t *queue)
 {
-	return 0;
+	uint64_t earliest = TIME_NEVER;
+
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		LIST_FOREACH (node, &queue->classes[i].items) {
+			const queue_item_t *item = LIST_ENTRY(node, queue_item_t, link);
+
+			earliest = MIN_OF(earliest, item->deadline);
+			if (queue->ordered)
+				break;
+		}
+	}
+	return earliest;
+}
+
+queue_item_t *
+queue_drain(queue_t *queue)
+{
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		queue_item_t *item = class_first(&queue->classes[ranking[i]]);
+
+		if (item == NULL)
+			continue;
+		queue_remove(queue, item);
+		return item;
+	}
+	return NULL;
 }
 
 uint32_t
--- a/src/retry.c
+++ b/src/retry.c
@@ -1,16 +1,34 @@
 #include "retry.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+/* Slots of the table of budgets: a power of two, at most half of it in use. */
+#define BUDGET_SLOTS (2 * PRESET_SERVICES_MAX)
+
+typedef struct budget {
+	char service[NAME_BYTES]; /* empty: free */
+	double tokens;
+	uint64_t used; /* number of the last request */
+} budget_t;
 
 struct retry {
 	retry_kind_t kind;
+	uint64_t requests;
+	size_t count;
+	budget_t budgets[BUDGET_SLOTS];
 };
 
 int
-retry_create(retry_kind_t kind, retry_t **retry)
+retry_create(retry_kind_t kind, retry_t **result)
 {
-	*retry = calloc(1, sizeof(**retry));
-	return *retry != NULL ? MASTICPITCH_OK : MASTICPITCH_E_NOMEM;
+	retry_t *retry = calloc(1, sizeof(*retry));
+
+	if (retry == NULL)
+		return MASTICPITCH_E_NOMEM;
+	retry->kind = kind;
+	*result = retry;
+	return MASTICPITCH_OK;
 }
 
 void
@@ -19,29 +37,93 @@
 	free(retry);
 }
 
-void
-retry_request_record(retry_t *retry, const preset_service_t *service)
+/* The service's slot, or the free one where it would go. */
+static size_t
+budget_slot(const retry_t *retry, const char *service)
 {
+	size_t slot = hash_string(service) % BUDGET_SLOTS;
+
+	while (retry->budgets[slot].service[0] != '\0' &&
+	       strcmp(retry->budgets[slot].service, service) != 0)
+		slot = (slot + 1) % BUDGET_SLOTS;
+	return slot;
 }
 
-retry_decision_t
-retry_decide(retry_t *retry, const preset_service_t *service,
-    const retry_request_t *request, const retry_failure_t *failure, rng_t *rng,
-    uint64_t now)
+/* Empties a slot and moves up what linear probing put behind it. */
+static void
+budget_remove(retry_t *retry, size_t slot)
 {
-	retry_decision_t decision = {.stop = RETRY_STOP_BUDGET,
-	    .at = now,
-	    .reason = failure->reason,
-	    .run = failure->run,
-	    .final = failure->final};
+	size_t next = slot;
 
-	return decision;
+	retry->budgets[slot].service[0] = '\0';
+	retry->count--;
+	for (;;) {
+		budget_t moved;
+
+		next = (next + 1) % BUDGET_SLOTS;
+		if (retry->budgets[next].service[0] == '\0')
+			return;
+		moved = retry->budgets[next];
+		retry->budgets[next].service[0] = '\0';
+		retry->budgets[budget_slot(retry, moved.service)] = moved;
+	}
+}
+
+static void
+budget_evict_oldest(retry_t *retry)
+{
+	size_t oldest = BUDGET_SLOTS;
+
+	for (size_t i = 0; i < BUDGET_SLOTS; i++) {
+		if (retry->budgets[i].service[0] == '\0')
+			continue;
+		if (oldest == BUDGET_SLOTS ||
+		    retry->budgets[i].used < retry->budgets[oldest].used)
+			oldest = i;
+	}
+	if (oldest != BUDGET_SLOTS)
+		budget_remove(retry, oldest);
+}
+
+static budget_t *
+budget_get(retry_t *retry, const char *service)
+{
+	size_t slot = budget_slot(retry, service);
+
+	if (retry->budgets[slot].service[0] == '\0') {
+		if (retry->count >= PRESET_SERVICES_MAX) {
+			budget_evict_oldest(retry);
+			slot = budget_slot(retry, service);
+		}
+		string_copy(retry->budgets[slot].service, NAME_BYTES, service);
+		retry->budgets[slot].tokens = RETRY_TOKENS_START;
+		retry->count++;
+	}
+	retry->budgets[slot].used = retry->requests;
+	return &retry->budgets[slot];
+}
+
+void
+retry_request_record(retry_t *retry, const preset_service_t *service)
+{
+	budget_t *budget;
+
+	if (service->name[0] == '\0')
+		return;
+	retry->requests++;
+	budget = budget_get(retry, service->name);
+	budget->tokens =
+	    MIN_OF(budget->tokens + service->retry_percent / 100.0, RETRY_TOKENS_MAX);
 }
 
 double
 retry_budget(const retry_t *retry, const char *service)
 {
-	return 0;
+	size_t slot = budget_slot(retry, service);
+
+	if (retry->budgets[slot].service[0] == '\0')
+		return RETRY_TOKENS_START;
+	return retry->budgets[slot].tokens;
 }
 
 bool
@@ -49,3 +131,156 @@
 {
 	return deadline > now && deadline - now >= min_attempt_ms * NS_PER_MS;
 }
+
+/* Refusals that another instance would give as well, or that need the caller. */
+static bool
+reason_is_permanent(reason_t reason)
+{
+	switch (reason) {
+	case REASON_NO_CONFIGURATION:
+	case REASON_NO_ROUTE:
+	case REASON_BAD_REQUEST:
+	case REASON_BAD_FRAMING:
+	case REASON_HEADERS_TOO_LARGE:
+	case REASON_PATH_TOO_LONG:
+	case REASON_BODY_TOO_LARGE:
+	case REASON_DEPTH_EXCEEDED:
+	case REASON_DEADLINE_PASSED:
+	case REASON_CRASH_SUSPECT:
+	case REASON_TICKET_REQUIRED:
+	case REASON_TICKET_EXPIRED:
+	case REASON_TICKET_LOST:
+	case REASON_TICKET_RUNNING:
+	case REASON_TICKET_UNKNOWN:
+	case REASON_TICKET_MISMATCH:
+	case REASON_TICKET_NOT_KEPT:
+	case REASON_CANCELLED:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/*
+ * The rules that keep a request from being run twice; they hold for every
+ * policy. RUN_YES is never repeated, since the caller has its outcome to learn,
+ * not to repeat.
+ */
+static retry_stop_t
+stop_for_safety(const retry_request_t *request, const retry_failure_t *failure)
+{
+	if (request->answer_started)
+		return RETRY_STOP_ANSWERED;
+	if (failure->run == RUN_YES)
+		return RETRY_STOP_RUN_STATE;
+	if (failure->run != RUN_NO && !request->idempotent)
+		return RETRY_STOP_RUN_STATE;
+	if (!request->body_kept)
+		return RETRY_STOP_BODY;
+	return RETRY_STOP_NONE;
+}
+
+/* Jittered over the whole range, so that entries do not retry in step. */
+static uint64_t
+backoff_draw(uint32_t attempts_made, rng_t *rng)
+{
+	uint64_t longest_ms = RETRY_BACKOFF_MS;
+
+	for (uint32_t i = 1; i < attempts_made && longest_ms < RETRY_BACKOFF_MS_MAX; i++)
+		longest_ms *= 2;
+	return rng_below(rng, MIN_OF(longest_ms, RETRY_BACKOFF_MS_MAX) * NS_PER_MS + 1);
+}
+
+static retry_stop_t
+stop_for_cost(budget_t *budget, const retry_request_t *request,
+    const retry_failure_t *failure, uint64_t at)
+{
+	if (failure->final)
+		return RETRY_STOP_FINAL;
+	if (reason_is_permanent(failure->reason))
+		return RETRY_STOP_PERMANENT;
+	if (request->attempts_made >= request->attempts_max)
+		return RETRY_STOP_ATTEMPTS;
+	if (!retry_time_suffices(request->deadline, request->min_attempt_ms, at))
+		return RETRY_STOP_DEADLINE;
+	if (budget->tokens < 1)
+		return RETRY_STOP_BUDGET;
+	budget->tokens--;
+	return RETRY_STOP_NONE;
+}
+
+static retry_stop_t
+decide_adaptive(retry_t *retry, const preset_service_t *service,
+    const retry_request_t *request, const retry_failure_t *failure, rng_t *rng,
+    uint64_t now, uint64_t *at)
+{
+	retry_stop_t stop = stop_for_safety(request, failure);
+
+	if (stop != RETRY_STOP_NONE)
+		return stop;
+	if (service->retry_percent == 0)
+		return RETRY_STOP_BUDGET;
+	*at = now + backoff_draw(request->attempts_made, rng);
+	/* A backoff that does not fit is dropped if the attempt itself still fits. */
+	if (!retry_time_suffices(request->deadline, request->min_attempt_ms, *at))
+		*at = now;
+	return stop_for_cost(budget_get(retry, service->name), request, failure, *at);
+}
+
+static retry_stop_t
+decide_naive(const retry_request_t *request, const retry_failure_t *failure, uint64_t now)
+{
+	retry_stop_t stop = stop_for_safety(request, failure);
+
+	if (stop != RETRY_STOP_NONE)
+		return stop;
+	if (request->attempts_made >= request->attempts_max)
+		return RETRY_STOP_ATTEMPTS;
+	return request->deadline > now ? RETRY_STOP_NONE : RETRY_STOP_DEADLINE;
+}
+
+/*
+ * A give-up is final if a repeat by an entry above would multiply attempts, or
+ * would run a non-idempotent call of a lower level again.
+ */
+static bool
+stop_is_final(
+    retry_stop_t stop, const retry_request_t *request, const retry_failure_t *failure)
+{
+	switch (stop) {
+	case RETRY_STOP_ATTEMPTS:
+	case RETRY_STOP_DEADLINE:
+	case RETRY_STOP_BUDGET:
+	case RETRY_STOP_FINAL:
+		return true;
+	case RETRY_STOP_NONE:
+		return false;
+	default:
+		return failure->final || (failure->run != RUN_NO && !request->idempotent);
+	}
+}
+
+retry_decision_t
+retry_decide(retry_t *retry, const preset_service_t *service,
+    const retry_request_t *request, const retry_failure_t *failure, rng_t *rng,
+    uint64_t now)
+{
+	retry_decision_t decision = {
+	    .at = now, .reason = failure->reason, .run = failure->run};
+
+	switch (retry->kind) {
+	case RETRY_NAIVE:
+		decision.stop = decide_naive(request, failure, now);
+		decision.final = failure->final;
+		break;
+	case RETRY_ADAPTIVE:
+	default:
+		decision.stop = decide_adaptive(
+		    retry, service, request, failure, rng, now, &decision.at);
+		decision.final = stop_is_final(decision.stop, request, failure);
+		if (decision.stop == RETRY_STOP_BUDGET)
+			decision.reason = REASON_RETRY_BUDGET;
+		break;
+	}
+	return decision;
+}
--- a/src/ticket.c
+++ b/src/ticket.c
@@ -1,71 +1,118 @@
 #include "ticket.h"
 
+#include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
-struct ticket_table {
-	size_t count;
-};
+/*
+ * Text of a ticket: "mp1.", key id (2 hex digits), node, boot, expiry (16
+ * each), nonce (32), ".", service, ".", digest over all before it (32).
+ */
+#define TICKET_PREFIX "mp1."
+#define DIGITS_KEY 2
+#define DIGITS_NUMBER 16
+#define DIGITS_DIGEST ((size_t)2 * DIGEST_BYTES)
+#define OFFSET_KEY (sizeof(TICKET_PREFIX) - 1)
+#define OFFSET_NODE (OFFSET_KEY + DIGITS_KEY)
+#define OFFSET_BOOT (OFFSET_NODE + DIGITS_NUMBER)
+#define OFFSET_EXPIRY (OFFSET_BOOT + DIGITS_NUMBER)
+#define OFFSET_NONCE (OFFSET_EXPIRY + DIGITS_NUMBER)
+#define OFFSET_SERVICE (OFFSET_NONCE + (size_t)2 * DIGITS_NUMBER + 1)
 
 void
 ticket_issue(ticket_t *ticket, const char *service, uint64_t node, uint64_t boot,
     rng_t *rng, uint64_t now)
 {
-	*ticket = (ticket_t){.node = node, .boot = boot};
-	ticket->expiry = now + TICKET_LIFE_MS * NS_PER_MS;
+	*ticket = (ticket_t){.node = node,
+	    .boot = boot,
+	    .expiry = now + TICKET_LIFE_MS * NS_PER_MS,
+	    .nonce = {rng_next(rng), rng_next(rng)}};
+	string_copy(ticket->service, sizeof(ticket->service), service);
 }
 
-void
-ticket_format(const ticket_t *ticket, const mesh_key_t *key, char text[TICKET_BYTES])
+static void
+ticket_digest(const char *text, size_t size, const mesh_key_t *key, uint8_t *digest)
 {
-	text[0] = '\0';
+	crypto_generichash(digest, DIGEST_BYTES, (const uint8_t *)text, size, key->secret,
+	    sizeof(key->secret));
 }
 
-int
-ticket_parse(const char *text, const mesh_key_t *keys, size_t key_count, ticket_t *ticket)
+void
+ticket_format(const ticket_t *ticket, const mesh_key_t *key, char text[TICKET_BYTES])
 {
-	return MASTICPITCH_E_INVALID;
-}
+	uint8_t digest[DIGEST_BYTES];
+	int length = snprintf(text, TICKET_BYTES,
+	    TICKET_PREFIX "%02x%016llx%016llx%016llx%016llx%016llx.%s", key->id,
+	    (unsigned long long)ticket->node, (unsigned long long)ticket->boot,
+	    (unsigned long long)ticket->expiry, (unsigned long long)ticket->nonce[0],
+	    (unsigned long long)ticket->nonce[1], ticket->service);
 
-int
-ticket_table_create(uint64_t node, uint64_t boot, size_t capacity, ticket_table_t **table)
-{
-	*table = calloc(1, sizeof(**table));
-	return *table != NULL ? MASTICPITCH_OK : MASTICPITCH_E_NOMEM;
+	INVARIANT(length > 0 && (size_t)length + 1 + DIGITS_DIGEST < TICKET_BYTES);
+	ticket_digest(text, (size_t)length, key, digest);
+	text[length] = '.';
+	hex_encode(digest, sizeof(digest), text + length + 1);
 }
 
-void
-ticket_table_destroy(ticket_table_t *table)
+/* Reads count lower-case hex digits; digits in another form are no ticket. */
+static bool
+digits_parse(const char *text, size_t count, uint64_t *value)
 {
-	free(table);
-}
+	*value = 0;
+	for (size_t i = 0; i < count; i++) {
+		char c = text[i];
 
-ticket_verdict_t
-ticket_arrive(ticket_table_t *table, const char *text, const mesh_key_t *keys,
-    size_t key_count, const char *service, uint64_t fingerprint, uint64_t now,
-    ticket_t *ticket)
-{
-	return (ticket_verdict_t){
-	    .action = TICKET_REFUSE, .reason = REASON_TICKET_REQUIRED, .run = RUN_NO};
+		if (c >= '0' && c <= '9')
+			*value = *value << 4 | (uint64_t)(c - '0');
+		else if (c >= 'a' && c <= 'f')
+			*value = *value << 4 | (uint64_t)(c - 'a' + 10);
+		else
+			return false;
+	}
+	return true;
 }
 
-void
-ticket_finish(ticket_table_t *table, const ticket_t *ticket, int status,
-    const char *content_type, const void *body, size_t size)
+static int
+ticket_verify(const char *text, size_t signed_size, uint64_t key_id,
+    const mesh_key_t *keys, size_t key_count)
 {
-}
+	uint8_t given[DIGEST_BYTES], computed[DIGEST_BYTES];
 
-void
-ticket_finish_unknown(ticket_table_t *table, const ticket_t *ticket)
-{
+	if (hex_decode(text + signed_size + 1, given, sizeof(given)) != MASTICPITCH_OK)
+		return MASTICPITCH_E_INVALID;
+	for (size_t i = 0; i < key_count; i++) {
+		if (keys[i].id != key_id)
+			continue;
+		ticket_digest(text, signed_size, &keys[i], computed);
+		return sodium_memcmp(given, computed, sizeof(given)) == 0
+			   ? MASTICPITCH_OK
+			   : MASTICPITCH_E_DENIED;
+	}
+	return MASTICPITCH_E_DENIED;
 }
 
-void
-ticket_withdraw(ticket_table_t *table, const ticket_t *ticket)
+int
+ticket_parse(const char *text, const mesh_key_t *keys, size_t key_count, ticket_t *ticket)
 {
-}
+	size_t length = strnlen(text, TICKET_BYTES);
+	size_t name_length;
+	uint64_t key_id;
 
-size_t
-ticket_table_count(const ticket_table_t *table)
-{
-	return table->count;
+	memset(ticket, 0, sizeof(*ticket));
+	if (length >= TICKET_BYTES || length < OFFSET_SERVICE + 2 + DIGITS_DIGEST)
+		return MASTICPITCH_E_INVALID;
+	name_length = length - OFFSET_SERVICE - 1 - DIGITS_DIGEST;
+	if (memcmp(text, TICKET_PREFIX, OFFSET_KEY) != 0 || name_length >= NAME_BYTES ||
+	    text[OFFSET_SERVICE - 1] != '.' || text[OFFSET_SERVICE + name_length] != '.')
+		return MASTICPITCH_E_INVALID;
+	if (!digits_parse(text + OFFSET_KEY, DIGITS_KEY, &key_id) ||
+	    !digits_parse(text + OFFSET_NODE, DIGITS_NUMBER, &ticket->node) ||
+	    !digits_parse(text + OFFSET_BOOT, DIGITS_NUMBER, &ticket->boot) ||
+	    !digits_parse(text + OFFSET_EXPIRY, DIGITS_NUMBER, &ticket->expiry) ||
+	    !digits_parse(text + OFFSET_NONCE, DIGITS_NUMBER, &ticket->nonce[0]) ||
+	    !digits_parse(
+		text + OFFSET_NONCE + DIGITS_NUMBER, DIGITS_NUMBER, &ticket->nonce[1]))
+		return MASTICPITCH_E_INVALID;
+	memcpy(ticket->service, text + OFFSET_SERVICE, name_length);
+	return ticket_verify(text, OFFSET_SERVICE + name_length, key_id, keys, key_count);
 }
--- /dev/null
+++ b/src/ticket_table.c
@@ -0,0 +1,269 @@
+#include "ticket.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ROW_NONE UINT32_MAX
+
+typedef enum row_state { ROW_RUNNING, ROW_FINISHED, ROW_UNKNOWN } row_state_t;
+
+typedef struct row {
+	list_t link;   /* in the order of expiry, or in the list of free rows */
+	uint32_t next; /* in its bucket */
+	row_state_t state;
+	uint64_t nonce[2];
+	uint64_t expiry;
+	uint64_t fingerprint;
+	int status;
+	bool kept; /* the whole body is held */
+	char content_type[TICKET_CONTENT_TYPE_BYTES];
+	uint8_t *body;
+	size_t size;
+} row_t;
+
+struct ticket_table {
+	uint64_t node;
+	uint64_t boot;
+	size_t capacity;
+	size_t count;
+	size_t body_bytes;
+	list_t by_expiry;
+	list_t free_rows;
+	row_t *rows;
+	uint32_t *buckets; /* capacity of them */
+};
+
+int
+ticket_table_create(
+    uint64_t node, uint64_t boot, size_t capacity, ticket_table_t **result)
+{
+	ticket_table_t *table;
+
+	if (capacity == 0 || capacity > TICKET_TABLE_MAX)
+		return MASTICPITCH_E_LIMIT;
+	table = calloc(1, sizeof(*table));
+	if (table == NULL)
+		return MASTICPITCH_E_NOMEM;
+	table->rows = calloc(capacity, sizeof(*table->rows));
+	table->buckets = malloc(capacity * sizeof(*table->buckets));
+	if (table->rows == NULL || table->buckets == NULL)
+		goto fail;
+	table->node = node;
+	table->boot = boot;
+	table->capacity = capacity;
+	list_init(&table->by_expiry);
+	list_init(&table->free_rows);
+	for (size_t i = 0; i < capacity; i++) {
+		table->buckets[i] = ROW_NONE;
+		list_append(&table->free_rows, &table->rows[i].link);
+	}
+	*result = table;
+	return MASTICPITCH_OK;
+fail:
+	free(table->buckets);
+	free(table->rows);
+	free(table);
+	return MASTICPITCH_E_NOMEM;
+}
+
+void
+ticket_table_destroy(ticket_table_t *table)
+{
+	if (table == NULL)
+		return;
+	for (size_t i = 0; i < table->capacity; i++)
+		free(table->rows[i].body);
+	free(table->buckets);
+	free(table->rows);
+	free(table);
+}
+
+/* The link to the row with this nonce; ROW_NONE if there is none. */
+static uint32_t *
+row_link(ticket_table_t *table, const uint64_t nonce[2])
+{
+	uint32_t *link =
+	    &table->buckets[hash_bytes(nonce, 2 * sizeof(*nonce), 0) % table->capacity];
+
+	while (*link != ROW_NONE &&
+	       memcmp(table->rows[*link].nonce, nonce, 2 * sizeof(*nonce)) != 0)
+		link = &table->rows[*link].next;
+	return link;
+}
+
+static void
+row_free(ticket_table_t *table, row_t *row)
+{
+	*row_link(table, row->nonce) = row->next;
+	list_remove(&row->link);
+	list_append(&table->free_rows, &row->link);
+	free(row->body);
+	row->body = NULL;
+	table->body_bytes -= row->size;
+	row->size = 0;
+	table->count--;
+}
+
+/*
+ * Frees rows whose ticket has expired: such a ticket is refused by its expiry
+ * alone. A row of a call that still runs stays until it ends, so that its end
+ * finds it.
+ */
+static void
+table_expire(ticket_table_t *table, uint64_t now)
+{
+	LIST_FOREACH_SAFE (node, &table->by_expiry) {
+		row_t *row = LIST_ENTRY(node, row_t, link);
+
+		if (row->expiry > now)
+			return;
+		if (row->state != ROW_RUNNING)
+			row_free(table, row);
+	}
+}
+
+static row_t *
+row_add(ticket_table_t *table, const ticket_t *ticket, uint64_t fingerprint)
+{
+	list_t *node = list_take_first(&table->free_rows);
+	list_t *position = table->by_expiry.prev;
+	row_t *row;
+
+	if (node == NULL)
+		return NULL;
+	row = LIST_ENTRY(node, row_t, link);
+	*row = (row_t){.state = ROW_RUNNING,
+	    .nonce = {ticket->nonce[0], ticket->nonce[1]},
+	    .expiry = ticket->expiry,
+	    .fingerprint = fingerprint,
+	    .next = ROW_NONE};
+	*row_link(table, row->nonce) = (uint32_t)(row - table->rows);
+	while (position != &table->by_expiry &&
+	       LIST_ENTRY(position, row_t, link)->expiry > row->expiry)
+		position = position->prev;
+	list_insert_before(position->next, &row->link);
+	table->count++;
+	return row;
+}
+
+static row_t *
+row_find(ticket_table_t *table, const ticket_t *ticket)
+{
+	uint32_t index = *row_link(table, ticket->nonce);
+
+	return index == ROW_NONE ? NULL : &table->rows[index];
+}
+
+static ticket_verdict_t
+refuse(reason_t reason, run_state_t run)
+{
+	return (ticket_verdict_t){.action = TICKET_REFUSE, .reason = reason, .run = run};
+}
+
+/* A second arrival of a ticket that the table holds. */
+static ticket_verdict_t
+row_judge(const row_t *row, uint64_t fingerprint)
+{
+	ticket_verdict_t verdict = {.action = TICKET_REPLAY, .reason = REASON_NONE};
+
+	/* This other request was never run; the first one's outcome is not its. */
+	if (row->fingerprint != fingerprint)
+		return refuse(REASON_TICKET_MISMATCH, RUN_NO);
+	switch (row->state) {
+	case ROW_RUNNING:
+		return refuse(REASON_TICKET_RUNNING, RUN_UNKNOWN);
+	case ROW_FINISHED:
+		if (!row->kept)
+			return refuse(REASON_TICKET_NOT_KEPT, RUN_YES);
+		verdict.run = RUN_YES;
+		verdict.outcome.status = row->status;
+		verdict.outcome.body = row->body;
+		verdict.outcome.size = row->size;
+		memcpy(verdict.outcome.content_type, row->content_type,
+		    sizeof(row->content_type));
+		return verdict;
+	case ROW_UNKNOWN:
+	default:
+		return refuse(REASON_TICKET_UNKNOWN, RUN_UNKNOWN);
+	}
+}
+
+ticket_verdict_t
+ticket_arrive(ticket_table_t *table, const char *text, const mesh_key_t *keys,
+    size_t key_count, const char *service, uint64_t fingerprint, uint64_t now,
+    ticket_t *ticket)
+{
+	const row_t *row;
+
+	if (ticket_parse(text, keys, key_count, ticket) != MASTICPITCH_OK)
+		return refuse(REASON_TICKET_REQUIRED, RUN_NO);
+	if (ticket->node != table->node || ticket->boot != table->boot)
+		return refuse(REASON_TICKET_LOST, RUN_UNKNOWN);
+	if (strcmp(ticket->service, service) != 0)
+		return refuse(REASON_TICKET_MISMATCH, RUN_NO);
+	table_expire(table, now);
+	if (ticket->expiry <= now)
+		return refuse(REASON_TICKET_EXPIRED, RUN_UNKNOWN);
+	row = row_find(table, ticket);
+	if (row != NULL)
+		return row_judge(row, fingerprint);
+	if (row_add(table, ticket, fingerprint) == NULL)
+		return refuse(REASON_TICKET_TABLE_FULL, RUN_NO);
+	return (ticket_verdict_t){.action = TICKET_RUN, .reason = REASON_NONE};
+}
+
+/* Keeps a copy of the body if it fits into both bounds; else none at all. */
+static void
+row_body_keep(ticket_table_t *table, row_t *row, const void *body, size_t size)
+{
+	if (size > TICKET_BODY_MAX || table->body_bytes + size > TICKET_BODIES_MAX)
+		return;
+	if (size > 0) {
+		row->body = malloc(size);
+		if (row->body == NULL)
+			return;
+		memcpy(row->body, body, size);
+	}
+	row->size = size;
+	row->kept = true;
+	table->body_bytes += size;
+}
+
+void
+ticket_finish(ticket_table_t *table, const ticket_t *ticket, int status,
+    const char *content_type, const void *body, size_t size)
+{
+	row_t *row = row_find(table, ticket);
+
+	if (row == NULL || row->state != ROW_RUNNING)
+		return;
+	row->state = ROW_FINISHED;
+	row->status = status;
+	if (content_type != NULL)
+		string_copy(row->content_type, sizeof(row->content_type), content_type);
+	row_body_keep(table, row, body, size);
+}
+
+void
+ticket_finish_unknown(ticket_table_t *table, const ticket_t *ticket)
+{
+	row_t *row = row_find(table, ticket);
+
+	if (row != NULL && row->state == ROW_RUNNING)
+		row->state = ROW_UNKNOWN;
+}
+
+void
+ticket_withdraw(ticket_table_t *table, const ticket_t *ticket)
+{
+	row_t *row = row_find(table, ticket);
+
+	if (row != NULL && row->state == ROW_RUNNING)
+		row_free(table, row);
+}
+
+size_t
+ticket_table_count(const ticket_table_t *table)
+{
+	return table->count;
+}
--- /dev/null
+++ b/test/test_limit.cc
@@ -0,0 +1,282 @@
+// Guards limits on concurrent work: one lagging service or class that stalls
+// the others, and a gate that trusts the slots that a backend server claims.
+#include "limit.h"
+
+#include "util.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+preset_service_t
+make_service(const std::string &name, uint32_t in_flight_limit = 0)
+{
+	preset_service_t service = {};
+
+	string_copy(service.name, sizeof(service.name), name.c_str());
+	service.in_flight_limit = in_flight_limit;
+	return service;
+}
+
+class EntryLimit : public testing::Test
+{
+      protected:
+	limit_entry_t *limit = nullptr;
+	std::vector<limit_permit_t> held;
+
+	void
+	create(uint32_t requests_max, bool enforced = true)
+	{
+		ASSERT_EQ(limit_entry_create(requests_max, enforced, &limit), 0);
+	}
+
+	void
+	TearDown() override
+	{
+		for (limit_permit_t &permit : held)
+			limit_entry_release(limit, &permit);
+		if (limit != nullptr) {
+			EXPECT_EQ(limit_entry_in_flight(limit), 0u);
+		}
+		limit_entry_destroy(limit);
+	}
+
+	reason_t
+	acquire(const preset_service_t &service, route_class_t route_class)
+	{
+		limit_permit_t permit;
+		reason_t reason =
+		    limit_entry_acquire(limit, &service, route_class, &permit);
+
+		if (reason == REASON_NONE)
+			held.push_back(permit);
+		return reason;
+	}
+
+	// Requests admitted before the first refusal.
+	uint32_t
+	fill(const preset_service_t &service, route_class_t route_class)
+	{
+		uint32_t count = 0;
+
+		while (acquire(service, route_class) == REASON_NONE)
+			count++;
+		return count;
+	}
+};
+
+// Guards: one service that lags and takes every place of the entry.
+TEST_F(EntryLimit, LaggingServicesLeavePlacesForAnother)
+{
+	create(1000);
+	EXPECT_LE(fill(make_service("slow-0"), ROUTE_LOOKUP), 500u);
+	for (int i = 1; i < 10; i++)
+		fill(make_service("slow-" + std::to_string(i)), ROUTE_LOOKUP);
+	EXPECT_EQ(acquire(make_service("fast"), ROUTE_LOOKUP), REASON_NONE);
+	EXPECT_EQ(acquire(make_service("slow-0"), ROUTE_INTERNAL), REASON_SERVICE_LIMIT);
+}
+
+// Guards: one class that lags and leaves no place for another, whatever the
+// number of its services.
+TEST_F(EntryLimit, ALaggingClassLeavesTheReservedPlacesOfOthers)
+{
+	create(1000);
+	for (int i = 0; i < 500; i++)
+		fill(make_service("s" + std::to_string(i), 10), ROUTE_UPLOAD);
+	EXPECT_EQ(acquire(make_service("more"), ROUTE_UPLOAD), REASON_CLASS_LIMIT);
+	for (route_class_t other : {ROUTE_CALL, ROUTE_LOOKUP, ROUTE_INTERNAL}) {
+		for (int i = 0; i < 1000 * LIMIT_CLASS_RESERVED_PERCENT / 100; i++)
+			ASSERT_EQ(acquire(make_service(std::to_string(other) + "-" +
+						       std::to_string(i)),
+				      other),
+			    REASON_NONE);
+	}
+	EXPECT_EQ(acquire(make_service("more"), ROUTE_CALL), REASON_ENTRY_LIMIT);
+}
+
+// Guards: a preset's limit of a service that is not kept.
+TEST_F(EntryLimit, TheServicesOwnLimitIsKept)
+{
+	create(1000);
+	EXPECT_EQ(fill(make_service("katalogo", 20), ROUTE_LOOKUP), 20u);
+	limit_entry_release(limit, &held.back());
+	limit_entry_release(limit, &held.back());
+	EXPECT_EQ(acquire(make_service("katalogo", 20), ROUTE_CALL), REASON_NONE);
+	EXPECT_EQ(
+	    acquire(make_service("katalogo", 20), ROUTE_CALL), REASON_SERVICE_LIMIT);
+}
+
+// Guards: an entry of one place that admits nothing.
+TEST_F(EntryLimit, TheSmallestEntryAdmitsOneRequest)
+{
+	create(1);
+	EXPECT_EQ(acquire(make_service("a"), ROUTE_UPLOAD), REASON_NONE);
+	EXPECT_EQ(acquire(make_service("b"), ROUTE_INTERNAL), REASON_ENTRY_LIMIT);
+}
+
+// Guards: a naive baseline that has limits, which would flatter it.
+TEST_F(EntryLimit, NaiveHasOnlyTheTotal)
+{
+	create(100, false);
+	EXPECT_EQ(fill(make_service("a", 5), ROUTE_UPLOAD), 100u);
+}
+
+// Guards: counts that drift while requests of many services come and go.
+TEST_F(EntryLimit, CountsAgreeWithAModelUnderChurn)
+{
+	rng_t rng;
+	uint32_t classes[ROUTE_CLASS_COUNT] = {};
+
+	rng_init(&rng, 5);
+	create(300);
+	for (int step = 0; step < 100000; step++) {
+		if (!held.empty() && rng_below(&rng, 2) == 0) {
+			size_t i = rng_below(&rng, held.size());
+
+			classes[held[i].route_class]--;
+			limit_entry_release(limit, &held[i]);
+			held[i] = held.back();
+			held.pop_back();
+		} else {
+			route_class_t which =
+			    (route_class_t)rng_below(&rng, ROUTE_CLASS_COUNT);
+			std::string name = "s" + std::to_string(rng_below(&rng, 5000));
+
+			classes[which] +=
+			    acquire(make_service(name), which) == REASON_NONE;
+		}
+		ASSERT_EQ(limit_entry_in_flight(limit), held.size());
+		ASSERT_LE(held.size(), 300u);
+	}
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++)
+		EXPECT_EQ(
+		    limit_entry_class_in_flight(limit, (route_class_t)i), classes[i]);
+}
+
+// A backend server that serves `capacity` calls in parallel without slowing
+// down, whatever it claims; `service_us` each.
+struct server_t {
+	double capacity;
+	double service_us;
+};
+
+// Keeps as many calls running as the limit allows for a time.
+uint64_t
+drive(limit_gate_t *limit, const server_t &server, uint64_t now, uint64_t duration_ms,
+    rng_t *rng, uint32_t demand = UINT32_MAX)
+{
+	uint64_t end = now + duration_ms * NS_PER_MS;
+
+	while (now < end) {
+		uint32_t running = std::min(limit_gate_current(limit), demand);
+		double latency_us = server.service_us *
+				    std::max(1.0, running / server.capacity) *
+				    (0.9 + 0.2 * rng_unit(rng));
+
+		now += (uint64_t)(latency_us * NS_PER_US / running);
+		limit_gate_record(limit, ROUTE_LOOKUP, (uint64_t)(latency_us * NS_PER_US),
+		    running, now);
+	}
+	return now;
+}
+
+class GateLimit : public testing::Test
+{
+      protected:
+	limit_gate_t limit;
+	rng_t rng;
+	uint64_t now = NS_PER_S;
+
+	void
+	SetUp() override
+	{
+		rng_init(&rng, 11);
+		limit_gate_init(&limit, 40, true, now);
+	}
+};
+
+// Guards: a healthy backend server that is held below its slots.
+TEST_F(GateLimit, AnHonestServerKeepsItsSlots)
+{
+	now = drive(&limit, {40, 5000}, now, 10000, &rng);
+	EXPECT_EQ(limit_gate_current(&limit), 40u);
+}
+
+// Guards: a backend server that claims ten times its capacity and is run into
+// the ground.
+TEST_F(GateLimit, AServerThatLiesAboutItsSlotsIsHeldNearItsCapacity)
+{
+	now = drive(&limit, {4, 5000}, now, 1000, &rng, 2); // learns the minimum
+	now = drive(&limit, {4, 5000}, now, 10000, &rng);
+	EXPECT_LE(limit_gate_current(&limit), 12u);
+	EXPECT_GE(limit_gate_current(&limit), 3u);
+}
+
+// Guards: a limit that stays low after a backend server has recovered.
+TEST_F(GateLimit, TheLimitGrowsBackAfterALag)
+{
+	now = drive(&limit, {40, 5000}, now, 2000, &rng);
+	now = drive(&limit, {3, 5000}, now, 3000, &rng);
+	EXPECT_LT(limit_gate_current(&limit), 20u);
+	now = drive(&limit, {40, 5000}, now, 10000, &rng);
+	EXPECT_EQ(limit_gate_current(&limit), 40u);
+}
+
+// Guards: a backend server that got slower by itself, for example by a new
+// release, and is held at one call for good.
+TEST_F(GateLimit, ASlowerServerIsNotHeldAtOneCall)
+{
+	now = drive(&limit, {40, 5000}, now, 2000, &rng);
+	now = drive(&limit, {40, 25000}, now, 20000, &rng);
+	EXPECT_EQ(limit_gate_current(&limit), 40u);
+}
+
+// Guards: a limit below one call or above the slots, for any sequence.
+TEST_F(GateLimit, TheLimitStaysWithinOneAndSlots)
+{
+	for (int i = 0; i < 200000; i++) {
+		uint32_t slots = limit.slots;
+
+		now += rng_below(&rng, 100 * NS_PER_MS);
+		if (rng_below(&rng, 1000) == 0)
+			limit_gate_slots_set(
+			    &limit, slots = (uint32_t)rng_below(&rng, 50));
+		if (rng_below(&rng, 20) == 0)
+			limit_gate_overload(&limit, now);
+		limit_gate_record(&limit,
+		    (route_class_t)rng_below(&rng, ROUTE_CLASS_COUNT),
+		    rng_below(&rng, 1000) == 0 ? 0 : rng_below(&rng, NS_PER_S),
+		    (uint32_t)rng_below(&rng, 60), now);
+		ASSERT_GE(limit_gate_current(&limit), 1u);
+		ASSERT_LE(limit_gate_current(&limit), std::max(slots, 1u));
+	}
+}
+
+// Guards: a change of the mix of classes that looks like a lag.
+TEST_F(GateLimit, SlowClassesDoNotLowerTheLimit)
+{
+	for (int i = 0; i < 20000; i++) {
+		now += NS_PER_MS;
+		limit_gate_record(&limit, ROUTE_LOOKUP, 2 * NS_PER_MS, 40, now);
+		if (i > 10000)
+			limit_gate_record(&limit, ROUTE_CALL, 50 * NS_PER_MS, 40, now);
+		limit_gate_record(
+		    &limit, ROUTE_UPLOAD, rng_below(&rng, 60 * NS_PER_S), 40, now);
+	}
+	EXPECT_EQ(limit_gate_current(&limit), 40u);
+}
+
+// Guards: a naive baseline that adapts, which would flatter it.
+TEST_F(GateLimit, NaiveKeepsTheSlots)
+{
+	limit_gate_init(&limit, 40, false, now);
+	now = drive(&limit, {1, 5000}, now, 5000, &rng);
+	limit_gate_overload(&limit, now);
+	EXPECT_EQ(limit_gate_current(&limit), 40u);
+}
+
+} // namespace
--- /dev/null
+++ b/test/test_queue.cc
@@ -0,0 +1,250 @@
+// Guards the gate's queue: work that cannot finish in time, low classes that
+// starve, and items lost or refused twice.
+#include "queue.h"
+
+#include "util.h"
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <set>
+#include <vector>
+
+namespace
+{
+
+const uint64_t START = 100 * NS_PER_S;
+
+class Queue : public testing::Test
+{
+      protected:
+	queue_t queue;
+	std::deque<queue_item_t> items;
+	uint64_t now = START;
+
+	void
+	SetUp() override
+	{
+		queue_init(&queue, 0, 10, true);
+	}
+
+	queue_item_t *
+	make(route_class_t route_class, uint64_t deadline_ms)
+	{
+		queue_item_t item = {};
+
+		item.route_class = route_class;
+		item.deadline = now + deadline_ms * NS_PER_MS;
+		items.push_back(item);
+		return &items.back();
+	}
+
+	reason_t
+	push(queue_item_t *item, queue_item_t **shed_item = nullptr)
+	{
+		queue_item_t *shed;
+		reason_t reason = queue_push(&queue, item, 10, now, &shed);
+
+		if (shed_item != nullptr)
+			*shed_item = shed;
+		else
+			EXPECT_EQ(shed, nullptr);
+		return reason;
+	}
+};
+
+// Guards: urgent work that waits behind less urgent work.
+TEST_F(Queue, OrderIsByClassThenDeadline)
+{
+	queue_item_t *upload = make(ROUTE_UPLOAD, 10);
+	queue_item_t *lookup = make(ROUTE_LOOKUP, 10);
+	queue_item_t *call_late = make(ROUTE_CALL, 30);
+	queue_item_t *call_soon = make(ROUTE_CALL, 20);
+	queue_item_t *internal = make(ROUTE_INTERNAL, 1000);
+
+	for (queue_item_t *item : {upload, lookup, call_late, call_soon, internal})
+		ASSERT_EQ(push(item), REASON_NONE);
+	for (queue_item_t *item : {internal, call_soon, call_late, lookup, upload})
+		EXPECT_EQ(queue_pop(&queue, now), item);
+	EXPECT_EQ(queue_pop(&queue, now), nullptr);
+}
+
+// Guards: uploads and lookups that never run while internal calls keep coming.
+TEST_F(Queue, LowClassesAreServedWithinABound)
+{
+	queue_item_t *waiting[] = {make(ROUTE_UPLOAD, 100000), make(ROUTE_LOOKUP, 100000),
+	    make(ROUTE_CALL, 100000)};
+	size_t served = 0;
+
+	for (queue_item_t *item : waiting)
+		ASSERT_EQ(push(item), REASON_NONE);
+	for (int turn = 0; turn < 3 * (QUEUE_PASSED_MAX + 2); turn++) {
+		ASSERT_EQ(push(make(ROUTE_INTERNAL, 1000)), REASON_NONE);
+		queue_item_t *item = queue_pop(&queue, now);
+		served += std::count(std::begin(waiting), std::end(waiting), item);
+	}
+	EXPECT_EQ(served, 3u);
+}
+
+// Guards: the guard against starvation giving low classes more than a share.
+TEST_F(Queue, HighClassesKeepMostTurns)
+{
+	int internal = 0;
+
+	ASSERT_EQ(push(make(ROUTE_UPLOAD, 10000)), REASON_NONE);
+	for (int turn = 0; turn < 900; turn++) {
+		ASSERT_EQ(push(make(ROUTE_INTERNAL, 10000)), REASON_NONE);
+		if (queue_pop(&queue, now)->route_class == ROUTE_INTERNAL)
+			internal++;
+		else
+			ASSERT_EQ(push(make(ROUTE_UPLOAD, 10000)), REASON_NONE);
+		ASSERT_LT(queue_length(&queue), 40u);
+		while (queue_length(&queue) > 10)
+			queue_drain(&queue);
+	}
+	EXPECT_GE(internal, 700);
+}
+
+// Guards: calls that wait in vain: queued although they cannot be served in time.
+TEST_F(Queue, ACallThatCannotFinishInTimeIsRefusedAtOnce)
+{
+	for (int i = 0; i < 200; i++)
+		queue_service_record(&queue, ROUTE_LOOKUP, 10 * NS_PER_MS, now);
+	for (int i = 0; i < 30; i++)
+		ASSERT_EQ(push(make(ROUTE_LOOKUP, 200)), REASON_NONE);
+	// 31 calls at 10 ms on 10 places and its own 10 ms: 41 ms.
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 205)), REASON_NONE);
+	EXPECT_EQ(push(make(ROUTE_UPLOAD, 30)), REASON_DEADLINE_TOO_SHORT);
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 10)), REASON_DEADLINE_TOO_SHORT);
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 0)), REASON_DEADLINE_PASSED);
+	// Nothing is ahead of an internal call or of an earlier deadline.
+	EXPECT_EQ(push(make(ROUTE_INTERNAL, 1)), REASON_NONE);
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 12)), REASON_NONE);
+}
+
+// Guards: one slow spell after which every call is refused for good.
+TEST_F(Queue, AnOutdatedServiceTimeIsForgotten)
+{
+	queue_service_record(&queue, ROUTE_LOOKUP, 10 * NS_PER_S, now);
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 100)), REASON_DEADLINE_TOO_SHORT);
+	now += 20 * NS_PER_S;
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 100)), REASON_NONE);
+	now += 1000 * NS_PER_S;
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 1)), REASON_NONE);
+}
+
+// Guards: a full queue that keeps less urgent work instead of more urgent work.
+TEST_F(Queue, AFullQueueShedsWhatRanksLast)
+{
+	queue_item_t *shed;
+	queue_item_t *last = make(ROUTE_LOOKUP, 5000);
+
+	ASSERT_EQ(push(last), REASON_NONE);
+	for (int i = 0; i < 39; i++)
+		ASSERT_EQ(push(make(ROUTE_LOOKUP, 1000)), REASON_NONE);
+	EXPECT_EQ(push(make(ROUTE_LOOKUP, 9000), &shed), REASON_QUEUE_FULL);
+	EXPECT_EQ(shed, nullptr);
+	EXPECT_EQ(push(make(ROUTE_INTERNAL, 9000), &shed), REASON_NONE);
+	EXPECT_EQ(shed, last);
+	EXPECT_FALSE(last->queued);
+	EXPECT_EQ(queue_length(&queue), 40u);
+}
+
+// Guards: a flood of one class that sheds every call of the others.
+TEST_F(Queue, AFloodLeavesEachClassItsShare)
+{
+	queue_item_t *shed;
+	int uploads = 0;
+
+	for (int i = 0; i < 4; i++)
+		ASSERT_EQ(push(make(ROUTE_UPLOAD, 60000)), REASON_NONE);
+	for (int i = 0; i < 200; i++)
+		push(make(ROUTE_INTERNAL, 1000), &shed);
+	while (queue_item_t *item = queue_drain(&queue))
+		uploads += item->route_class == ROUTE_UPLOAD;
+	EXPECT_EQ(uploads, 4);
+}
+
+// Guards: work for which the caller no longer waits, or will not when it ends.
+TEST_F(Queue, HopelessItemsExpire)
+{
+	reason_t reason = REASON_NONE;
+	queue_item_t *soon = make(ROUTE_LOOKUP, 20);
+	queue_item_t *late = make(ROUTE_CALL, 2000);
+
+	ASSERT_EQ(push(soon), REASON_NONE);
+	ASSERT_EQ(push(late), REASON_NONE);
+	EXPECT_EQ(queue_next_deadline(&queue), soon->deadline);
+	EXPECT_EQ(queue_expire(&queue, now, &reason), nullptr);
+	queue_service_record(&queue, ROUTE_LOOKUP, 15 * NS_PER_MS, now);
+	EXPECT_EQ(queue_expire(&queue, now + 10 * NS_PER_MS, &reason), soon);
+	EXPECT_EQ(reason, REASON_DEADLINE_TOO_SHORT);
+	EXPECT_EQ(queue_expire(&queue, late->deadline, &reason), late);
+	EXPECT_EQ(reason, REASON_DEADLINE_PASSED);
+	EXPECT_EQ(queue_next_deadline(&queue), TIME_NEVER);
+}
+
+// Guards: items lost, given out twice or left linked, over random sequences.
+TEST_F(Queue, EveryItemLeavesExactlyOnce)
+{
+	rng_t rng;
+	std::set<queue_item_t *> inside;
+	reason_t reason;
+
+	rng_init(&rng, 21);
+	for (int step = 0; step < 50000; step++) {
+		queue_item_t *item = nullptr, *shed = nullptr;
+
+		now += rng_below(&rng, 2 * NS_PER_MS);
+		switch (rng_below(&rng, 6)) {
+		case 0:
+			item = queue_pop(&queue, now);
+			break;
+		case 1:
+			item = queue_expire(&queue, now, &reason);
+			break;
+		case 2:
+			queue_service_record(&queue,
+			    (route_class_t)rng_below(&rng, ROUTE_CLASS_COUNT),
+			    rng_below(&rng, 20 * NS_PER_MS), now);
+			continue;
+		case 3:
+			if (inside.empty())
+				continue;
+			item = *inside.begin();
+			queue_remove(&queue, item);
+			queue_remove(&queue, item);
+			break;
+		default:
+			item = make((route_class_t)rng_below(&rng, ROUTE_CLASS_COUNT),
+			    rng_below(&rng, 300));
+			if (queue_push(&queue, item, 10, now, &shed) == REASON_NONE)
+				inside.insert(item);
+			ASSERT_EQ(item->queued, inside.count(item) == 1);
+			item = shed;
+			break;
+		}
+		if (item != nullptr) {
+			ASSERT_EQ(inside.erase(item), 1u);
+			ASSERT_FALSE(item->queued);
+		}
+		ASSERT_EQ(queue_length(&queue), inside.size());
+		ASSERT_LE(queue_length(&queue), 40u);
+	}
+}
+
+// Guards: a naive baseline with order, refusals or sheds, which would flatter it.
+TEST_F(Queue, NaiveIsFirstComeFirstServed)
+{
+	queue_init(&queue, 0, 10, false);
+	queue_item_t *first = make(ROUTE_UPLOAD, 0);
+	queue_item_t *second = make(ROUTE_INTERNAL, 1);
+
+	ASSERT_EQ(push(first), REASON_NONE);
+	now++;
+	ASSERT_EQ(push(second), REASON_NONE);
+	EXPECT_EQ(queue_pop(&queue, now + NS_PER_S), first);
+	EXPECT_EQ(queue_pop(&queue, now + NS_PER_S), second);
+}
+
+} // namespace
