Give each zone its own platform address in the stand-in

Cause: a zone cut from the platform could not be shown, since all nodes call it from the same source address.

Change: the platform's stand-in takes one listen address for each zone; the fault "cut" leaves the calls on one of them without an answer. Run lines carry the wall clock, and the counts name the bytes of values.

--- a/test/standin_backend.c
+++ b/test/standin_backend.c
@@ -2,8 +2,8 @@
  * Stand-in of a backend server. It announces itself to the node of its host,
  * runs requests in slots and writes one line to standard output when a run
  * begins and one when it ends, so that runs are known even after a crash:
- *   run ID once|many METHOD URI
- *   end ID done|gone|late
+ *   run ID once|many METHOD URI MS (wall clock)
+ *   end ID done|gone|late MS
  * Options: --listen IP:PORT --announce IP:PORT (or none) --entry IP:PORT
  * --service NAME --instance NAME --slots N --connections N --work-ms N
  * --cold-ms N --lag-ms N --load-lie X --seed N.
@@ -75,8 +75,8 @@
 run_line(backend_t *backend, const char *what, const char *id, const char *rest)
 {
 	char line[STANDIN_URI_MAX + 160];
-	int size = snprintf(
-	    line, sizeof(line), "%s %s %s\n", what, id[0] != '\0' ? id : "-", rest);
+	int size = snprintf(line, sizeof(line), "%s %s %s %llu\n", what,
+	    id[0] != '\0' ? id : "-", rest, (unsigned long long)os_clock_wall_ms());
 
 	if (size <= 0 || (size_t)size >= sizeof(line))
 		return;
--- a/test/standin_platform.c
+++ b/test/standin_platform.c
@@ -1,6 +1,7 @@
 /*
  * Stand-in of the platform's key-value service, see docs/design.md section 9.
- * Options: --listen IP:PORT. Beside the published protocol: POST
+ * Options: --listen IP:PORT,... (one address for each availability zone, so that
+ * a zone can be cut off) --seed N. Beside the published protocol: POST
  * /standin/faults sets faults, GET /standin/counts reports every call by kind.
  */
 #include "common_standin.h"
@@ -13,6 +14,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* How long a call on a cut address waits before its connection closes. */
+#define CUT_WAIT_MS 10000
+#define LISTENERS_MAX 32
 #define VALUE_MAX (1024 * 1024)
 #define LEASE_CHECK_MS 20
 /* What the platform handles, calls a second; see docs/design.md section 1. */
@@ -47,6 +51,8 @@
 	bool outage;
 	double slow_ms;
 	double lose_answers;
+	struct listener *listeners;
+	size_t listener_count;
 	bucket_t reads;
 	bucket_t writes;
 	rng_t rng;
@@ -57,8 +63,17 @@
 	uint64_t lost_answers;
 	uint64_t waiting;
 	uint64_t waiting_max;
+	uint64_t bytes_out; /* bodies of answers with values */
+	uint64_t bytes_in;  /* bodies of writes */
 } platform_t;
 
+/* One listen address; while cut, its calls get no answer. */
+typedef struct listener {
+	platform_t *platform;
+	const char *address;
+	bool cut;
+} listener_t;
+
 /* One HTTP request while it arrives. */
 typedef struct request {
 	bool started; /* its head was seen */
@@ -142,6 +157,7 @@
 	snprintf(revision, sizeof(revision), "%llu", (unsigned long long)item->revision);
 	snprintf(
 	    store, sizeof(store), "%llu", (unsigned long long)platform->store.revision);
+	platform->bytes_out += item->value->size;
 	(void)MHD_add_response_header(response, "Revision", revision);
 	(void)MHD_add_response_header(response, "Store-Revision", store);
 	result = MHD_queue_response(connection, MHD_HTTP_OK, response);
@@ -256,8 +272,10 @@
 }
 
 static enum MHD_Result
-handle_watch(struct MHD_Connection *connection, platform_t *platform, const char *key)
+handle_watch(
+    struct MHD_Connection *connection, const listener_t *listener, const char *key)
 {
+	platform_t *platform = listener->platform;
 	uint64_t after = argument_number(connection, "after", 0);
 	uint64_t end =
 	    os_clock_monotonic() +
@@ -282,7 +300,7 @@
 			result = reply_empty(connection, MHD_HTTP_NO_CONTENT);
 			break;
 		}
-		if (standin_hung_up(connection))
+		if (listener->cut || standin_hung_up(connection))
 			break;
 		/* A turn of 50 ms bounds how long a closed connection counts as waiting.
 		 */
@@ -317,6 +335,11 @@
 		platform->reads.rate = json_object_get_double(value);
 	if (json_object_object_get_ex(object, "rate_writes", &value))
 		platform->writes.rate = json_object_get_double(value);
+	if (json_object_object_get_ex(object, "cut", &value))
+		for (size_t i = 0; i < platform->listener_count; i++)
+			platform->listeners[i].cut =
+			    strcmp(platform->listeners[i].address,
+				json_object_get_string(value)) == 0;
 	if (json_object_object_get_ex(object, "regress_to_revision", &value))
 		store_regress(&platform->store, json_object_get_uint64(value));
 	json_object_put(object);
@@ -336,6 +359,7 @@
 	    {"conflicts", platform->conflicts}, {"lost_answers", platform->lost_answers},
 	    {"waiting_watches", platform->waiting},
 	    {"waiting_watches_max", platform->waiting_max},
+	    {"bytes_out", platform->bytes_out}, {"bytes_in", platform->bytes_in},
 	    {"revision", platform->store.revision}, {"keys", platform->store.item_count}};
 	json_object *object = json_object_new_object();
 	uint64_t total = 0;
@@ -385,9 +409,10 @@
 
 /* Performs one call; called under the lock. */
 static enum MHD_Result
-dispatch(struct MHD_Connection *connection, platform_t *platform, const char *path,
+dispatch(struct MHD_Connection *connection, const listener_t *listener, const char *path,
     const char *method, request_t *request)
 {
+	platform_t *platform = listener->platform;
 	bool is_write;
 	call_kind_t kind;
 	item_t *item;
@@ -408,6 +433,7 @@
 		platform->refused_outage++;
 		return reply_empty(connection, MHD_HTTP_SERVICE_UNAVAILABLE);
 	}
+	platform->bytes_in += request->body.size;
 	is_write = kind != CALL_GET && kind != CALL_LIST && kind != CALL_WATCH;
 	if (!bucket_take(is_write ? &platform->writes : &platform->reads)) {
 		platform->refused_rate++;
@@ -425,7 +451,7 @@
 		return handle_write(connection, platform, path + strlen("/v1/kv/"),
 		    request, kind == CALL_DELETE);
 	case CALL_WATCH:
-		return handle_watch(connection, platform, path + strlen("/v1/watch/"));
+		return handle_watch(connection, listener, path + strlen("/v1/watch/"));
 	case CALL_LEASE:
 	case CALL_RENEW:
 	case CALL_RELEASE:
@@ -463,7 +489,8 @@
     const char *method, const char *version, const char *data, size_t *size,
     void **context)
 {
-	platform_t *platform = state;
+	listener_t *listener = state;
+	platform_t *platform = listener->platform;
 	request_t *request = *context;
 	enum MHD_Result result;
 
@@ -481,8 +508,12 @@
 	}
 	if (request->too_large)
 		return reply_empty(connection, MHD_HTTP_CONTENT_TOO_LARGE);
+	if (listener->cut && strncmp(path, "/standin/", 9) != 0) {
+		standin_sleep(connection, CUT_WAIT_MS * NS_PER_MS);
+		return MHD_NO;
+	}
 	pthread_mutex_lock(&platform->lock);
-	result = dispatch(connection, platform, path, method, request);
+	result = dispatch(connection, listener, path, method, request);
 	pthread_mutex_unlock(&platform->lock);
 	return result;
 }
@@ -492,6 +523,8 @@
 {
 	platform_t own = {0};
 	platform_t *platform = &own;
+	listener_t listeners[LISTENERS_MAX];
+	char *addresses;
 	pthread_t thread;
 	sigset_t signals;
 	int signal_number;
@@ -509,8 +542,17 @@
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	pthread_create(&thread, NULL, lease_thread, platform);
-	(void)standin_listen(standin_option(argc, argv, "listen", "127.0.0.1:0"), handle,
-	    request_close, request_open, platform);
+	addresses = strdup(standin_option(argc, argv, "listen", "127.0.0.1:0"));
+	platform->listeners = listeners;
+	for (char *at = strtok(addresses, ","); at != NULL; at = strtok(NULL, ",")) {
+		listener_t *listener = &listeners[platform->listener_count];
+
+		if (platform->listener_count == LISTENERS_MAX)
+			standin_fail(at, "too many addresses");
+		*listener = (listener_t){platform, at, false};
+		platform->listener_count++;
+		(void)standin_listen(at, handle, request_close, request_open, listener);
+	}
 	sigwait(&signals, &signal_number);
 	/* Threads may still wait in watches; the process ends without them. */
 	_exit(0);
--- a/tools/harness.py
+++ b/tools/harness.py
@@ -5,124 +5,28 @@
 this program be killed, the kernel ends its children (parent death signal).
 """
 
-import ctypes
-import http.client
 import json
 import os
 import re
 import shutil
-import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
 
+from harness_process import (
+    WAIT_S, HarnessError, Platform429, Process, child_setup, http_call, install_signals,
+    wait_for)
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BUILD = os.path.join(ROOT, os.environ.get("MASTICPITCH_BUILD", "build"))
 TOKEN = "token-of-the-operators"
 SECRET = "5a" * 32
-PR_SET_PDEATHSIG = 1
 # Each program gets its own ports, so that several can run on one machine.
 PORT_FIRST = 10000
 PORT_STEP = 8
 PORT_SLOTS = 2600
-LIBC = ctypes.CDLL(None, use_errno=True)
-WAIT_S = 20.0
-
-
-class HarnessError(Exception):
-    """A process did not start or a state was not reached in time."""
-
-
-class Platform429(Exception):
-    """The platform refused a call by rate."""
-
-
-def on_signal(number, _frame):
-    raise SystemExit(128 + number)
-
-
-def install_signals():
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, on_signal)
-
-
-def child_setup():
-    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    signal.pthread_sigmask(signal.SIG_SETMASK, [])
-
-
-def http_call(address, method, path, body=None, headers=None, timeout=5.0):
-    """One HTTP call to "IP:PORT"; (status, headers, body), or OSError."""
-    connection = http.client.HTTPConnection(address, timeout=timeout)
-    try:
-        connection.request(method, path, body=body, headers=headers or {})
-        answer = connection.getresponse()
-        return answer.status, answer.headers, answer.read()
-    except http.client.HTTPException as error:
-        raise ConnectionError(str(error)) from error
-    finally:
-        connection.close()
-
-
-def wait_for(predicate, what, timeout=WAIT_S, pause=0.02):
-    """Waits until predicate() is true and returns its value."""
-    end = time.monotonic() + timeout
-    while True:
-        value = predicate()
-        if value:
-            return value
-        if time.monotonic() > end:
-            raise HarnessError(f"not reached within {timeout} s: {what}")
-        time.sleep(pause)
-
-
-class Process:
-    """One child process with its output in a file."""
-
-    def __init__(self, name, argv, log_path, environment=None, output_path=None):
-        self.name = name
-        self.log_path = log_path
-        self.output_path = output_path or log_path
-        with open(log_path, "ab") as log, open(self.output_path, "ab") as output:
-            self.popen = subprocess.Popen(
-                argv, stdin=subprocess.DEVNULL, stdout=output, stderr=log,
-                env={**os.environ, **(environment or {})}, preexec_fn=child_setup)
-
-    @property
-    def pid(self):
-        return self.popen.pid
-
-    def alive(self):
-        return self.popen.poll() is None
-
-    def signal(self, number):
-        if self.alive():
-            self.popen.send_signal(number)
-
-    def kill(self):
-        self.signal(signal.SIGKILL)
-        self.popen.wait()
-
-    def terminate(self):
-        self.signal(signal.SIGTERM)
-
-    def pause(self):
-        self.signal(signal.SIGSTOP)
-
-    def resume(self):
-        self.signal(signal.SIGCONT)
-
-    def wait(self, timeout=WAIT_S):
-        try:
-            return self.popen.wait(timeout)
-        except subprocess.TimeoutExpired:
-            raise HarnessError(f"{self.name} did not end within {timeout} s") from None
-
-    def log(self):
-        with open(self.log_path, "rb") as file:
-            return file.read().decode(errors="replace")
 
 
 class Host:
@@ -155,7 +59,8 @@
             "availability_zone": self.zone, "region": self.fleet.region,
             "listen": {"callers": self.callers, "backend_servers": self.backend_servers,
                        "peers": self.peers, "operators": self.operators},
-            "platform": {"url": f"http://{self.fleet.platform_address}"},
+            "platform": {
+                "url": f"http://{self.fleet.platform_of(self.zone_number)}"},
             "mesh": {"seeds": self.fleet.seeds(self),
                      "keys": [{"id": 1, "secret": SECRET}]},
             "operators": {"token": TOKEN},
@@ -225,7 +130,16 @@
     def fault(self, command):
         """A command to the node's transport; only in a build with fault hooks."""
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-            sender.sendto(command.encode(), (self.ip, self.fault_port))
+            sender.settimeout(1.0)
+            sender.connect((self.ip, self.fault_port))
+            for _ in range(5):
+                try:
+                    sender.send(command.encode())
+                    if sender.recv(64).strip() == b"ok":
+                        return
+                except OSError:
+                    continue
+        raise HarnessError(f"{self.name} did not take {command!r}")
 
     def leave(self):
         """Plans a stop of the host: backend server and node leave gracefully."""
@@ -327,15 +241,21 @@
 
     def platform_start(self):
         output = self.path("platform-output")
+        # One address for each zone, so that a zone can be cut from the platform.
+        addresses = [self.platform_of(zone) for zone in range(len(self.zones) + 1)]
         self.platform = self.spawn(
             "platform", [os.path.join(BUILD, "standin_platform"), "--listen",
-                         f"127.0.0.1:{self.port + 6}"], output_path=output)
+                         ",".join(addresses)], output_path=output)
 
         def listening():
             with open(output, encoding="utf-8") as file:
-                match = re.match(r"listening (\S+)\n", file.read())
-            return match and match.group(1)
-        self.platform_address = wait_for(listening, "platform listens")
+                return file.read().count("listening") == len(addresses)
+        wait_for(listening, "platform listens")
+        self.platform_address = addresses[0]
+
+    def platform_of(self, zone):
+        """The platform's address for a zone; 0: for operators and the harness."""
+        return f"127.0.0.{zone + 1}:{self.port + 6}"
 
     def faults(self, **faults):
         status, _, _ = http_call(self.platform_address, "POST", "/standin/faults",
@@ -347,6 +267,20 @@
         _, _, body = http_call(self.platform_address, "GET", "/standin/counts")
         return json.loads(body)
 
+    def zone_cut(self, zone):
+        """Cuts a zone from the platform and from the other zones."""
+        self.faults(cut=self.platform_of(zone))
+        for host in self.living():
+            others = [zone] if host.zone_number != zone else [
+                other for other in range(1, len(self.zones) + 1) if other != zone]
+            for other in others:
+                host.fault(f"cut-prefix 127.{other}.")
+
+    def zone_heal(self):
+        self.faults(cut="")
+        for host in self.living():
+            host.fault("heal")
+
     def key_read(self, key):
         """(revision, value) of a key, or (0, None)."""
         status, headers, body = http_call(
@@ -504,7 +438,7 @@
     # The verdict.
 
     def runs(self):
-        """Every run of every backend server: {id: [(marker, method, uri)]}."""
+        """Every run: {id: [(marker, method, uri, wall clock ms, instance)]}."""
         runs = {}
         for host in self.hosts:
             if not os.path.exists(host.runs_path):
@@ -512,8 +446,8 @@
             with open(host.runs_path, encoding="utf-8", errors="replace") as file:
                 for line in file:
                     words = line.split()
-                    if len(words) == 5 and words[0] == "run":
-                        runs.setdefault(words[1], []).append(words[2:])
+                    if len(words) == 6 and words[0] == "run":
+                        runs.setdefault(words[1], []).append((*words[2:], host.name))
         return runs
 
     def outcomes(self):
