--- /dev/null
+++ b/tools/bench_traffic.py
@@ -0,0 +1,103 @@
+"""Measures of requests: nodes with backend servers and callers."""
+
+import random
+import time
+
+from harness import Fleet, HarnessError, preset_make
+
+ZONES = 2
+SERVICE = "katalogo"
+RATE_PER_NODE = 60
+LATENCY_S = 10
+LATENCY_ROUNDS = 3
+SLOTS = 10
+OVERLOAD_WORK_MS = 20
+OVERLOAD_S = 8
+LEAVES = 5
+START_WAIT_S = 60
+
+
+def start(fleet, nodes, **backend_options):
+    for number in range(nodes):
+        fleet.host_add(number % len(fleet.zones) + 1, SERVICE, **backend_options)
+    fleet.preset_create("normal", preset_make([SERVICE]))
+    fleet.wait_versions(fleet.use("normal"), timeout=START_WAIT_S)
+    fleet.wait_instances(SERVICE, nodes, timeout=START_WAIT_S)
+
+
+def measure_added_latency(nodes, settings, seed):
+    """Routed and direct calls by turns at the same rate; the difference of each
+    percentile over the rounds."""
+    with Fleet(zones=ZONES, settings=settings) as fleet:
+        start(fleet, nodes, work_ms=0)
+        time.sleep(11)  # new instances get their full share after 10 s
+        points = {"routed": [], "direct": []}
+        for turn in range(LATENCY_ROUNDS):
+            for kind, targets in (("direct", [host.backend_address for host in fleet.hosts]),
+                                  ("routed", fleet.hosts)):
+                report = fleet.caller(
+                    f"{kind}-{turn}", targets, service=SERVICE, seconds=LATENCY_S,
+                    rate=RATE_PER_NODE * nodes, seed=seed + turn, work_ms=0).wait(90)
+                if report["answered"] < 0.99 * report["sent"]:
+                    raise HarnessError(f"{kind}: {report}")
+                points[kind].append(report["classes"]["lookup"])
+        # The median round counts, so that one disturbed round does not.
+        differences = [sorted(routed[name] - direct[name] for routed, direct in zip(
+            points["routed"], points["direct"]))[LATENCY_ROUNDS // 2]
+            for name in ("p50", "p99")]
+        print(f"added latency, {nodes} nodes: direct {points['direct'][0]['p50']:.3f} / "
+              f"{points['direct'][0]['p99']:.3f} ms, routed "
+              f"{points['routed'][0]['p50']:.3f} / {points['routed'][0]['p99']:.3f} ms "
+              "(p50 / p99 of the first round)", flush=True)
+        return {"added_latency_ms": {"p50": differences[0], "p99": differences[1],
+                                     "max": max(routed["p99"] - direct["p99"]
+                                                for routed, direct in zip(
+                                         points["routed"], points["direct"]))}}
+
+
+def overload_run(fleet, name, factor, nodes, seed):
+    """Goodput (calls answered in time a second) and p99 of internal calls."""
+    capacity = nodes * SLOTS * 1000 / OVERLOAD_WORK_MS
+    report = fleet.caller(name, fleet.hosts, service=SERVICE, seconds=OVERLOAD_S,
+                          rate=0.7 * capacity * factor, seed=seed, deadline_ms=500,
+                          mix="lookup=70,call=20,internal=10").wait(120)
+    internal = report["classes"]["internal"].get("p99", 0)
+    return report["answered"] / OVERLOAD_S, internal
+
+
+def measure_overload(nodes, settings, seed):
+    """1x is 70% of the capacity of the backend servers, 5x five times that."""
+    with Fleet(zones=ZONES, settings=settings) as fleet:
+        start(fleet, nodes, slots=SLOTS, work_ms=OVERLOAD_WORK_MS)
+        time.sleep(11)
+        goodput, latency = [], []
+        for turn in range(3):
+            normal = overload_run(fleet, f"normal-{turn}", 1, nodes, seed + turn)
+            heavy = overload_run(fleet, f"heavy-{turn}", 5, nodes, seed + turn)
+            goodput.append(heavy[0] / max(normal[0], 1))
+            latency.append(heavy[1] / max(normal[1], 0.001))
+        return {"goodput_ratio": goodput, "internal_p99_ratio": latency}
+
+
+def measure_leaving(nodes, settings, seed):
+    """Backend servers leave one after another under load; time from the signal to the
+    last run that began on the leaving one."""
+    rng = random.Random(seed)
+    with Fleet(zones=ZONES, settings=settings) as fleet:
+        start(fleet, nodes, work_ms=1)
+        values = []
+        for turn, host in enumerate(rng.sample(fleet.hosts, min(LEAVES, nodes // 2))):
+            caller = fleet.caller(f"leave-{turn}", fleet.hosts, service=SERVICE, seconds=5,
+                                  rate=RATE_PER_NODE * nodes, seed=seed + turn)
+            time.sleep(2)
+            left = time.time()
+            host.backend.terminate()
+            if host.backend.wait(30) != 0:
+                raise HarnessError(f"{host.name}: planned stop failed")
+            caller.wait(60)
+            last = max((int(item[3]) for items in fleet.runs().values() for item in items
+                        if item[4] == host.name), default=0)
+            values.append(max(0.0, last - left * 1000))
+            host.backend_start()
+            fleet.wait_instances(SERVICE, nodes)
+        return {"leaving_no_new_work_ms": values}
--- a/tools/harness.py
+++ b/tools/harness.py
@@ -5,6 +5,7 @@
 this program be killed, the kernel ends its children (parent death signal).
 """
 
+import datetime
 import json
 import os
 import re
@@ -29,6 +30,11 @@
 PORT_SLOTS = 2600
 
 
+def event_time(event):
+    """Wall clock s of a log line."""
+    return datetime.datetime.fromisoformat(event["time"]).timestamp()
+
+
 class Host:
     """A host: one node and, if it has a service, one backend server."""
 
@@ -147,6 +153,16 @@
             self.backend.terminate()
         self.node.terminate()
 
+    def version_times(self):
+        """(wall clock s, version) of each version that the node put in force."""
+        return [(event_time(event), event["version"]) for event in self.log_events()
+                if event.get("message") == "configuration in force"]
+
+    def down_times(self):
+        """(wall clock s, peer address) of each member that the node found down."""
+        return [(event_time(event), event.get("member")) for event in self.log_events()
+                if event.get("message") == "member down"]
+
     def log_events(self):
         """The node's log as objects."""
         events = []
