--- a/test/common_report.c
+++ b/test/common_report.c
@@ -41,6 +41,13 @@
 	return MASTICPITCH_OK;
 }
 
+void
+report_free(report_t *report)
+{
+	for (size_t i = 0; i < LOAD_CLASSES; i++)
+		free(report->latencies[i]);
+}
+
 static void
 reason_add(report_t *report, outcome_t outcome, const char *text)
 {
--- a/test/common_report.h
+++ b/test/common_report.h
@@ -52,6 +52,7 @@
 const char *report_outcome_text(outcome_t outcome);
 /* The report must be zeroed; most: requests. Errors: MASTICPITCH_E_NOMEM. */
 int report_init(report_t *report, size_t most);
+void report_free(report_t *report);
 /* latency: ns */
 void report_add(report_t *report, load_class_t load_class, outcome_t outcome,
     const char *reason, uint64_t latency);
--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -535,6 +535,9 @@
 	if (caller->outcomes != NULL)
 		fclose(caller->outcomes);
 	report_print(&caller->report);
+	curl_multi_cleanup(caller->multi);
+	curl_global_cleanup();
+	report_free(&caller->report);
 	free(caller->target_text);
 	return 0;
 }
