Make the log macros readable for the static analysis

Cause: cppcheck reports a syntax error at each use of the log macros, since it cannot parse __VA_OPT__ in nested macros. Change: the terminator of the fields follows a first empty element, with the GNU comma form; the fields passed to log_write() are the same.

--- a/src/fault.c
+++ b/src/fault.c
@@ -109,7 +109,9 @@
 		port = 0;
 	address.port = (uint16_t)port;
 	if (port == 0 || os_socket_datagram(&address, &fault->fd) != MASTICPITCH_OK) {
+		fault->fd = -1;
 		log_error(kernel_log(fault->kernel), "fault port cannot be opened",
+		    LOG_TEXT("variable", "MASTICPITCH_FAULT_PORT"),
 		    LOG_TEXT("port", text));
 		return;
 	}
--- a/src/log.h
+++ b/src/log.h
@@ -67,10 +67,11 @@
 void log_write(
     log_t *log, log_level_t level, const char *message, const log_field_t *fields);
 
+/* cppcheck cannot parse __VA_OPT__; the first element only makes the comma valid. */
 #define LOG_EVENT(log, level, message, ...) \
 	log_write((log), (level), (message), \
-	    (const log_field_t[]){ \
-		__VA_ARGS__ __VA_OPT__(, ){LOG_KIND_END, NULL, NULL, 0}})
+	    &(const log_field_t[]){{LOG_KIND_END, NULL, NULL, 0}, ##__VA_ARGS__, \
+		{LOG_KIND_END, NULL, NULL, 0}}[1])
 
 #define log_debug(log, ...) LOG_EVENT((log), LOG_LEVEL_DEBUG, __VA_ARGS__)
 #define log_info(log, ...) LOG_EVENT((log), LOG_LEVEL_INFO, __VA_ARGS__)
