--- /dev/null
+++ b/test/test_peer.cc
@@ -0,0 +1,513 @@
+// Guards the peer transport: two kernels with a peer service each in one
+// process over loopback. Each case waits for a state with a bounded deadline.
+#include "fault.h"
+#include "frame.h"
+#include "peer.h"
+
+#include <arpa/inet.h>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <string.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+#define WAIT_SECONDS 20
+
+// Records what a service of this name is sent.
+struct Sink {
+	service_t service = {};
+	kernel_t *kernel = NULL;
+	std::function<void(message_t *)> handler;
+	std::map<int, int> counts;
+	std::vector<refusal_t> refusals;
+
+	void
+	open(kernel_t *in, const char *name)
+	{
+		kernel = in;
+		list_init(&service.link);
+		service.name = name;
+		service.state = this;
+		service.receive = [](void *state, message_t *message) {
+			Sink *sink = (Sink *)state;
+
+			sink->counts[message->type]++;
+			if (message->type == MESSAGE_REFUSAL ||
+			    message->type == MESSAGE_STREAM_LOST)
+				sink->refusals.push_back(message->u.refusal);
+			if (sink->handler)
+				sink->handler(message);
+		};
+		ASSERT_EQ(kernel_service_register(kernel, &service), 0);
+	}
+	void
+	post(message_t *message)
+	{
+		kernel_message_post(
+		    kernel, &service, kernel_service_find(kernel, "peer"), message);
+	}
+};
+
+struct Node {
+	kernel_t *kernel = NULL;
+	settings_t settings = {};
+	peer_t *peer = NULL;
+	Sink entry, gate, config, membership;
+	uint64_t id = 0;
+
+	void
+	open(const char *address, int key)
+	{
+		ASSERT_EQ(kernel_create(7, &kernel), 0);
+		kernel_log(kernel)->level = LOG_LEVEL_ERROR;
+		ASSERT_EQ(address_parse(address, &settings.peers), 0);
+		settings.key_count = 1;
+		settings.keys[0].id = 1;
+		memset(settings.keys[0].secret, key, SETTINGS_KEY_BYTES);
+		settings.streams_per_peer_max = 8;
+		strcpy(settings.zone, "z");
+		strcpy(settings.region, "r");
+		id = address_to_node_id(&settings.peers);
+		entry.open(kernel, "entry");
+		gate.open(kernel, "gate");
+		config.open(kernel, "config");
+		membership.open(kernel, "membership");
+		ASSERT_EQ(peer_create(kernel, &settings, &peer), 0);
+	}
+	void
+	learn(const Node &other, member_state_t state = MEMBER_ALIVE)
+	{
+		message_t *message = message_create(MESSAGE_MEMBER, other.id, 0);
+
+		message->u.member.node = other.id;
+		message->u.member.address = other.settings.peers;
+		message->u.member.state = state;
+		membership.post(message);
+	}
+	void
+	call(uint64_t node, uint64_t stream, bool has_body = false)
+	{
+		message_t *message = message_create(MESSAGE_CALL_OPEN, node, stream);
+
+		message->u.call = call_head_create();
+		message->u.call->path = strdup("/x");
+		message->u.call->has_body = has_body;
+		message->u.call->deadline = kernel_now(kernel) + 30 * NS_PER_S;
+		entry.post(message);
+	}
+	void
+	data(Sink &from, message_type_t type, uint64_t node, uint64_t stream, size_t size,
+	    bool end)
+	{
+		message_t *message = message_create(type, node, stream);
+
+		message->u.data.chunk = size > 0 ? chunk_create(size) : NULL;
+		if (size > 0)
+			memset(message->u.data.chunk->data, 'x', size);
+		message->u.data.end = end;
+		from.post(message);
+	}
+	void
+	answer(const message_t *open, size_t body)
+	{
+		message_t *head =
+		    message_create(MESSAGE_ANSWER_HEAD, open->node, open->stream);
+
+		head->u.answer = answer_head_create();
+		head->u.answer->status = 200;
+		gate.post(head);
+		data(gate, MESSAGE_ANSWER_DATA, open->node, open->stream, body, true);
+	}
+	void
+	credit(Sink &from, message_type_t type, uint64_t node, uint64_t stream, size_t n)
+	{
+		message_t *message = message_create(type, node, stream);
+
+		message->u.credit = (uint32_t)n;
+		from.post(message);
+	}
+	uint64_t
+	metric(metric_t which)
+	{
+		return kernel_metrics(kernel)->values[which];
+	}
+	~Node()
+	{
+		peer_destroy(peer);
+		for (Sink *sink : {&entry, &gate, &config, &membership})
+			if (sink->kernel != NULL)
+				kernel_service_unregister(kernel, &sink->service);
+		kernel_destroy(kernel);
+	}
+};
+
+class Peer : public ::testing::Test
+{
+      protected:
+	void
+	SetUp() override
+	{
+		a.open("127.66.0.1:7100", 1);
+		b.open("127.66.0.2:7100", 1);
+		a.learn(b);
+		b.learn(a);
+	}
+	bool
+	wait(std::function<bool()> state)
+	{
+		uint64_t end = os_clock_monotonic() + WAIT_SECONDS * NS_PER_S;
+
+		while (!state()) {
+			if (os_clock_monotonic() > end)
+				return false;
+			ev_run(kernel_loop(a.kernel), EVRUN_NOWAIT);
+			ev_run(kernel_loop(b.kernel), EVRUN_NOWAIT);
+		}
+		return true;
+	}
+	void
+	answer_all()
+	{
+		b.gate.handler = [this](message_t *message) {
+			if (message->type == MESSAGE_CALL_OPEN)
+				b.answer(message, 100);
+		};
+	}
+	bool
+	connect()
+	{
+		answer_all();
+		a.call(b.id, 1);
+		bool done =
+		    wait([&] { return a.entry.counts[MESSAGE_ANSWER_DATA] == 1; });
+		a.entry.counts.clear();
+		b.gate.counts.clear();
+		return done;
+	}
+	Node a, b;
+};
+
+TEST_F(Peer, CallAndAnswerCrossAndBothNodesBecomeIdle)
+{
+	std::map<uint64_t, int> streams;
+
+	b.gate.handler = [&](message_t *message) {
+		EXPECT_EQ(message->node, a.id);
+		if (message->type == MESSAGE_CALL_OPEN) {
+			streams[message->stream]++;
+			b.answer(message, 100);
+		}
+	};
+	a.call(b.id, 5);
+	a.call(b.id, 6);
+	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_ANSWER_DATA] == 2; }));
+	EXPECT_EQ(streams.size(), 2u);
+	EXPECT_TRUE(
+	    wait([&] { return kernel_is_idle(a.kernel) && kernel_is_idle(b.kernel); }));
+	EXPECT_EQ(a.metric(METRIC_PEER_CONNECTIONS), 1u);
+	EXPECT_GT(a.metric(METRIC_PEER_BYTES_SENT), 0u);
+	EXPECT_EQ(a.metric(METRIC_CONTROL_BYTES_SENT), 0u);
+}
+
+TEST_F(Peer, ControlOfSeveralFramesArrivesWhole)
+{
+	std::string received;
+	message_t *message = message_create(MESSAGE_CONTROL, b.id, 0);
+
+	message->u.control.kind = CONTROL_CONFIG;
+	message->u.control.payload = chunk_create(CONTROL_PAYLOAD_MAX);
+	for (size_t i = 0; i < CONTROL_PAYLOAD_MAX; i++)
+		message->u.control.payload->data[i] = (uint8_t)(i * 31 >> 4);
+	std::string sent(
+	    (const char *)message->u.control.payload->data, CONTROL_PAYLOAD_MAX);
+	b.config.handler = [&](message_t *got) {
+		EXPECT_EQ(got->node, a.id);
+		received.assign((const char *)got->u.control.payload->data,
+		    got->u.control.payload->size);
+	};
+	a.config.post(message);
+	ASSERT_TRUE(wait([&] { return !received.empty(); }));
+	EXPECT_TRUE(received == sent);
+	EXPECT_GT(b.metric(METRIC_CONTROL_BYTES_RECEIVED), (uint64_t)CONTROL_PAYLOAD_MAX);
+}
+
+TEST_F(Peer, UnknownOrSilentNodeRefusesTheCallAsNotRun)
+{
+	message_t *message = message_create(MESSAGE_CONTROL, 4711, 0);
+
+	message->u.control.kind = CONTROL_MEMBERSHIP;
+	message->u.control.payload = chunk_copy("x", 1);
+	a.membership.post(message);
+	a.call(4711, 1);
+	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_REFUSAL] == 1; }));
+	EXPECT_EQ(a.entry.refusals[0].reason, REASON_PEER_UNREACHABLE);
+	EXPECT_EQ(a.entry.refusals[0].run, RUN_NO);
+	EXPECT_EQ(a.membership.counts[MESSAGE_CONTROL_FAILED], 1);
+	peer_destroy(b.peer);
+	b.peer = NULL;
+	a.call(b.id, 2);
+	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_REFUSAL] == 2; }));
+	EXPECT_EQ(a.entry.refusals[1].run, RUN_NO);
+	// The next one is refused at once, without a connect, by the backoff.
+	a.call(b.id, 3);
+	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_REFUSAL] == 3; }));
+}
+
+TEST_F(Peer, LookupDoesNotWaitBehindUploadsAndCredit)
+{
+	const int uploads = 6;
+	size_t uploaded = 0, at_lookup = 0;
+
+	ASSERT_TRUE(connect());
+	b.gate.handler = [&](message_t *message) {
+		if (message->type == MESSAGE_CALL_OPEN && !message->u.call->has_body) {
+			at_lookup = uploaded;
+			b.answer(message, 100);
+		} else if (message->type == MESSAGE_CALL_DATA) {
+			uploaded += message->u.data.chunk->size;
+		}
+	};
+	for (uint64_t s = 10; s < 10 + uploads; s++) {
+		a.call(b.id, s, true);
+		for (size_t sent = 0; sent < STREAM_WINDOW; sent += STREAM_DATA_MAX)
+			a.data(
+			    a.entry, MESSAGE_CALL_DATA, b.id, s, STREAM_DATA_MAX, false);
+	}
+	a.call(b.id, 99);
+	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_ANSWER_DATA] == 1; }));
+	// The lookup was posted behind every piece and overtakes them.
+	EXPECT_LT(at_lookup, (size_t)uploads * STREAM_WINDOW / 4);
+	ASSERT_TRUE(wait([&] { return uploaded == (size_t)uploads * STREAM_WINDOW; }));
+}
+
+TEST_F(Peer, SlowReceiverHoldsNoMoreThanTheWindow)
+{
+	const size_t total = 8 * 1024 * 1024;
+	size_t sent = 0, window = STREAM_WINDOW, taken = 0, unread = 0, most = 0;
+	uint64_t stream = 0;
+
+	b.gate.handler = [&](message_t *message) {
+		if (message->type == MESSAGE_CALL_OPEN)
+			stream = message->stream;
+		if (message->type == MESSAGE_CALL_DATA)
+			unread += message->u.data.chunk->size;
+		most = std::max(most, unread);
+	};
+	a.entry.handler = [&](message_t *message) {
+		if (message->type == MESSAGE_CALL_CREDIT)
+			window += message->u.credit;
+	};
+	a.call(b.id, 1, true);
+	bool done = wait([&] {
+		while (sent < total && window >= STREAM_DATA_MAX) {
+			a.data(
+			    a.entry, MESSAGE_CALL_DATA, b.id, 1, STREAM_DATA_MAX, false);
+			sent += STREAM_DATA_MAX;
+			window -= STREAM_DATA_MAX;
+		}
+		if (unread >= STREAM_DATA_MAX) {
+			unread -= STREAM_DATA_MAX;
+			taken += STREAM_DATA_MAX;
+			b.credit(
+			    b.gate, MESSAGE_CALL_CREDIT, a.id, stream, STREAM_DATA_MAX);
+		}
+		return taken == total;
+	});
+	ASSERT_TRUE(done);
+	EXPECT_LE(most, (size_t)STREAM_WINDOW);
+	EXPECT_EQ(a.entry.counts[MESSAGE_STREAM_LOST], 0);
+}
+
+TEST_F(Peer, SenderBeyondTheWindowIsCutOff)
+{
+	a.call(b.id, 1, true);
+	for (size_t sent = 0; sent <= STREAM_WINDOW; sent += STREAM_DATA_MAX)
+		a.data(a.entry, MESSAGE_CALL_DATA, b.id, 1, STREAM_DATA_MAX, false);
+	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_STREAM_LOST] == 1; }));
+	EXPECT_EQ(b.metric(METRIC_PEER_BAD_FRAMES), 1u);
+	EXPECT_EQ(a.entry.refusals[0].run, RUN_UNKNOWN);
+}
+
+TEST_F(Peer, LostConnectionTellsBothOwnersWithTrueRunStates)
+{
+	a.call(b.id, 1);
+	ASSERT_TRUE(wait([&] { return b.gate.counts[MESSAGE_CALL_OPEN] == 1; }));
+	// A node that is declared down: its streams end without a reset from it.
+	a.learn(b, MEMBER_DOWN);
+	a.call(b.id, 2);
+	ASSERT_TRUE(wait([&] {
+		return a.entry.refusals.size() == 2 &&
+		       b.gate.counts[MESSAGE_STREAM_LOST] == 1;
+	}));
+	for (const refusal_t &refusal : a.entry.refusals)
+		EXPECT_EQ(refusal.run, refusal.reason == REASON_STREAM_LOST &&
+					       a.entry.counts[MESSAGE_STREAM_LOST] == 1
+					   ? RUN_UNKNOWN
+					   : RUN_NO);
+	EXPECT_EQ(a.entry.counts[MESSAGE_STREAM_LOST], 1);
+	// Alive again: the next call is served.
+	a.learn(b, MEMBER_ALIVE);
+	a.entry.counts.clear();
+	answer_all();
+	a.call(b.id, 3);
+	EXPECT_TRUE(wait([&] { return a.entry.counts[MESSAGE_ANSWER_DATA] == 1; }));
+}
+
+TEST_F(Peer, CallThatWasNeverWrittenIsLostAsNotRun)
+{
+	service_t *service = kernel_service_find(a.kernel, "fault");
+	if (service == NULL)
+		GTEST_SKIP() << "built without MASTICPITCH_FAULTS";
+	fault_t *fault = (fault_t *)service->state;
+
+	ASSERT_TRUE(connect());
+	ASSERT_EQ(fault_command(fault, "cut 127.66.0.2"), 0);
+	a.call(b.id, 7);
+	// Nothing could be written; the silence ends the connection.
+	ASSERT_TRUE(wait([&] { return a.entry.refusals.size() == 1; }));
+	EXPECT_EQ(a.entry.counts[MESSAGE_STREAM_LOST], 1);
+	EXPECT_EQ(a.entry.refusals[0].run, RUN_NO);
+	EXPECT_EQ(b.gate.counts[MESSAGE_CALL_OPEN], 0);
+	ASSERT_EQ(fault_command(fault, "heal"), 0);
+	a.call(b.id, 8);
+	EXPECT_TRUE(wait([&] { return a.entry.counts[MESSAGE_ANSWER_DATA] == 1; }));
+}
+
+TEST_F(Peer, CancelReachesTheGateAndTheStreamLimitRefuses)
+{
+	for (uint64_t s = 1; s <= 9; s++)
+		a.call(b.id, s);
+	ASSERT_TRUE(wait([&] { return b.gate.counts[MESSAGE_CALL_OPEN] == 8; }));
+	ASSERT_EQ(a.entry.refusals.size(), 1u);
+	EXPECT_EQ(a.entry.refusals[0].reason, REASON_STREAM_LIMIT);
+	a.entry.post(message_create(MESSAGE_CALL_CANCEL, b.id, 3));
+	ASSERT_TRUE(wait([&] { return b.gate.counts[MESSAGE_CALL_CANCEL] == 1; }));
+	a.call(b.id, 10);
+	ASSERT_TRUE(wait([&] { return b.gate.counts[MESSAGE_CALL_OPEN] == 9; }));
+}
+
+TEST_F(Peer, SimultaneousConnectsLoseNoStream)
+{
+	answer_all();
+	a.gate.handler = [&](message_t *message) {
+		if (message->type == MESSAGE_CALL_OPEN)
+			a.answer(message, 100);
+	};
+	for (uint64_t s = 1; s <= 4; s++) {
+		a.call(b.id, s);
+		b.call(a.id, s);
+	}
+	ASSERT_TRUE(wait([&] {
+		return a.entry.counts[MESSAGE_ANSWER_DATA] == 4 &&
+		       b.entry.counts[MESSAGE_ANSWER_DATA] == 4;
+	}));
+	EXPECT_EQ(a.entry.refusals.size() + b.entry.refusals.size(), 0u);
+	// The connection that the other one replaces is closed when it is idle.
+	EXPECT_TRUE(wait([&] {
+		return a.metric(METRIC_PEER_CONNECTIONS) == 1 &&
+		       b.metric(METRIC_PEER_CONNECTIONS) == 1;
+	}));
+}
+
+TEST_F(Peer, ForeignKeyIsRefused)
+{
+	Node c;
+
+	c.open("127.66.0.3:7100", 2);
+	a.learn(c);
+	a.call(c.id, 1);
+	bool refused = wait([&] {
+		ev_run(kernel_loop(c.kernel), EVRUN_NOWAIT);
+		return a.entry.refusals.size() == 1;
+	});
+	ASSERT_TRUE(refused);
+	EXPECT_EQ(a.entry.refusals[0].run, RUN_NO);
+	EXPECT_EQ(c.gate.counts[MESSAGE_CALL_OPEN], 0);
+	EXPECT_GE(
+	    a.metric(METRIC_PEER_AUTH_FAILURES) + c.metric(METRIC_PEER_AUTH_FAILURES),
+	    1u);
+}
+
+// Passes bytes between a and b and keeps what a sent, for a replay.
+struct Relay {
+	int listener = -1, up = -1, down = -1;
+	std::string seen;
+
+	void
+	open(const address_t &address)
+	{
+		ASSERT_EQ(os_socket_listen(&address, &listener), 0);
+	}
+	void
+	pump(const address_t &target, uint32_t source)
+	{
+		char bytes[4096];
+		ssize_t n;
+
+		if (down < 0 &&
+		    (down = accept4(listener, NULL, NULL, SOCK_NONBLOCK)) >= 0)
+			ASSERT_EQ(os_socket_connect(&target, source, &up), 0);
+		if (down < 0)
+			return;
+		while ((n = recv(down, bytes, sizeof(bytes), 0)) > 0) {
+			seen.append(bytes, (size_t)n);
+			send(up, bytes, (size_t)n, MSG_NOSIGNAL);
+		}
+		while ((n = recv(up, bytes, sizeof(bytes), 0)) > 0)
+			send(down, bytes, (size_t)n, MSG_NOSIGNAL);
+	}
+	~Relay()
+	{
+		for (int fd : {listener, up, down})
+			if (fd >= 0)
+				close(fd);
+	}
+};
+
+TEST_F(Peer, ReplayedFrameIsRefusedAndCounted)
+{
+	Relay relay;
+	address_t middle;
+	message_t *message = message_create(MESSAGE_MEMBER, b.id, 0);
+
+	ASSERT_EQ(address_parse("127.66.0.9:7100", &middle), 0);
+	relay.open(middle);
+	message->u.member.node = b.id;
+	message->u.member.address = middle;
+	a.membership.post(message);
+	answer_all();
+	a.call(b.id, 1);
+	ASSERT_TRUE(wait([&] {
+		relay.pump(b.settings.peers, middle.ip);
+		return a.entry.counts[MESSAGE_ANSWER_DATA] == 1;
+	}));
+	EXPECT_EQ(b.metric(METRIC_PEER_BAD_FRAMES), 0u);
+	// The last frame of the node once more.
+	size_t offset = 0, length = 0, last = 0;
+	while (offset < relay.seen.size()) {
+		ASSERT_EQ(frame_length((const uint8_t *)relay.seen.data() + offset,
+			      relay.seen.size() - offset, &length),
+		    0);
+		last = offset;
+		offset += FRAME_PREFIX_BYTES + length;
+	}
+	send(relay.up, relay.seen.data() + last, relay.seen.size() - last, MSG_NOSIGNAL);
+	EXPECT_TRUE(wait([&] { return b.metric(METRIC_PEER_BAD_FRAMES) == 1; }));
+	EXPECT_EQ(b.gate.counts[MESSAGE_CALL_OPEN], 1);
+	// The whole recording on a new connection proves nothing.
+	int fd = -1;
+	ASSERT_EQ(os_socket_connect(&b.settings.peers, middle.ip, &fd), 0);
+	bool sent = false;
+	ASSERT_TRUE(wait([&] {
+		if (!sent)
+			sent = send(fd, relay.seen.data(), relay.seen.size(),
+				   MSG_NOSIGNAL) == (ssize_t)relay.seen.size();
+		return b.metric(METRIC_PEER_AUTH_FAILURES) == 1;
+	}));
+	EXPECT_EQ(b.gate.counts[MESSAGE_CALL_OPEN], 1);
+	close(fd);
+}
