--- a/src/cli.c
+++ b/src/cli.c
@@ -75,10 +75,11 @@
 	fputs("\nexamples:\n", out);
 	for (const cli_command_t *command = commands; command->name != NULL; command++)
 		fprintf(out, "  %s\n", command->example);
-	fputs("\n\"masticpitch COMMAND --help\" prints the options of a command.\n"
-	      "exit codes: 0 success, 1 internal error, 2 wrong command line, 3 invalid\n"
-	      "settings or preset, 4 address in use, 5 unreachable, 6 conflict, 7 outcome\n"
-	      "unknown, 8 refused, 9 deadline passed\n",
+	fputs(
+	    "\n\"masticpitch COMMAND --help\" prints the options of a command.\n"
+	    "exit codes: 0 success, 1 internal error, 2 wrong command line, 3 invalid\n"
+	    "settings or preset, 4 address in use, 5 unreachable, 6 conflict, 7 outcome\n"
+	    "unknown, 8 refused, 9 deadline passed\n",
 	    out);
 }
 
@@ -88,10 +89,11 @@
 {
 	for (const cli_command_t *command = commands; command->name != NULL; command++) {
 		const char *space = strchr(command->name, ' ');
-		size_t length =
-		    space != NULL ? (size_t)(space - command->name) : strlen(command->name);
+		size_t length = space != NULL ? (size_t)(space - command->name)
+					      : strlen(command->name);
 
-		if (strlen(argv[1]) != length || strncmp(argv[1], command->name, length) != 0)
+		if (strlen(argv[1]) != length ||
+		    strncmp(argv[1], command->name, length) != 0)
 			continue;
 		if (space == NULL) {
 			*words = 1;
@@ -153,7 +155,8 @@
 static int
 run_node(int argc, char **argv, const cli_command_t *command)
 {
-	struct arg_str *settings = arg_str1(NULL, "settings", "FILE", "settings of the node");
+	struct arg_str *settings =
+	    arg_str1(NULL, "settings", "FILE", "settings of the node");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_end *end = arg_end(8);
 	void *table[] = {settings, help, end};
@@ -164,7 +167,8 @@
 
 	if (code >= 0)
 		goto out;
-	error = masticpitch_node_create(settings->sval[0], &node, message, sizeof(message));
+	error =
+	    masticpitch_node_create(settings->sval[0], &node, message, sizeof(message));
 	if (error == MASTICPITCH_OK)
 		error = masticpitch_node_run(node);
 	if (error != MASTICPITCH_OK)
@@ -193,15 +197,17 @@
 	if (code >= 0)
 		goto out;
 	if (settings->count + preset->count == 0) {
-		fputs("masticpitch check: needs --settings FILE or --preset FILE\n", stderr);
+		fputs("masticpitch check: needs --settings FILE or --preset FILE\n",
+		    stderr);
 		code = CLI_EXIT_SYNTAX;
 		goto out;
 	}
 	if (settings->count > 0)
-		error =
-		    masticpitch_settings_check(settings->sval[0], message, sizeof(message));
+		error = masticpitch_settings_check(
+		    settings->sval[0], message, sizeof(message));
 	if (error == MASTICPITCH_OK && preset->count > 0)
-		error = masticpitch_preset_check(preset->sval[0], message, sizeof(message));
+		error =
+		    masticpitch_preset_check(preset->sval[0], message, sizeof(message));
 	if (error != MASTICPITCH_OK)
 		fprintf(stderr, "masticpitch check: %s\n", message);
 	else
@@ -215,11 +221,12 @@
 static int
 run_completion(int argc, char **argv, const cli_command_t *command)
 {
-	fputs("# bash completion for masticpitch\n_masticpitch()\n{\n"
-	      "\tlocal word=${COMP_WORDS[COMP_CWORD]} first=${COMP_WORDS[1]}\n"
-	      "\tlocal options='--help --json --platform --prefix --node --token --timeout "
-	      "--operator --file --wait --if-version'\n"
-	      "\tif [ \"$COMP_CWORD\" -eq 1 ]; then\n\t\tCOMPREPLY=($(compgen -W '",
+	fputs(
+	    "# bash completion for masticpitch\n_masticpitch()\n{\n"
+	    "\tlocal word=${COMP_WORDS[COMP_CWORD]} first=${COMP_WORDS[1]}\n"
+	    "\tlocal options='--help --json --platform --prefix --node --token --timeout "
+	    "--operator --file --wait --if-version'\n"
+	    "\tif [ \"$COMP_CWORD\" -eq 1 ]; then\n\t\tCOMPREPLY=($(compgen -W '",
 	    stdout);
 	for (const cli_command_t *row = commands; row->name != NULL; row++) {
 		if (strchr(row->name, ' ') == NULL)
@@ -244,21 +251,26 @@
 static int
 run_manual(int argc, char **argv, const cli_command_t *command)
 {
-	fputs(".TH MASTICPITCH 1\n.SH NAME\nmasticpitch \\- configuration distribution for a "
-	      "service mesh\n.SH SYNOPSIS\n.B masticpitch\n.I COMMAND\n[\\fIOPTION\\fR]...\n"
+	fputs(".TH MASTICPITCH 1\n.SH NAME\nmasticpitch \\- configuration distribution "
+	      "for a "
+	      "service mesh\n.SH SYNOPSIS\n.B masticpitch\n.I "
+	      "COMMAND\n[\\fIOPTION\\fR]...\n"
 	      ".SH COMMANDS\n",
 	    stdout);
 	for (const cli_command_t *row = commands; row->name != NULL; row++)
-		printf(".TP\n.B %s\n%s.\n.br\nExample: \\fI%s\\fR\n", row->name, row->summary,
-		    row->example);
-	fputs(".SH OPTIONS\nEach command prints its own with \\fB\\-\\-help\\fR.\n"
-	      ".SH ENVIRONMENT\n.TP\n.B MASTICPITCH_PLATFORM\nURL of the platform's key-value "
-	      "service.\n.TP\n.B MASTICPITCH_NODE\nURL of a node's operators' interface.\n"
-	      ".TP\n.B MASTICPITCH_TOKEN\nOperators' token.\n.TP\n.B MASTICPITCH_OPERATOR\n"
-	      "Name that commits are signed with in the history.\n"
-	      ".SH EXIT STATUS\n0 success, 1 internal error, 2 wrong command line, 3 invalid "
-	      "settings or preset, 4 address in use, 5 unreachable, 6 conflict, 7 outcome "
-	      "unknown, 8 refused, 9 deadline passed.\n",
+		printf(".TP\n.B %s\n%s.\n.br\nExample: \\fI%s\\fR\n", row->name,
+		    row->summary, row->example);
+	fputs(
+	    ".SH OPTIONS\nEach command prints its own with \\fB\\-\\-help\\fR.\n"
+	    ".SH ENVIRONMENT\n.TP\n.B MASTICPITCH_PLATFORM\nURL of the platform's "
+	    "key-value "
+	    "service.\n.TP\n.B MASTICPITCH_NODE\nURL of a node's operators' interface.\n"
+	    ".TP\n.B MASTICPITCH_TOKEN\nOperators' token.\n.TP\n.B MASTICPITCH_OPERATOR\n"
+	    "Name that commits are signed with in the history.\n"
+	    ".SH EXIT STATUS\n0 success, 1 internal error, 2 wrong command line, 3 "
+	    "invalid "
+	    "settings or preset, 4 address in use, 5 unreachable, 6 conflict, 7 outcome "
+	    "unknown, 8 refused, 9 deadline passed.\n",
 	    stdout);
 	return CLI_EXIT_OK;
 }
--- a/src/cli.h
+++ b/src/cli.h
@@ -86,8 +86,8 @@
  * Parses the command line into the table and prepares cli. Returns -1 to go
  * on, or the exit code with which the command ends (help, syntax error).
  */
-int cli_begin(cli_t *cli, int argc, char **argv, const cli_command_t *command, void **table,
-    const cli_options_t *options);
+int cli_begin(cli_t *cli, int argc, char **argv, const cli_command_t *command,
+    void **table, const cli_options_t *options);
 /* Prints what --help of a subcommand prints. */
 void cli_print_usage(const cli_command_t *command, void **table);
 /* Frees what cli_begin() made; the table is freed by arg_freetable(). */
@@ -125,7 +125,8 @@
 void cli_json_print(struct json_object *value);
 
 /* Members of a JSON object with a default. */
-const char *cli_json_text(struct json_object *object, const char *key, const char *missing);
+const char *cli_json_text(
+    struct json_object *object, const char *key, const char *missing);
 int64_t cli_json_number(struct json_object *object, const char *key, int64_t missing);
 bool cli_json_bool(struct json_object *object, const char *key);
 /* NULL if absent. */
@@ -148,8 +149,8 @@
 
 /* What is known of the versions that members hold, from a node's status. */
 typedef struct cli_spread {
-	int64_t members; /* alive in a reachable zone */
-	int64_t holding; /* of these, at the version or above it */
+	int64_t members;     /* alive in a reachable zone */
+	int64_t holding;     /* of these, at the version or above it */
 	int64_t unreachable; /* members in zones that are cut off */
 } cli_spread_t;
 
--- a/src/cli_common.c
+++ b/src/cli_common.c
@@ -64,7 +64,8 @@
 	}
 	if (errors > 0) {
 		arg_print_errors(stderr, options->end, "masticpitch");
-		fprintf(stderr, "masticpitch: see \"masticpitch %s --help\"\n", command->name);
+		fprintf(stderr, "masticpitch: see \"masticpitch %s --help\"\n",
+		    command->name);
 		return CLI_EXIT_SYNTAX;
 	}
 	if (options->timeout->count > 0)
@@ -81,8 +82,8 @@
 	cli->token = option_text(options->token, "MASTICPITCH_TOKEN");
 	cli->deadline = os_clock_monotonic() + (uint64_t)timeout_ms * NS_PER_MS;
 	cli->loop = ev_loop_new(EVFLAG_AUTO);
-	if (cli->loop == NULL ||
-	    http_client_create(cli->loop, CLI_CONNECTIONS_MAX, &cli->http) != MASTICPITCH_OK) {
+	if (cli->loop == NULL || http_client_create(cli->loop, CLI_CONNECTIONS_MAX,
+				     &cli->http) != MASTICPITCH_OK) {
 		cli_error(cli, "out of memory");
 		cli_end(cli);
 		return CLI_EXIT_INTERNAL;
--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -60,9 +60,11 @@
 			fputs("  ...\n", stderr);
 			return;
 		}
-		fprintf(stderr, "  %s %s holds %lld%s\n", cli_json_text(member, "zone", "?"),
+		fprintf(stderr, "  %s %s holds %lld%s\n",
+		    cli_json_text(member, "zone", "?"),
 		    cli_json_text(member, "node", "?"), (long long)held,
-		    cli_json_bool(member, "reachable") ? "" : ", its zone is unreachable");
+		    cli_json_bool(member, "reachable") ? ""
+						       : ", its zone is unreachable");
 	}
 }
 
@@ -76,8 +78,9 @@
 		return;
 	json_object_object_foreach(versions, version, count)
 	{
-		int length = snprintf(text + used, size - used, "%s%s: %lld",
-		    used > 0 ? ", " : "", version, (long long)json_object_get_int64(count));
+		int length =
+		    snprintf(text + used, size - used, "%s%s: %lld", used > 0 ? ", " : "",
+			version, (long long)json_object_get_int64(count));
 
 		if (length < 0 || (size_t)length >= size - used)
 			return;
@@ -102,11 +105,15 @@
 	for (size_t i = 0; i < json_object_array_length(zones); i++) {
 		struct json_object *zone = json_object_array_get_idx(zones, i);
 
-		print_versions(cli_json_get(zone, "versions"), versions, sizeof(versions));
+		print_versions(
+		    cli_json_get(zone, "versions"), versions, sizeof(versions));
 		cli_table_add(&table, "%s", cli_json_text(zone, "zone", "?"));
-		cli_table_add(&table, "%lld", (long long)cli_json_number(zone, "alive", 0));
-		cli_table_add(&table, "%lld", (long long)cli_json_number(zone, "down", 0));
-		cli_table_add(&table, "%s", cli_json_bool(zone, "reachable") ? "yes" : "no");
+		cli_table_add(
+		    &table, "%lld", (long long)cli_json_number(zone, "alive", 0));
+		cli_table_add(
+		    &table, "%lld", (long long)cli_json_number(zone, "down", 0));
+		cli_table_add(
+		    &table, "%s", cli_json_bool(zone, "reachable") ? "yes" : "no");
 		cli_table_add(&table, "%s", versions);
 	}
 	cli_table_print(&table);
@@ -127,7 +134,8 @@
 	    (long long)cli_json_number(status, "version_age_ms", -1));
 	printf("platform  %s%s\n\n",
 	    cli_json_bool(platform, "reachable") ? "reachable" : "unreachable",
-	    cli_json_bool(platform, "regressed") ? ", older than the version in force" : "");
+	    cli_json_bool(platform, "regressed") ? ", older than the version in force"
+						 : "");
 	print_zones(cli_json_get(status, "zones"));
 	if (!json_object_is_type(alarms, json_type_array) ||
 	    json_object_array_length(alarms) == 0) {
@@ -149,8 +157,8 @@
 	int code;
 
 	cli_options_create(&common);
-	void *table[] = {common.node, common.token, common.timeout, common.json, common.help,
-	    common.platform, common.prefix, common.end};
+	void *table[] = {common.node, common.token, common.timeout, common.json,
+	    common.help, common.platform, common.prefix, common.end};
 
 	code = cli_begin(&cli, argc, argv, command, table, &common);
 	if (code >= 0)
@@ -190,12 +198,14 @@
 		cli_table_add(&table, "%s", cli_json_text(item, "node", "?"));
 		cli_table_add(&table, "%s", cli_json_text(item, "zone", "?"));
 		cli_table_add(&table, "%s", cli_json_text(item, "state", "?"));
-		cli_table_add(&table, "%lld", (long long)cli_json_number(item, "slots", 0));
+		cli_table_add(
+		    &table, "%lld", (long long)cli_json_number(item, "slots", 0));
 		cli_table_add(
 		    &table, "%lld", (long long)cli_json_number(item, "in_flight", 0));
 		cli_table_add(
 		    &table, "%lld", (long long)cli_json_number(item, "latency_us", 0));
-		cli_table_add(&table, "%s", cli_json_bool(item, "ejected") ? "yes" : "no");
+		cli_table_add(
+		    &table, "%s", cli_json_bool(item, "ejected") ? "yes" : "no");
 	}
 	cli_table_print(&table);
 }
@@ -210,8 +220,8 @@
 	int code;
 
 	cli_options_create(&common);
-	void *table[] = {common.node, common.token, common.timeout, common.json, common.help,
-	    common.platform, common.prefix, common.end};
+	void *table[] = {common.node, common.token, common.timeout, common.json,
+	    common.help, common.platform, common.prefix, common.end};
 
 	code = cli_begin(&cli, argc, argv, command, table, &common);
 	if (code >= 0)
@@ -262,8 +272,8 @@
 	int code;
 
 	cli_options_create(&common);
-	void *table[] = {method, path, common.node, common.token, common.timeout, common.json,
-	    common.help, common.platform, common.prefix, common.end};
+	void *table[] = {method, path, common.node, common.token, common.timeout,
+	    common.json, common.help, common.platform, common.prefix, common.end};
 
 	code = cli_begin(&cli, argc, argv, command, table, &common);
 	if (code >= 0)
@@ -300,8 +310,8 @@
 		if (line[0] == '#' || space == NULL)
 			continue;
 		*space = '\0';
-		json_object_object_add(
-		    answer, line, json_object_new_double_s(strtod(space + 1, NULL), space + 1));
+		json_object_object_add(answer, line,
+		    json_object_new_double_s(strtod(space + 1, NULL), space + 1));
 	}
 	return answer;
 }
@@ -316,8 +326,8 @@
 	int code;
 
 	cli_options_create(&common);
-	void *table[] = {common.node, common.token, common.timeout, common.json, common.help,
-	    common.platform, common.prefix, common.end};
+	void *table[] = {common.node, common.token, common.timeout, common.json,
+	    common.help, common.platform, common.prefix, common.end};
 
 	code = cli_begin(&cli, argc, argv, command, table, &common);
 	if (code >= 0)
--- a/src/node.c
+++ b/src/node.c
@@ -72,7 +72,8 @@
 	uint64_t now = kernel_now(node->kernel);
 
 	if (now >= node->grace_deadline) {
-		log_error(kernel_log(node->kernel), "grace period over: running work is cut");
+		log_error(
+		    kernel_log(node->kernel), "grace period over: running work is cut");
 		kernel_stop(node->kernel);
 		return;
 	}
@@ -114,8 +115,8 @@
 		node->signals[i].data = node;
 		ev_signal_start(loop, &node->signals[i]);
 	}
-	ev_timer_init(
-	    &node->shutdown_poll, shutdown_poll_callback, SHUTDOWN_POLL_S, SHUTDOWN_POLL_S);
+	ev_timer_init(&node->shutdown_poll, shutdown_poll_callback, SHUTDOWN_POLL_S,
+	    SHUTDOWN_POLL_S);
 	node->shutdown_poll.data = node;
 }
 
@@ -132,7 +133,8 @@
 
 /* Creates the services; *what names the one that failed. */
 static int
-node_create_services(masticpitch_node_t *node, const char **what, const address_t **address)
+node_create_services(
+    masticpitch_node_t *node, const char **what, const address_t **address)
 {
 	settings_t *settings = &node->settings;
 	int error;
@@ -193,7 +195,8 @@
 		snprintf(message, size, "%s: %s: %s: %s", settings_path, what, text,
 		    masticpitch_strerror(error));
 		log_error(kernel_log(node->kernel), "start failed", LOG_TEXT("key", what),
-		    LOG_TEXT("address", text), LOG_TEXT("reason", masticpitch_strerror(error)));
+		    LOG_TEXT("address", text),
+		    LOG_TEXT("reason", masticpitch_strerror(error)));
 		goto fail;
 	}
 	node_start_watchers(node);
--- a/src/operators.c
+++ b/src/operators.c
@@ -92,7 +92,8 @@
 {
 	pending_t *pending = watcher->data;
 
-	json_object_object_add(pending->answer, "incomplete", json_object_new_boolean(true));
+	json_object_object_add(
+	    pending->answer, "incomplete", json_object_new_boolean(true));
 	pending_finish(pending);
 }
 
@@ -232,12 +233,13 @@
 	    (unsigned long long)kernel_boot_id(operators->kernel));
 	json_object_object_add(answer, "node", json_object_new_string(text));
 	json_object_object_add(answer, "zone", json_object_new_string(settings->zone));
-	json_object_object_add(answer, "region", json_object_new_string(settings->region));
+	json_object_object_add(
+	    answer, "region", json_object_new_string(settings->region));
 	json_object_object_add(answer, "boot", json_object_new_string(boot));
 	json_object_object_add(answer, "uptime_ms",
-	    json_object_new_int64((int64_t)((kernel_now(operators->kernel) -
-						operators->started) /
-					    NS_PER_MS)));
+	    json_object_new_int64(
+		(int64_t)((kernel_now(operators->kernel) - operators->started) /
+			  NS_PER_MS)));
 	json_object_object_add(
 	    answer, "leaving", json_object_new_boolean(operators->leaving));
 	json_object_object_add(answer, "alarms", json_object_new_array());
@@ -250,7 +252,8 @@
 	metrics_t *metrics = kernel_metrics(operators->kernel);
 	buffer_t text;
 
-	metrics_set(metrics, METRIC_LOG_SUPPRESSED, kernel_log(operators->kernel)->suppressed);
+	metrics_set(
+	    metrics, METRIC_LOG_SUPPRESSED, kernel_log(operators->kernel)->suppressed);
 	buffer_init(&text, OPERATORS_METRICS_MAX);
 	if (metrics_format(metrics, &text) == MASTICPITCH_OK)
 		http_exchange_reply(exchange, 200, "text/plain; version=0.0.4",
@@ -286,8 +289,8 @@
 		    request->exchange, 400, "needs the arguments method and path");
 		return;
 	}
-	operators_ask(operators, request->exchange, &query, sources, ARRAY_LENGTH(sources),
-	    json_object_new_object());
+	operators_ask(operators, request->exchange, &query, sources,
+	    ARRAY_LENGTH(sources), json_object_new_object());
 }
 
 static void
