Add the operators' commit as a state machine with a client

Cause: operators race, and an answer of the platform can be lost after the write took effect.

Change: commit reads the head, writes the parts that it does not name yet, and swaps the head; a lost answer is resolved by sending the same compare-and-swap again and by the operation id in the history. Orphan parts are selected by revision and removed by compare-and-delete.

--- /dev/null
+++ b/src/commit.h
@@ -0,0 +1,168 @@
+/*
+ * An operator's commit: create, edit or delete a preset, or switch the one in
+ * force. See docs/design.md section 6. commit_machine_t is the decision part:
+ * pure, without clock, socket or allocation of time; commit_client_t performs
+ * it on the platform. One thread.
+ *
+ * Steps: read the head; write the parts that the head does not name yet; then
+ * compare-and-swap the head, which is the commit. A compare-and-swap whose
+ * answer is lost is sent again unchanged: its expected revision is gone once
+ * any write took effect, so it can take effect at most once. After a conflict
+ * the head's history tells by the operation id who won.
+ */
+#ifndef MASTICPITCH_COMMIT_H
+#define MASTICPITCH_COMMIT_H
+
+#include "platform.h"
+#include "record.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* A commit that is not finished this long after its start is abandoned, ns. */
+#define COMMIT_TIME_MAX (UINT64_C(300) * 1000 * 1000 * 1000)
+/* Every so many versions the committer removes orphan parts. */
+#define COMMIT_CLEAN_PERIOD 16
+/* Parts removed by one commit. */
+#define COMMIT_CLEAN_MAX 1024
+/* Pause before a call is repeated: random below a bound that doubles, ns. */
+#define COMMIT_BACKOFF_MIN (UINT64_C(50) * 1000 * 1000)
+#define COMMIT_BACKOFF_MAX (UINT64_C(2000) * 1000 * 1000)
+
+typedef enum commit_kind {
+	COMMIT_CREATE, /* a new preset; the first one ever is also put in force */
+	COMMIT_EDIT,   /* replace the text of a preset */
+	COMMIT_DELETE, /* remove a preset that is not in force */
+	COMMIT_USE,    /* put a preset in force */
+	COMMIT_LOOKUP  /* what became of an operation; writes nothing */
+} commit_kind_t;
+
+typedef struct commit_request {
+	commit_kind_t kind;
+	const char *preset;	   /* name; not for LOOKUP */
+	const char *text;	   /* JSON with comments; CREATE and EDIT */
+	size_t size;		   /* bytes of text */
+	const char *operator_name; /* 1 to 64 of a-z A-Z 0-9 - _ . */
+	/*
+	 * 32 hex digits. LOOKUP: the operation asked about. Otherwise empty, and
+	 * commit_start() chooses a random one, or an id chosen by the caller that
+	 * was never used before.
+	 */
+	char operation[RECORD_OPERATION_BYTES];
+	/*
+	 * Refuse with a conflict unless the head has this version. LOOKUP: the
+	 * base_version of the result that was unknown; without it an operation that
+	 * is absent is only reported as not found.
+	 */
+	bool has_expected_version;
+	uint64_t expected_version;
+	/*
+	 * The largest version seen on any node, or 0. The commit gets a version
+	 * above it, so that nodes accept it after the platform lost newer versions.
+	 */
+	uint64_t version_floor;
+	uint64_t deadline; /* monotonic, ns */
+	bool clean;	   /* remove orphan parts now, not only now and then */
+} commit_request_t;
+
+/*
+ * What became of a commit. error is
+ *   MASTICPITCH_OK              committed as version (LOOKUP: it was)
+ *   MASTICPITCH_E_INVALID       request or preset invalid, see message; or the
+ *                               head on the platform is; nothing was committed
+ *   MASTICPITCH_E_LIMIT         too many presets, or a part too long
+ *   MASTICPITCH_E_CONFLICT      not committed: lost to the commit in lost_to
+ *   MASTICPITCH_E_NOT_FOUND     no such preset; LOOKUP: not in the history
+ *   MASTICPITCH_E_EXISTS        CREATE: there is a preset of that name
+ *   MASTICPITCH_E_DENIED        DELETE: the preset is in force
+ *   MASTICPITCH_E_UNREACHABLE   not committed: the platform did not answer, or
+ *                               refused, until the deadline
+ *   MASTICPITCH_E_UNKNOWN       the compare-and-swap was sent and its effect is
+ *                               not known; look the operation up later
+ *   MASTICPITCH_E_NOMEM         not committed
+ */
+typedef struct commit_result {
+	int error;
+	uint64_t version;      /* OK: the new version */
+	uint64_t base_version; /* of the head that was read; 0: none */
+	char operation[RECORD_OPERATION_BYTES];
+	record_commit_t lost_to;	       /* CONFLICT; version 0: not known */
+	char message[MASTICPITCH_MESSAGE_MAX]; /* one line in English; never empty */
+	uint32_t parts_written;
+	uint32_t parts_removed; /* orphans */
+} commit_result_t;
+
+/* Decisions ------------------------------------------------------------ */
+
+typedef struct commit_machine commit_machine_t;
+
+typedef enum commit_action_kind {
+	COMMIT_ACTION_GET,    /* key */
+	COMMIT_ACTION_PUT,    /* put */
+	COMMIT_ACTION_LIST,   /* key is the prefix */
+	COMMIT_ACTION_DELETE, /* key, expect */
+	COMMIT_ACTION_WAIT,   /* until the time */
+	COMMIT_ACTION_FINISH  /* see commit_machine_result() */
+} commit_action_kind_t;
+
+/* The one thing to do next; pointers are valid until the next step. */
+typedef struct commit_action {
+	commit_action_kind_t kind;
+	const char *key;
+	platform_put_t put;
+	uint64_t expect;
+	uint64_t until;
+} commit_action_t;
+
+/*
+ * Checks a request and copies what it needs. seed: for the backoff. Times are
+ * monotonic, ns; wall_ms is for the history. Errors: MASTICPITCH_E_NOMEM; an
+ * invalid request is reported by the machine's result.
+ */
+int commit_machine_create(const commit_request_t *request, uint64_t seed,
+    uint64_t wall_ms, uint64_t now, commit_machine_t **machine);
+/* NULL is allowed. */
+void commit_machine_destroy(commit_machine_t *machine);
+/*
+ * Takes the answer to the last action, NULL at the start and after a wait, and
+ * decides what comes next. Not to be called after FINISH.
+ */
+commit_action_t commit_machine_step(
+    commit_machine_t *machine, const platform_answer_t *answer, uint64_t now);
+/* Valid after FINISH, until the machine is destroyed. */
+const commit_result_t *commit_machine_result(const commit_machine_t *machine);
+
+/* Client --------------------------------------------------------------- */
+
+typedef struct commit_client commit_client_t;
+typedef struct commit_run commit_run_t;
+
+/* Runs once for each run that was started and not cancelled. */
+typedef void (*commit_callback_t)(void *state, const commit_result_t *result);
+
+/*
+ * call_timeout_ms bounds each single call on the platform; platform and loop
+ * outlive the client. Errors: MASTICPITCH_E_NOMEM.
+ */
+int commit_client_create(struct ev_loop *loop, platform_t *platform,
+    uint32_t call_timeout_ms, commit_client_t **client);
+/* Cancels every run without its callback; NULL is allowed. */
+void commit_client_destroy(commit_client_t *client);
+
+/*
+ * Starts a commit or a lookup; copies what the request points to. The callback
+ * runs later, from the loop, with a result that is valid during it. run may be
+ * NULL if it is never cancelled. Several runs may be active at once. Errors:
+ * MASTICPITCH_E_NOMEM; then the callback does not run.
+ */
+int commit_start(commit_client_t *client, const commit_request_t *request,
+    commit_callback_t callback, void *state, commit_run_t **run);
+/* Ends a run without its callback; its outcome may be unknown. */
+void commit_cancel(commit_run_t *run);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
