Add the membership service

Cause: entry, peer, config and operators need one view of the mesh. Change: the service owns the UDP socket and the tick, checks keys and the replay window, posts MEMBER, MEMBER_REMOVED, VERSION_HEARD, JOIN_NEEDED and crash reports, sends syncs through peer, and reports members and zones.

--- a/src/member.c
+++ b/src/member.c
@@ -157,28 +157,12 @@
 	table->targets_stale = true;
 }
 
-/* A suspicion is local, so suspect members count as alive here. */
-static unsigned
-state_rank(member_state_t state)
-{
-	switch (state) {
-	case MEMBER_ALIVE:
-	case MEMBER_SUSPECT:
-		return 0;
-	case MEMBER_LEAVING:
-		return 1;
-	case MEMBER_DOWN:
-		break;
-	}
-	return 2;
-}
-
 static void
 digest_update(member_table_t *table, member_entry_t *entry, uint64_t now)
 {
 	const member_t *member = &entry->member;
 	uint64_t fields[5] = {member->node, member->incarnation,
-	    state_rank(member->state), (uint64_t)member->instance.state,
+	    member_state_rank(member->state), (uint64_t)member->instance.state,
 	    member->instance.sequence};
 	uint64_t hash = member_is_down(entry) ? 0 : hash_bytes(fields, sizeof(fields), 0);
 
@@ -283,66 +267,6 @@
 	return MASTICPITCH_OK;
 }
 
-static bool
-name_is_valid(const char *name, size_t size)
-{
-	size_t length = strlen(name);
-
-	if (length == 0 || length >= size)
-		return false;
-	for (; *name != '\0'; name++)
-		if (*name <= ' ' || *name > '~' || *name == '"' || *name == '\\')
-			return false;
-	return true;
-}
-
-static int
-record_read(const Masticpitch__Member *record, member_t *member)
-{
-	const Masticpitch__Instance *instance = record->instance;
-
-	memset(member, 0, sizeof(*member));
-	if (record->port == 0 || record->port > UINT16_MAX || record->ip == 0 ||
-	    record->state > MEMBER_DOWN || record->incarnation == 0 ||
-	    record->incarnation > INCARNATION_MAX ||
-	    !name_is_valid(record->zone, ZONE_BYTES) ||
-	    !name_is_valid(record->region, ZONE_BYTES))
-		return MASTICPITCH_E_INVALID;
-	member->address.ip = record->ip;
-	member->address.port = (uint16_t)record->port;
-	member->node = address_to_node_id(&member->address);
-	string_copy(member->zone, sizeof(member->zone), record->zone);
-	string_copy(member->region, sizeof(member->region), record->region);
-	member->incarnation = record->incarnation;
-	member->state = record->state == MEMBER_SUSPECT ? MEMBER_ALIVE
-							: (member_state_t)record->state;
-	member->config_version = record->config_version;
-	if (instance == NULL)
-		return MASTICPITCH_OK;
-	if (instance->state > INSTANCE_LEAVING ||
-	    (instance->state != INSTANCE_NONE &&
-		!name_is_valid(instance->service, NAME_BYTES)) ||
-	    strlen(instance->service) >= NAME_BYTES)
-		return MASTICPITCH_E_INVALID;
-	member->instance.state = (instance_state_t)instance->state;
-	string_copy(member->instance.service, NAME_BYTES, instance->service);
-	member->instance.slots = instance->slots;
-	member->instance.connections = instance->connections;
-	member->instance.sequence = instance->sequence;
-	return MASTICPITCH_OK;
-}
-
-/* Order of records of one node: incarnation, state, instance sequence. */
-static bool
-record_is_newer(const member_t *record, const member_t *held)
-{
-	if (record->incarnation != held->incarnation)
-		return record->incarnation > held->incarnation;
-	if (state_rank(record->state) != state_rank(held->state))
-		return state_rank(record->state) > state_rank(held->state);
-	return record->instance.sequence > held->instance.sequence;
-}
-
 static int
 entry_apply(member_table_t *table, member_entry_t *entry, const member_t *record,
     uint64_t now, list_t *actions)
@@ -390,7 +314,7 @@
 static int
 self_merge(member_table_t *table, const member_t *record, uint64_t now, list_t *actions)
 {
-	if (!record_is_newer(record, &table->self->member))
+	if (!member_record_is_newer(record, &table->self->member))
 		return MASTICPITCH_E_STALE;
 	member_refute(table, record->incarnation, now, actions);
 	return MASTICPITCH_OK;
@@ -402,7 +326,7 @@
 {
 	member_t member;
 	member_entry_t *entry;
-	int error = record_read(record, &member);
+	int error = member_record_read(record, &member);
 
 	if (error != MASTICPITCH_OK) {
 		table->statistics.refused++;
@@ -425,7 +349,7 @@
 	} else {
 		entry->version_floor =
 		    MAX_OF(entry->version_floor, member.config_version);
-		if (!record_is_newer(&member, &entry->member))
+		if (!member_record_is_newer(&member, &entry->member))
 			return MASTICPITCH_E_STALE;
 		error = entry_apply(table, entry, &member, now, actions);
 		if (error != MASTICPITCH_OK)
@@ -469,8 +393,8 @@
 	table->boot = options->boot;
 	self.node = address_to_node_id(&options->address);
 	self.incarnation = options->incarnation;
-	if (!name_is_valid(options->zone, ZONE_BYTES) ||
-	    !name_is_valid(options->region, ZONE_BYTES))
+	if (!member_name_is_valid(options->zone, ZONE_BYTES) ||
+	    !member_name_is_valid(options->region, ZONE_BYTES))
 		goto fail;
 	string_copy(self.zone, sizeof(self.zone), options->zone);
 	string_copy(self.region, sizeof(self.region), options->region);
@@ -556,6 +480,12 @@
 	member_flush_urgent(table, now, actions);
 }
 
+bool
+member_is_spreading(const member_table_t *table)
+{
+	return table->live_count > 1 && !list_is_empty(&table->self->gossip_link);
+}
+
 const member_t *
 member_self(const member_table_t *table)
 {
--- a/src/member.h
+++ b/src/member.h
@@ -8,6 +8,7 @@
 
 #include "buffer.h"
 #include "list.h"
+#include "masticpitch.pb-c.h"
 #include "member_types.h"
 #include "util.h"
 
@@ -124,10 +125,14 @@
 
 /* Each appends actions; out of memory loses actions, as the network may. */
 
-/*
- * One datagram content from the address it came from. Errors:
- * MASTICPITCH_E_INVALID for a malformed or foreign one.
- */
+/* Decodes a datagram content; NULL: malformed, or not from that address. */
+Masticpitch__Datagram *member_decode(
+    const address_t *from, const uint8_t *data, size_t size);
+void member_datagram_free(Masticpitch__Datagram *datagram);
+/* Handles a decoded datagram. */
+void member_handle(member_table_t *table, const address_t *from,
+    const Masticpitch__Datagram *datagram, uint64_t now, list_t *actions);
+/* Both in one. Errors: MASTICPITCH_E_INVALID. */
 int member_receive(member_table_t *table, const address_t *from, const uint8_t *data,
     size_t size, uint64_t now, list_t *actions);
 /* A payload of anti-entropy from a node. Errors: MASTICPITCH_E_INVALID. */
@@ -151,6 +156,8 @@
 void member_tell_incarnation(member_table_t *table, const address_t *to, uint64_t held,
     uint64_t now, list_t *actions);
 
+/* True while updates of this node's own record are still sent to others. */
+bool member_is_spreading(const member_table_t *table);
 /* Own record. */
 const member_t *member_self(const member_table_t *table);
 /* NULL if it is not in the table. */
--- a/src/member_gossip.c
+++ b/src/member_gossip.c
@@ -33,30 +33,6 @@
 	return bits + 3;
 }
 
-void
-member_to_record(
-    const member_t *member, Masticpitch__Member *record, Masticpitch__Instance *instance)
-{
-	masticpitch__member__init(record);
-	record->ip = member->address.ip;
-	record->port = member->address.port;
-	record->zone = (char *)member->zone;
-	record->region = (char *)member->region;
-	record->incarnation = member->incarnation;
-	record->state =
-	    member->state == MEMBER_SUSPECT ? MEMBER_ALIVE : (uint32_t)member->state;
-	record->config_version = member->config_version;
-	if (member->instance.state == INSTANCE_NONE && member->instance.sequence == 0)
-		return;
-	masticpitch__instance__init(instance);
-	instance->state = (uint32_t)member->instance.state;
-	instance->service = (char *)member->instance.service;
-	instance->slots = member->instance.slots;
-	instance->connections = member->instance.connections;
-	instance->sequence = member->instance.sequence;
-	record->instance = instance;
-}
-
 /* False if it does not fit any more. */
 static bool
 datagram_add_member(datagram_scratch_t *scratch, const member_t *member)
@@ -381,30 +357,53 @@
 	member_probe_receive(table, entry, from, datagram, now, actions);
 }
 
-int
-member_receive(member_table_t *table, const address_t *from, const uint8_t *data,
-    size_t size, uint64_t now, list_t *actions)
+Masticpitch__Datagram *
+member_decode(const address_t *from, const uint8_t *data, size_t size)
 {
 	frame_allocator_t allocator;
 	Masticpitch__Datagram *datagram;
-	int error = MASTICPITCH_E_INVALID;
 
 	if (size > MEMBER_DATAGRAM_MAX)
-		return error;
+		return NULL;
 	frame_allocator_init(&allocator, size);
 	datagram = masticpitch__datagram__unpack(&allocator.base, size, data);
 	if (datagram == NULL)
-		return error;
-	if (datagram->node != address_to_node_id(from) ||
-	    datagram->node == table->self->member.node || datagram->incarnation == 0 ||
-	    datagram->incarnation > INCARNATION_MAX) {
-		table->statistics.refused++;
-		goto out;
-	}
-	error = MASTICPITCH_OK;
+		return NULL;
+	if (datagram->node == address_to_node_id(from) && datagram->incarnation != 0 &&
+	    datagram->incarnation <= INCARNATION_MAX)
+		return datagram;
+	member_datagram_free(datagram);
+	return NULL;
+}
+
+void
+member_datagram_free(Masticpitch__Datagram *datagram)
+{
+	if (datagram != NULL)
+		masticpitch__datagram__free_unpacked(datagram, NULL);
+}
+
+void
+member_handle(member_table_t *table, const address_t *from,
+    const Masticpitch__Datagram *datagram, uint64_t now, list_t *actions)
+{
+	if (datagram->node == table->self->member.node)
+		return;
 	datagram_receive(table, from, datagram, now, actions);
 	member_flush_urgent(table, now, actions);
-out:
-	masticpitch__datagram__free_unpacked(datagram, NULL);
-	return error;
+}
+
+int
+member_receive(member_table_t *table, const address_t *from, const uint8_t *data,
+    size_t size, uint64_t now, list_t *actions)
+{
+	Masticpitch__Datagram *datagram = member_decode(from, data, size);
+
+	if (datagram == NULL) {
+		table->statistics.refused++;
+		return MASTICPITCH_E_INVALID;
+	}
+	member_handle(table, from, datagram, now, actions);
+	member_datagram_free(datagram);
+	return MASTICPITCH_OK;
 }
--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -140,6 +140,18 @@
 void member_forget(member_table_t *table, member_entry_t *entry, list_t *actions);
 bool member_is_down(const member_entry_t *entry);
 
+/* member_record.c */
+bool member_name_is_valid(const char *name, size_t size);
+/* Place in the order of states; a suspicion is local and counts as alive. */
+unsigned member_state_rank(member_state_t state);
+/* Errors: MASTICPITCH_E_INVALID. */
+int member_record_read(const Masticpitch__Member *record, member_t *member);
+/* Order of one node's records: incarnation, state, instance sequence. */
+bool member_record_is_newer(const member_t *record, const member_t *held);
+/* Points into member and instance. */
+void member_to_record(
+    const member_t *member, Masticpitch__Member *record, Masticpitch__Instance *instance);
+
 /* member_gossip.c */
 typedef struct datagram_options {
 	Masticpitch__Datagram__Kind kind;
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -402,10 +402,13 @@
 			zone_set_reachable(zone, false, actions);
 		if (now < after_ms(zone->probe_sent, wait))
 			continue;
+		/* Two at once after a miss: 5% loss must not make a zone unreachable. */
+		for (int probes = zone->probe_pending ? 2 : 1; probes > 0; probes--)
+			probe_send(table,
+			    zone->live[rng_below(&table->rng, zone->live_count)], now,
+			    actions);
 		zone->probe_sent = now;
 		zone->probe_pending = true;
-		probe_send(table, zone->live[rng_below(&table->rng, zone->live_count)],
-		    now, actions);
 	}
 }
 
--- /dev/null
+++ b/src/membership.c
@@ -0,0 +1,426 @@
+#include "membership.h"
+
+#include "auth.h"
+#include "fault.h"
+#include "member.h"
+#include "membership_status.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Datagrams read before the loop looks at other sockets again. */
+#define DATAGRAMS_PER_TURN 64
+/* Answers to former starts of nodes, so that replays cause little traffic. */
+#define TELL_INTERVAL_MS 100
+
+struct membership {
+	kernel_t *kernel;
+	const settings_t *settings;
+	service_t service;
+	uint64_t node;
+	auth_keys_t keys;
+	auth_windows_t *windows;
+	member_table_t *table;
+	int fd;
+	ev_io reader;
+	ev_timer ticker;
+	uint64_t told; /* ns */
+	bool announced;
+	fault_t *fault;
+};
+
+static void
+membership_post(membership_t *membership, const char *to, message_t *message)
+{
+	kernel_message_post(membership->kernel, &membership->service,
+	    kernel_service_find(membership->kernel, to), message);
+}
+
+static void
+datagram_send(membership_t *membership, const member_action_t *action)
+{
+	metrics_t *metrics = kernel_metrics(membership->kernel);
+	uint8_t wire[MEMBER_WIRE_MAX];
+	size_t size = action->payload->size + AUTH_DATAGRAM_HEAD_BYTES;
+	struct sockaddr_in to;
+
+	INVARIANT(size <= sizeof(wire));
+	metrics_add(metrics, METRIC_DATAGRAMS_SENT, 1);
+	metrics_add(metrics, METRIC_CONTROL_BYTES_SENT, size);
+	if (fault_drops_datagram(membership->fault, action->address.ip))
+		return;
+	auth_datagram_sign(&membership->keys, action->node, action->payload->data,
+	    action->payload->size, wire);
+	address_to_sockaddr(&action->address, &to);
+	/* A datagram that cannot be sent is lost; probes are repeated. */
+	(void)sendto(
+	    membership->fd, wire, size, 0, (const struct sockaddr *)&to, sizeof(to));
+}
+
+static void
+sync_send(membership_t *membership, member_action_t *action)
+{
+	message_t *message = message_create(MESSAGE_CONTROL, action->node, 0);
+
+	if (message == NULL)
+		return;
+	message->u.control.kind = CONTROL_MEMBERSHIP;
+	message->u.control.payload = action->payload;
+	action->payload = NULL;
+	membership_post(membership, "peer", message);
+}
+
+static void
+member_post(membership_t *membership, const member_t *member)
+{
+	static const char *const receivers[] = {"peer", "entry", "config", "operators"};
+
+	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++) {
+		message_t *message = message_create(MESSAGE_MEMBER, member->node, 0);
+
+		if (message != NULL)
+			message->u.member = *member;
+		membership_post(membership, receivers[i], message);
+	}
+}
+
+static void
+removed_post(membership_t *membership, uint64_t node)
+{
+	static const char *const receivers[] = {"peer", "entry", "config", "operators"};
+
+	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++)
+		membership_post(membership, receivers[i],
+		    message_create(MESSAGE_MEMBER_REMOVED, node, 0));
+}
+
+static void
+version_post(membership_t *membership, const member_action_t *action)
+{
+	message_t *message = message_create(MESSAGE_VERSION_HEARD, action->node, 0);
+
+	if (message != NULL) {
+		message->u.version.version = action->u.version.version;
+		message->u.version.floor = action->u.version.floor;
+	}
+	membership_post(membership, "config", message);
+}
+
+static void
+crash_post(membership_t *membership, const member_crash_report_t *report)
+{
+	static const char *const receivers[] = {"gate", "entry"};
+
+	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++) {
+		message_t *message = message_create(MESSAGE_CRASH_REPORT, 0, 0);
+
+		if (message != NULL) {
+			message->u.crash_report.fingerprint = report->fingerprint;
+			message->u.crash_report.death = report->death;
+			message->u.crash_report.cleared = report->cleared;
+		}
+		membership_post(membership, receivers[i], message);
+	}
+}
+
+static void
+action_perform(membership_t *membership, member_action_t *action)
+{
+	switch (action->type) {
+	case MEMBER_ACTION_SEND:
+		if (action->payload != NULL)
+			datagram_send(membership, action);
+		break;
+	case MEMBER_ACTION_SYNC:
+		if (action->payload != NULL)
+			sync_send(membership, action);
+		break;
+	case MEMBER_ACTION_CHANGED:
+		member_post(membership, &action->u.member);
+		break;
+	case MEMBER_ACTION_REMOVED:
+		removed_post(membership, action->node);
+		break;
+	case MEMBER_ACTION_VERSION_HEARD:
+		version_post(membership, action);
+		break;
+	case MEMBER_ACTION_CRASH_REPORT:
+		crash_post(membership, &action->u.crash_report);
+		break;
+	case MEMBER_ACTION_JOIN_NEEDED:
+		membership_post(
+		    membership, "config", message_create(MESSAGE_JOIN_NEEDED, 0, 0));
+		break;
+	}
+}
+
+static void
+actions_perform(membership_t *membership, list_t *actions)
+{
+	member_action_t *action;
+
+	while ((action = member_action_take(actions)) != NULL) {
+		action_perform(membership, action);
+		member_action_destroy(action);
+	}
+}
+
+static void
+statistics_publish(membership_t *membership)
+{
+	metrics_t *metrics = kernel_metrics(membership->kernel);
+	member_statistics_t statistics;
+
+	member_table_statistics(membership->table, &statistics);
+	metrics_set(metrics, METRIC_MEMBERS_ALIVE, statistics.alive);
+	metrics_set(metrics, METRIC_MEMBERS_DOWN, statistics.down);
+	metrics_set(metrics, METRIC_ZONES_UNREACHABLE, statistics.zones_unreachable);
+	metrics_set(metrics, METRIC_MEMBER_SUSPICIONS, statistics.suspicions);
+	metrics_set(metrics, METRIC_MEMBER_SYNCS, statistics.syncs);
+}
+
+/* A start of the node that is not the newest one known, or a replay. */
+static void
+former_boot_answer(
+    membership_t *membership, const address_t *from, uint64_t held, list_t *actions)
+{
+	uint64_t now = kernel_now(membership->kernel);
+
+	if (now < membership->told + TELL_INTERVAL_MS * NS_PER_MS)
+		return;
+	membership->told = now;
+	member_tell_incarnation(membership->table, from, held, now, actions);
+}
+
+/* Errors: those of authentication, and MASTICPITCH_E_INVALID. */
+static int
+datagram_accept(membership_t *membership, const address_t *from, const uint8_t *data,
+    size_t size, list_t *actions)
+{
+	uint64_t now = kernel_now(membership->kernel);
+	Masticpitch__Datagram *datagram;
+	const uint8_t *content;
+	size_t content_size;
+	uint64_t held = 0;
+	int error = auth_datagram_verify(
+	    &membership->keys, membership->node, data, size, &content, &content_size);
+
+	if (error != MASTICPITCH_OK)
+		return error;
+	datagram = member_decode(from, content, content_size);
+	if (datagram == NULL)
+		return MASTICPITCH_E_INVALID;
+	error = auth_windows_accept(membership->windows, datagram->node, datagram->boot,
+	    datagram->incarnation, datagram->sequence, now, &held);
+	if (error == MASTICPITCH_OK)
+		member_handle(membership->table, from, datagram, now, actions);
+	else if (error == MASTICPITCH_E_STALE)
+		former_boot_answer(membership, from, held, actions);
+	member_datagram_free(datagram);
+	return error;
+}
+
+static void
+read_callback(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	membership_t *membership = watcher->data;
+	metrics_t *metrics = kernel_metrics(membership->kernel);
+	list_t actions;
+
+	list_init(&actions);
+	for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
+		uint8_t data[MEMBER_WIRE_MAX + 1];
+		struct sockaddr_in sockaddr = {0};
+		socklen_t sockaddr_size = sizeof(sockaddr);
+		address_t from;
+		ssize_t size = recvfrom(membership->fd, data, sizeof(data), 0,
+		    (struct sockaddr *)&sockaddr, &sockaddr_size);
+
+		/* An answer that a port is closed is an error too; read on. */
+		if (size < 0 && errno == ECONNREFUSED)
+			continue;
+		if (size < 0)
+			break;
+		address_from_sockaddr(&sockaddr, &from);
+		if (fault_drops_datagram(membership->fault, from.ip))
+			continue;
+		if (datagram_accept(membership, &from, data, (size_t)size, &actions) !=
+		    MASTICPITCH_OK) {
+			metrics_add(metrics, METRIC_DATAGRAMS_REFUSED, 1);
+			continue;
+		}
+		metrics_add(metrics, METRIC_DATAGRAMS_RECEIVED, 1);
+		metrics_add(metrics, METRIC_CONTROL_BYTES_RECEIVED, (uint64_t)size);
+	}
+	actions_perform(membership, &actions);
+}
+
+static void
+tick_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	membership_t *membership = watcher->data;
+	list_t actions;
+
+	/* Every service exists now and can be told of this node itself. */
+	if (!membership->announced) {
+		member_t self = *member_self(membership->table);
+
+		membership->announced = true;
+		self.reachable = true;
+		member_post(membership, &self);
+	}
+	list_init(&actions);
+	member_tick(membership->table, kernel_now(membership->kernel), &actions);
+	actions_perform(membership, &actions);
+	statistics_publish(membership);
+}
+
+static void
+query_answer(membership_t *membership, const message_t *query)
+{
+	message_t *report = message_create(MESSAGE_REPORT, query->node, query->stream);
+
+	if (report != NULL)
+		report->u.report = membership_status_format(membership->table);
+	kernel_message_post(
+	    membership->kernel, &membership->service, query->from, report);
+}
+
+static void
+membership_receive(void *state, message_t *message)
+{
+	membership_t *membership = state;
+	member_table_t *table = membership->table;
+	uint64_t now = kernel_now(membership->kernel);
+	const chunk_t *payload;
+	member_crash_report_t report;
+	list_t actions;
+
+	list_init(&actions);
+	switch (message->type) {
+	case MESSAGE_INSTANCE:
+		member_set_instance(table, &message->u.instance, now, &actions);
+		break;
+	case MESSAGE_VERSION:
+		member_set_version(table, message->u.version.version, now, &actions);
+		break;
+	case MESSAGE_CRASH_REPORT:
+		report.fingerprint = message->u.crash_report.fingerprint;
+		report.death = message->u.crash_report.death;
+		report.cleared = message->u.crash_report.cleared;
+		member_report_crash(table, &report, now, &actions);
+		break;
+	case MESSAGE_LEAVE:
+		member_leave(table, now, &actions);
+		break;
+	case MESSAGE_JOIN_ADDRESS:
+		member_add_join_address(table, &message->u.address);
+		break;
+	case MESSAGE_CONTROL:
+		payload = message->u.control.payload;
+		if (payload != NULL)
+			member_sync_receive(table, message->node, payload->data,
+			    payload->size, now, &actions);
+		break;
+	case MESSAGE_QUERY:
+		query_answer(membership, message);
+		break;
+	default:
+		break;
+	}
+	actions_perform(membership, &actions);
+}
+
+/* A graceful shutdown waits until the others know that this node leaves. */
+static bool
+membership_is_idle(const void *state)
+{
+	const membership_t *membership = state;
+
+	return !member_is_spreading(membership->table);
+}
+
+static int
+table_open(membership_t *membership)
+{
+	kernel_t *kernel = membership->kernel;
+	const settings_t *settings = membership->settings;
+	const member_options_t options = {.address = settings->peers,
+	    .zone = settings->zone,
+	    .region = settings->region,
+	    .boot = kernel_boot_id(kernel),
+	    .incarnation = os_clock_wall_ms(),
+	    .seed = rng_next(kernel_rng(kernel)) ^ kernel_boot_id(kernel),
+	    .seeds = settings->seeds,
+	    .seed_count = settings->seed_count};
+
+	return member_table_create(&options, kernel_now(kernel), &membership->table);
+}
+
+int
+membership_create(kernel_t *kernel, const settings_t *settings, membership_t **result)
+{
+	membership_t *membership = calloc(1, sizeof(*membership));
+	struct ev_loop *loop = kernel_loop(kernel);
+	int error = MASTICPITCH_E_NOMEM;
+
+	if (membership == NULL)
+		return error;
+	membership->kernel = kernel;
+	membership->settings = settings;
+	membership->node = address_to_node_id(&settings->peers);
+	membership->fd = -1;
+	auth_keys_init(&membership->keys, settings);
+	membership->windows = auth_windows_create();
+	if (membership->windows == NULL)
+		goto fail;
+	error = table_open(membership);
+	if (error != MASTICPITCH_OK)
+		goto fail;
+	error = os_socket_datagram(&settings->peers, &membership->fd);
+	if (error != MASTICPITCH_OK)
+		goto fail;
+	membership->service.name = "membership";
+	membership->service.state = membership;
+	membership->service.receive = membership_receive;
+	membership->service.is_idle = membership_is_idle;
+	error = kernel_service_register(kernel, &membership->service);
+	if (error != MASTICPITCH_OK)
+		goto fail;
+	membership->fault = fault_acquire(kernel, settings);
+	ev_io_init(&membership->reader, read_callback, membership->fd, EV_READ);
+	membership->reader.data = membership;
+	ev_io_start(loop, &membership->reader);
+	ev_timer_init(&membership->ticker, tick_callback, 0., MEMBER_TICK_MS / 1e3);
+	membership->ticker.data = membership;
+	ev_timer_start(loop, &membership->ticker);
+	*result = membership;
+	return MASTICPITCH_OK;
+fail:
+	if (membership->fd >= 0)
+		close(membership->fd);
+	member_table_destroy(membership->table);
+	auth_windows_destroy(membership->windows);
+	free(membership);
+	return error;
+}
+
+void
+membership_destroy(membership_t *membership)
+{
+	struct ev_loop *loop;
+
+	if (membership == NULL)
+		return;
+	loop = kernel_loop(membership->kernel);
+	ev_io_stop(loop, &membership->reader);
+	ev_timer_stop(loop, &membership->ticker);
+	close(membership->fd);
+	kernel_service_unregister(membership->kernel, &membership->service);
+	fault_release(membership->fault);
+	member_table_destroy(membership->table);
+	auth_windows_destroy(membership->windows);
+	free(membership);
+}
--- /dev/null
+++ b/src/membership_status.h
@@ -0,0 +1,25 @@
+/*
+ * The membership part of GET /status, see docs/design.md section 12. One thread.
+ */
+#ifndef MASTICPITCH_MEMBERSHIP_STATUS_H
+#define MASTICPITCH_MEMBERSHIP_STATUS_H
+
+#include "member.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Longest status, bytes: some 200 for each member. */
+#define MEMBERSHIP_STATUS_MAX (4 * 1024 * 1024)
+/* Versions counted apart in one zone; the rest is left out. */
+#define MEMBERSHIP_STATUS_VERSIONS_MAX 16
+
+/* JSON object with members and zones; NULL: no memory, or too long. */
+chunk_t *membership_status_format(const member_table_t *table);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
