--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -98,6 +98,7 @@
 	member_entry_t *targets[TARGETS_MAX];
 	size_t target_count;
 	bool targets_stale;
+	uint64_t targets_review_at;
 	list_t gossip; /* updates to send, in turn */
 	uint64_t urgent_at;
 	uint32_t version_left; /* datagrams that announce the own version */
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -126,7 +126,7 @@
 	size_t position = ring_after(table, table->self->member.node) - 1;
 	unsigned firm = 0, wanted = MEMBER_MONITORS;
 
-	table->targets_stale = false;
+	table->targets_review_at = after_ms(now, MEMBER_TARGET_KEEP_MS);
 	memcpy(former, table->targets, sizeof(former));
 	for (size_t i = 0; i < former_count; i++)
 		former[i]->is_target = false;
@@ -376,7 +376,8 @@
 	member_entry_t *targets[TARGETS_MAX];
 	size_t count;
 
-	if (table->targets_stale)
+	/* Targets that were only kept are dropped when their time is over. */
+	if (table->targets_stale || now >= table->targets_review_at)
 		targets_update(table, now, actions);
 	count = table->target_count;
 	memcpy(targets, table->targets, sizeof(targets));
