--- /dev/null
+++ b/models/mutants/membership-confirm.sed
@@ -0,0 +1,1 @@
+s|^#define confirmed(i) .*|#define confirmed(i) misses(i)|
--- a/src/membership.c
+++ b/src/membership.c
@@ -14,6 +14,8 @@
 #define DATAGRAMS_PER_TURN 64
 /* Answers to former starts of nodes, so that replays cause little traffic. */
 #define TELL_INTERVAL_MS 100
+/* Room for the bursts of a mass restart, bytes; the system may grant less. */
+#define RECEIVE_BUFFER_BYTES (1024 * 1024)
 
 struct membership {
 	kernel_t *kernel;
@@ -364,6 +366,7 @@
 {
 	membership_t *membership = calloc(1, sizeof(*membership));
 	struct ev_loop *loop = kernel_loop(kernel);
+	int receive_bytes = RECEIVE_BUFFER_BYTES;
 	int error = MASTICPITCH_E_NOMEM;
 
 	if (membership == NULL)
@@ -382,6 +385,8 @@
 	error = os_socket_datagram(&settings->peers, &membership->fd);
 	if (error != MASTICPITCH_OK)
 		goto fail;
+	setsockopt(
+	    membership->fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
 	membership->service.name = "membership";
 	membership->service.state = membership;
 	membership->service.receive = membership_receive;
--- a/src/peer_internal.h
+++ b/src/peer_internal.h
@@ -29,7 +29,7 @@
 #define PEER_BACKOFF_MAX_MS 5000
 #define PEER_TICK_MS 250
 /* Connections that have not proved a key yet. */
-#define PEER_UNPROVED_MAX 256
+#define PEER_UNPROVED_MAX 1024
 #define PEER_CONNECTIONS_MAX 8192
 /* Connections with one node; more than two exist only for moments. */
 #define PEER_CONNECTIONS_PER_NODE_MAX 4
