Test the gate

Cause: run states, flow control and shutdown of the gate were untested.

Change: test_gate drives the real service with a raw backend server and fake entry, peer and membership services. test_http uses an address of its own process, so that checks of two worktrees can run side by side.

Conclusion: run states hold for refused connections, resets, reused connections, cuts, deadlines and shedding.

--- /dev/null
+++ b/test/test_gate.cc
@@ -0,0 +1,450 @@
+// Guards the gate against false run states, resends by the HTTP library,
+// answers that are cut without a mark, work that is interrupted when the host
+// leaves, and buffers beyond the window.
+#include "common_request.h"
+#include "gate.h"
+
+namespace
+{
+
+class Gate : public RequestTest
+{
+      protected:
+	gate_t *gate = nullptr;
+	http_client_t *client = nullptr;
+	std::unique_ptr<Fake> entry, peer, membership;
+	std::unique_ptr<RawServer> server;
+	address_t server_address = {};
+
+	void
+	SetUp() override
+	{
+		RequestTest::SetUp();
+		server_address = {own_ip(), 8090};
+		ASSERT_EQ(gate_create(kernel, &settings, &gate), 0);
+		ASSERT_EQ(http_client_create(kernel_loop(kernel), 4, &client), 0);
+		entry = std::make_unique<Fake>(kernel, "entry");
+		peer = std::make_unique<Fake>(kernel, "peer");
+		membership = std::make_unique<Fake>(kernel, "membership");
+		server = std::make_unique<RawServer>(server_address);
+	}
+	void
+	TearDown() override
+	{
+		http_client_destroy(client);
+		gate_destroy(gate);
+		entry.reset();
+		peer.reset();
+		membership.reset();
+		server.reset();
+		RequestTest::TearDown();
+	}
+	// Announces a backend server; returns the HTTP status.
+	int
+	announce(const std::string &state, int slots = 2, const std::string &boot = "b1",
+	    const std::string &instance = "katalogo-1")
+	{
+		char address[ADDRESS_TEXT_BYTES];
+
+		address_format(&server_address, address);
+		return announce_text("{\"service\":\"katalogo\",\"instance\":\"" +
+				     instance + "\",\"address\":\"" + address +
+				     "\",\"slots\":" + std::to_string(slots) +
+				     ",\"connections\":" + std::to_string(slots) +
+				     ",\"state\":\"" + state + "\",\"boot\":\"" + boot +
+				     "\",\"load\":0.5}");
+	}
+	int
+	announce_text(const std::string &text, const std::string &path = "/announce")
+	{
+		char address[ADDRESS_TEXT_BYTES];
+		http_request_t request = {};
+		std::string url;
+		int status = 0;
+
+		address_format(&settings.backend_servers, address);
+		url = std::string("http://") + address + path;
+		request.method = "POST";
+		request.url = url.c_str();
+		request.body = text.c_str();
+		request.body_size = text.size();
+		request.deadline = os_clock_monotonic() + 5 * NS_PER_S;
+		request.answer_max = 4096;
+		EXPECT_EQ(http_client_call(
+			      client, &request,
+			      [](void *state, const http_answer_t *answer) {
+				      *static_cast<int *>(state) =
+					  answer->error == 0 ? answer->status : -1;
+			      },
+			      &status, nullptr),
+		    0);
+		EXPECT_TRUE(until([&] { return status != 0; }));
+		return status;
+	}
+	// Waits for a refusal, or an abort, of a stream.
+	void
+	expect_refusal(Fake &from, message_type_t type, uint64_t stream, reason_t reason,
+	    run_state_t run)
+	{
+		ASSERT_TRUE(until([&] { return from.find(type, stream) != nullptr; }));
+		EXPECT_STREQ(reason_text(from.find(type, stream)->refusal.reason),
+		    reason_text(reason));
+		EXPECT_STREQ(run_state_text(from.find(type, stream)->refusal.run),
+		    run_state_text(run));
+	}
+	bool
+	has_ended(uint64_t stream)
+	{
+		return entry->ended(MESSAGE_ANSWER_DATA, stream);
+	}
+	bool
+	is_idle()
+	{
+		service_t *service = kernel_service_find(kernel, "gate");
+
+		return service->is_idle(service->state);
+	}
+};
+
+const char OK_ANSWER[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Own: 1\r\n"
+			 "Masticpitch-Depth: 3\r\nKeep-Alive: timeout=5\r\n\r\nok";
+
+TEST_F(Gate, MalformedAnnouncementsAreRefused)
+{
+	EXPECT_EQ(announce_text("{"), 400);
+	EXPECT_EQ(announce_text("[]"), 400);
+	EXPECT_EQ(announce_text("{\"service\":\"a\\u0000b\"}"), 400);
+	EXPECT_EQ(announce("resting"), 400);
+	EXPECT_EQ(announce("ready", 0), 400);
+	EXPECT_EQ(announce_text("{}", "/other"), 404);
+	EXPECT_EQ(announce_text(std::string(5000, ' ')), 413);
+	EXPECT_TRUE(membership->messages.empty());
+}
+
+TEST_F(Gate, InstanceIsPostedOnEachChangeAndDroppedWhenSilent)
+{
+	EXPECT_EQ(announce("starting"), 200);
+	EXPECT_EQ(announce("starting"), 200);
+	EXPECT_EQ(announce("ready", 3), 200);
+	EXPECT_EQ(announce("ready", 3, "b1", "katalogo-2"), 409);
+	ASSERT_TRUE(until([&] { return membership->messages.size() == 2; }));
+	EXPECT_EQ(membership->messages[0].instance.state, INSTANCE_STARTING);
+	EXPECT_EQ(membership->messages[1].instance.state, INSTANCE_READY);
+	EXPECT_EQ(membership->messages[1].instance.slots, 3u);
+	EXPECT_GT(membership->messages[1].instance.sequence,
+	    membership->messages[0].instance.sequence);
+	EXPECT_EQ(entry->count(MESSAGE_INSTANCE), 2u);
+	ASSERT_TRUE(until([&] { return membership->messages.size() == 3; }));
+	EXPECT_EQ(membership->messages[2].instance.state, INSTANCE_NONE);
+}
+
+TEST_F(Gate, CallReachesTheServerAndItsAnswerComesBack)
+{
+	Raw *connection;
+
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/a%20b?x=1"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	connection = server->with("\r\n\r\n");
+	EXPECT_TRUE(connection->has("GET /katalogo/a%20b?x=1 HTTP/1.1\r\n"));
+	EXPECT_TRUE(connection->has("Masticpitch-Depth: 1\r\n"));
+	EXPECT_TRUE(connection->has("Masticpitch-Request-Id: id-1\r\n"));
+	EXPECT_TRUE(connection->has("Masticpitch-Deadline-Ms: 9"));
+	EXPECT_FALSE(connection->has("Accept:"));
+	connection->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(1); }));
+	const Received *head = entry->find(MESSAGE_ANSWER_HEAD, 1);
+	ASSERT_NE(head, nullptr);
+	EXPECT_EQ(head->status, 200);
+	EXPECT_EQ(head->body_length, 2);
+	EXPECT_EQ(head->headers, "X-Own: 1\n");
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 1), "ok");
+	EXPECT_TRUE(is_idle());
+}
+
+TEST_F(Gate, UploadIsBoundedByTheWindowAndArrivesWhole)
+{
+	std::string body(1000000, 'x'), piece;
+	size_t sent = 0, credit = STREAM_WINDOW;
+	Raw *connection = nullptr;
+
+	ASSERT_EQ(announce("ready"), 200);
+	for (size_t i = 0; i < body.size(); i++)
+		body[i] = static_cast<char>('a' + i % 23);
+	peer->post("gate", call(9, 5, "POST", "/katalogo/up", 1000000));
+	ASSERT_TRUE(until([&] {
+		size_t most = STREAM_WINDOW;
+
+		for (const Received &message : peer->messages)
+			most += message.type == MESSAGE_CALL_CREDIT ? message.credit : 0;
+		credit = most;
+		while (sent < body.size() && sent + STREAM_DATA_MAX <= credit) {
+			piece = body.substr(sent, STREAM_DATA_MAX);
+			sent += piece.size();
+			peer->post_data(
+			    "gate", MESSAGE_CALL_DATA, 9, 5, piece, sent == body.size());
+		}
+		connection = server->with("\r\n\r\n");
+		return connection != nullptr && connection->input.size() > body.size();
+	}));
+	ASSERT_TRUE(until([&] { return connection->has(body); }));
+	connection->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return peer->ended(MESSAGE_ANSWER_DATA, 5); }));
+	EXPECT_EQ(peer->find(MESSAGE_ANSWER_HEAD, 5)->node, 9u);
+}
+
+TEST_F(Gate, BytesBeyondTheWindowEndTheCall)
+{
+	std::string piece(STREAM_DATA_MAX, 'x');
+
+	ASSERT_EQ(announce("ready", 1), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/slow"));
+	entry->post("gate", call(0, 2, "POST", "/katalogo/up", -1));
+	for (int i = 0; i < STREAM_WINDOW / STREAM_DATA_MAX; i++)
+		entry->post_data("gate", MESSAGE_CALL_DATA, 0, 2, piece, false);
+	settle();
+	EXPECT_EQ(entry->find(MESSAGE_REFUSAL, 2), nullptr);
+	entry->post_data("gate", MESSAGE_CALL_DATA, 0, 2, "x", false);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_BAD_FRAMING, RUN_NO);
+}
+
+TEST_F(Gate, BodyShorterThanItsLengthIsNotPassedAsWhole)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "POST", "/katalogo/up", 100));
+	entry->post_data("gate", MESSAGE_CALL_DATA, 0, 1, "short", true);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BAD_FRAMING, RUN_NO);
+}
+
+TEST_F(Gate, LargeAnswerWaitsForCredit)
+{
+	std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" +
+			     std::string(1000000, 'y');
+	size_t written = 0, credited = 0;
+	Raw *connection = nullptr;
+
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/big"));
+	ASSERT_TRUE(until([&] {
+		connection = server->with("\r\n\r\n");
+		return connection != nullptr;
+	}));
+	ASSERT_TRUE(until([&] {
+		written += connection->write(answer, written);
+		return entry->body(MESSAGE_ANSWER_DATA, 1).size() >
+		       STREAM_WINDOW - STREAM_DATA_MAX;
+	}));
+	for (int i = 0; i < 20; i++) {
+		written += connection->write(answer, written);
+		settle();
+	}
+	EXPECT_LE(entry->body(MESSAGE_ANSWER_DATA, 1).size(), size_t{STREAM_WINDOW});
+	ASSERT_TRUE(until([&] {
+		size_t got = entry->body(MESSAGE_ANSWER_DATA, 1).size();
+
+		if (got - credited >= STREAM_WINDOW / 4) {
+			entry->post_credit("gate", MESSAGE_ANSWER_CREDIT, 0, 1,
+			    static_cast<uint32_t>(got - credited));
+			credited = got;
+		}
+		written += connection->write(answer, written);
+		return has_ended(1);
+	}));
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 1), std::string(1000000, 'y'));
+}
+
+TEST_F(Gate, CallsThatTheInstanceCannotTakeAreRefusedAsNotRun)
+{
+	message_t *foreign = call(0, 2, "GET", "/pamigay/x");
+
+	entry->post("gate", call(0, 1, "GET", "/katalogo/x"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_INSTANCE_GONE, RUN_NO);
+	ASSERT_EQ(announce("starting"), 200);
+	strcpy(foreign->u.call->service, "pamigay");
+	entry->post("gate", foreign);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_INSTANCE_GONE, RUN_NO);
+	entry->post("gate", call(0, 3, "GET", "/katalogo/x"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 3, REASON_BACKEND_STARTING, RUN_NO);
+	ASSERT_EQ(announce("leaving"), 200);
+	entry->post("gate", call(0, 4, "GET", "/katalogo/x"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 4, REASON_LEAVING, RUN_NO);
+	server->poll();
+	EXPECT_TRUE(server->connections.empty());
+}
+
+TEST_F(Gate, RefusedConnectionIsNotRunAndWithdrawsTheInstance)
+{
+	server->stop();
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "POST", "/katalogo/x"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_CONNECT, RUN_NO);
+	ASSERT_TRUE(until([&] { return membership->messages.size() >= 2; }));
+	EXPECT_EQ(membership->messages[1].instance.state, INSTANCE_NONE);
+}
+
+TEST_F(Gate, ResetAfterTheRequestWasSentIsUnknown)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "POST", "/katalogo/x"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	server->connections[0]->abort();
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_LOST, RUN_UNKNOWN);
+}
+
+// libcurl itself would send the request again on a new connection.
+TEST_F(Gate, ReusedConnectionThatClosesIsNotUsedToResend)
+{
+	Raw *connection = nullptr;
+
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/x"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	connection = server->connections[0].get();
+	connection->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(1); }));
+	connection->input.clear();
+	entry->post("gate", call(0, 2, "POST", "/katalogo/y"));
+	ASSERT_TRUE(until([&] { return connection->has("/katalogo/y"); }));
+	connection->finish();
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_BACKEND_LOST, RUN_UNKNOWN);
+	EXPECT_EQ(metric(METRIC_BACKEND_RESEND_BLOCKED), 1u);
+	settle();
+	server->poll();
+	for (auto &other : server->connections)
+		EXPECT_EQ(other.get() == connection ? "" : other->input, "");
+}
+
+TEST_F(Gate, ShortAnswerIsMarkedAsCut)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/x"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	server->connections[0]->write(
+	    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort");
+	ASSERT_TRUE(until([&] { return entry->find(MESSAGE_ANSWER_HEAD, 1); }));
+	server->connections[0]->finish();
+	expect_refusal(*entry, MESSAGE_ANSWER_ABORT, 1, REASON_BACKEND_LOST, RUN_YES);
+	EXPECT_FALSE(has_ended(1));
+}
+
+TEST_F(Gate, MalformedAnswerIsUnknown)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/x"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	server->connections[0]->write("no HTTP at all\r\n\r\n");
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN);
+}
+
+TEST_F(Gate, OnlyAMarked503CountsAsShedUnrun)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/x"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	server->connections[0]->write("HTTP/1.1 503 Busy\r\nMasticpitch-Run: no\r\n"
+				      "Content-Length: 4\r\n\r\nbusy");
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_SHED, RUN_NO);
+	server->connections[0]->input.clear();
+	entry->post("gate", call(0, 2, "GET", "/katalogo/y"));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/y") != nullptr; }));
+	server->with("/katalogo/y")
+	    ->write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+	ASSERT_TRUE(until([&] { return has_ended(2); }));
+	EXPECT_EQ(entry->find(MESSAGE_ANSWER_HEAD, 2)->status, 503);
+}
+
+TEST_F(Gate, CancelledCallsFreeTheirPlaces)
+{
+	Raw *connection;
+
+	ASSERT_EQ(announce("ready", 1), 200);
+	for (uint64_t i = 1; i <= 3; i++) {
+		std::string path = "/katalogo/" + std::to_string(i);
+
+		entry->post("gate", call(0, i, "GET", path.c_str()));
+	}
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/1 ") != nullptr; }));
+	connection = server->with("/katalogo/1 ");
+	entry->post("gate", message_create(MESSAGE_CALL_CANCEL, 0, 2));
+	entry->post("gate", message_create(MESSAGE_CALL_CANCEL, 0, 1));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/3 ") != nullptr; }));
+	EXPECT_TRUE(connection->closed);
+	EXPECT_EQ(server->with("/katalogo/2 "), nullptr);
+	server->with("/katalogo/3 ")->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(3); }));
+	EXPECT_EQ(entry->find(MESSAGE_ANSWER_HEAD, 1), nullptr);
+	EXPECT_TRUE(is_idle());
+}
+
+TEST_F(Gate, LostNodeEndsItsCalls)
+{
+	ASSERT_EQ(announce("ready", 1), 200);
+	peer->post("gate", call(4, 1, "GET", "/katalogo/1"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	peer->post("gate", message_create(MESSAGE_STREAM_LOST, 4, 1));
+	ASSERT_TRUE(until([&] {
+		server->poll();
+		return server->connections[0]->closed;
+	}));
+	EXPECT_TRUE(is_idle());
+}
+
+TEST_F(Gate, DeadlineTellsWhetherTheCallWasSent)
+{
+	ASSERT_EQ(announce("ready", 1), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/1", 0, 300));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/1 ") != nullptr; }));
+	entry->post("gate", call(0, 2, "GET", "/katalogo/2", 0, 100));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_DEADLINE_PASSED, RUN_NO);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_DEADLINE_PASSED, RUN_UNKNOWN);
+	EXPECT_EQ(server->with("/katalogo/2 "), nullptr);
+}
+
+TEST_F(Gate, LeavingLetsARunningUploadFinish)
+{
+	Raw *connection;
+
+	ASSERT_EQ(announce("ready", 1), 200);
+	entry->post("gate", call(0, 1, "POST", "/katalogo/up", 10));
+	entry->post("gate", call(0, 2, "GET", "/katalogo/queued"));
+	entry->post_data("gate", MESSAGE_CALL_DATA, 0, 1, "first", false);
+	ASSERT_TRUE(until([&] { return server->with("first") != nullptr; }));
+	connection = server->with("first");
+	entry->post("gate", message_create(MESSAGE_LEAVE, 0, 0));
+	entry->post("gate", call(0, 3, "GET", "/katalogo/late"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 3, REASON_LEAVING, RUN_NO);
+	EXPECT_EQ(membership->messages.back().instance.state, INSTANCE_LEAVING);
+	EXPECT_FALSE(is_idle());
+	EXPECT_FALSE(connection->closed);
+	entry->post_data("gate", MESSAGE_CALL_DATA, 0, 1, "-last", true);
+	ASSERT_TRUE(until([&] { return connection->has("first-last"); }));
+	connection->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(1); }));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/queued") != nullptr; }));
+	server->with("/katalogo/queued")->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(2); }));
+	EXPECT_TRUE(is_idle());
+}
+
+TEST_F(Gate, LateAndCrossedFramesAreDroppedAndCounted)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "POST", "/katalogo/x", 3));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	// The same stream id of another owner or node is another stream.
+	peer->post_data("gate", MESSAGE_CALL_DATA, 0, 1, "bad", true);
+	entry->post_data("gate", MESSAGE_CALL_DATA, 8, 1, "bad", true);
+	peer->post("gate", message_create(MESSAGE_CALL_CANCEL, 0, 1));
+	entry->post("gate", call(0, 1, "POST", "/katalogo/again", 3));
+	entry->post_data("gate", MESSAGE_CALL_DATA, 0, 1, "yes", true);
+	ASSERT_TRUE(until([&] { return server->connections[0]->has("yes"); }));
+	server->connections[0]->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(1); }));
+	entry->post_credit("gate", MESSAGE_ANSWER_CREDIT, 0, 1, 5);
+	entry->post("gate", message_create(MESSAGE_CALL_CANCEL, 0, 1));
+	ASSERT_TRUE(until([&] { return metric(METRIC_LATE_FRAMES) == 6; }));
+	EXPECT_EQ(server->with("again"), nullptr);
+	EXPECT_EQ(server->with("bad"), nullptr);
+}
+
+} // namespace
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -1,6 +1,7 @@
 // Guards the HTTP plumbing against answers that are lost when they come later
 // than the request, resends by the HTTP library, unbounded bodies, and calls
 // that outlive their deadline.
+#include "common_request.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "masticpitch/masticpitch.h"
@@ -43,8 +44,8 @@
 	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
 	http_client_t *client = nullptr;
 	http_server_t *server = nullptr;
-	address_t address = {0x7f4d0101, 18080};
-	std::string url = "http://127.77.1.1:18080";
+	address_t address = {own_ip(), 8080};
+	std::string url;
 	std::function<void(const http_server_request_t *)> handler;
 
 	static void
@@ -55,6 +56,10 @@
 	void
 	SetUp() override
 	{
+		char text[ADDRESS_TEXT_BYTES];
+
+		address_format(&address, text);
+		url = std::string("http://") + text;
 		ASSERT_EQ(http_client_create(loop, 4, &client), 0);
 	}
 	void
