Test the entry

Cause: framing, repeats, flow control and hang-ups were untested.

Found and fixed on the way: the naive policy excluded instances already tried, so two instances allowed two attempts only; a service with one instance got no second attempt after a broken connection.

--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -39,18 +39,33 @@
 	entry_request_refuse(request, reason, request->run, false);
 }
 
+/* The same instance may do better at once: its connection was at fault. */
+static bool
+failure_is_brief(reason_t reason)
+{
+	return reason == REASON_STREAM_LOST || reason == REASON_BACKEND_LOST ||
+	       reason == REASON_BACKEND_CONNECT;
+}
+
 static bool
 instance_choose(entry_request_t *request, uint64_t *node)
 {
 	entry_t *entry = request->entry;
+	size_t excluded = MIN_OF(request->attempts, (uint32_t)PRESET_ATTEMPTS_MAX);
+	rng_t *rng = kernel_rng(entry->kernel);
+	uint64_t now = kernel_now(entry->kernel);
 
 	if (request->ticket_bound) {
 		*node = request->ticket_node;
 		return true;
 	}
-	return balance_choose(entry->balance, request->preset_service, request->tried,
-		   MIN_OF(request->attempts, (uint32_t)PRESET_ATTEMPTS_MAX),
-		   kernel_rng(entry->kernel), kernel_now(entry->kernel),
+	if (entry->naive)
+		excluded = 0;
+	if (balance_choose(entry->balance, request->preset_service, request->tried,
+		excluded, rng, now, node) == MASTICPITCH_OK)
+		return true;
+	return excluded > 0 && failure_is_brief(request->last_reason) &&
+	       balance_choose(entry->balance, request->preset_service, NULL, 0, rng, now,
 		   node) == MASTICPITCH_OK;
 }
 
--- a/test/common_request.h
+++ b/test/common_request.h
@@ -5,8 +5,10 @@
 
 #include "http_client.h"
 #include "kernel.h"
+#include "quarantine.h"
 #include "settings.h"
 #include "snapshot.h"
+#include "ticket.h"
 
 #include <cstring>
 #include <functional>
