--- a/src/balance.h
+++ b/src/balance.h
@@ -17,7 +17,10 @@
 
 /* Instances in the table; the bound of the member table. */
 #define BALANCE_INSTANCES_MAX 8192
-/* Failures in a row that eject an instance. */
+/*
+ * Failures in a row that eject an instance. Attempts that one event ends
+ * together, for example a lost connection, count as one.
+ */
 #define BALANCE_FAILURES_MAX 5
 /* First ejection, ms; doubled by each further one. */
 #define BALANCE_EJECTION_MS 2000
@@ -90,6 +93,15 @@
     const uint64_t *excluded, size_t excluded_count, rng_t *rng, uint64_t now,
     uint64_t *node);
 
+/*
+ * The same with the class of the request known. balance_choose() takes it as
+ * ROUTE_CALL; internal calls should come through here, since lookups that wait
+ * at a gate do not delay them.
+ */
+int balance_choose_for_class(balance_t *balance, const preset_service_t *service,
+    route_class_t route_class, const uint64_t *excluded, size_t excluded_count,
+    rng_t *rng, uint64_t now, uint64_t *node);
+
 /* Records the start of an attempt. An unknown node gives a closed attempt. */
 void balance_attempt_start(balance_t *balance, uint64_t node, route_class_t route_class,
     uint64_t now, balance_attempt_t *attempt);
--- a/src/balance_table.c
+++ b/src/balance_table.c
@@ -1,8 +1,12 @@
 #include "balance_table.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* The share of attempts refused for load counts half after this time, ms. */
+#define ACCEPTANCE_HALF_LIFE_MS 1000
+
 int
 balance_create(
     balance_kind_t kind, const char *zone, const char *region, balance_t **result)
@@ -221,3 +225,35 @@
 {
 	return balance->count;
 }
+
+/* Share of a value that is left after the time since at. */
+double
+balance_decay(uint64_t at, uint64_t now, uint64_t half_life_ms)
+{
+	if (now <= at)
+		return 1;
+	return exp2(-(double)(now - at) / (double)(half_life_ms * NS_PER_MS));
+}
+
+bool
+balance_instance_is_ejected(const balance_instance_t *instance, uint64_t now)
+{
+	return now < instance->ejected_until;
+}
+
+/* Could take work if it must. */
+bool
+balance_instance_is_ready(const balance_instance_t *instance, uint64_t now)
+{
+	return instance->state == INSTANCE_READY && instance->reachable &&
+	       !instance->leaving && now >= instance->blocked_until &&
+	       (instance->member_state == MEMBER_ALIVE ||
+		   instance->member_state == MEMBER_SUSPECT);
+}
+
+double
+balance_instance_acceptance(const balance_instance_t *instance, uint64_t now)
+{
+	return 1 - instance->refused_share *
+		       balance_decay(instance->refused_at, now, ACCEPTANCE_HALF_LIFE_MS);
+}
--- a/src/balance_table.h
+++ b/src/balance_table.h
@@ -1,6 +1,6 @@
 /*
  * The instance table behind balance.h: instances by node id and by service.
- * Only for balance.c and balance_table.c.
+ * Only for balance.c, balance_record.c and balance_table.c.
  */
 #ifndef MASTICPITCH_BALANCE_TABLE_H
 #define MASTICPITCH_BALANCE_TABLE_H
@@ -33,11 +33,15 @@
 	uint64_t blocked_until;
 	uint64_t ready_since;
 	uint32_t in_flight;
+	uint32_t class_in_flight[ROUTE_CLASS_COUNT];
 	load_report_t load;
 	uint64_t load_at; /* 0: none yet */
 	double latency_us;
-	uint64_t latency_at; /* 0: no sample yet */
+	uint64_t latency_at;  /* 0: no sample yet */
+	double refused_share; /* smoothed, of the attempts, for load */
+	uint64_t refused_at;
 	uint32_t failures_in_row;
+	uint64_t lost_at;	 /* last failure that counted in the row */
 	double recent_successes; /* both decay */
 	double recent_failures;
 	uint64_t recent_at;
@@ -74,4 +78,16 @@
 /* The service of that name, if it has an instance, or NULL. */
 balance_service_t *balance_service_find(const balance_t *balance, const char *name);
 
+/* Share of a value that is left after the time since at. */
+double balance_decay(uint64_t at, uint64_t now, uint64_t half_life_ms);
+bool balance_instance_is_ejected(const balance_instance_t *instance, uint64_t now);
+/* Could take work if it must. */
+bool balance_instance_is_ready(const balance_instance_t *instance, uint64_t now);
+/*
+ * Share of attempts that the gate has taken, smoothed, aged towards 1. A gate
+ * that refuses at once looks idle by its calls in flight, so scores are divided
+ * by this share.
+ */
+double balance_instance_acceptance(const balance_instance_t *instance, uint64_t now);
+
 #endif
--- a/src/limit.c
+++ b/src/limit.c
@@ -10,7 +10,10 @@
 #define SERVICE_ROWS (2 * PRESET_SERVICES_MAX)
 #define ROW_NONE UINT32_MAX
 
-/* Share of a new sample in a smoothed latency. */
+/*
+ * Share of a new sample in a smoothed latency, at least; with a lower limit
+ * samples are rarer and count more, else recovery from a lag takes seconds.
+ */
 #define LATENCY_SAMPLE_SHARE 0.1
 /*
  * A class's minimum is only taken from a smoothed latency of this many samples
@@ -188,6 +191,8 @@
 	*limit = (limit_gate_t){.adaptive = adaptive,
 	    .slots = MAX_OF(slots, 1),
 	    .limit = MAX_OF(slots, 1),
+	    .created = now,
+	    .seen = now,
 	    .minimum_since = now,
 	    .window_since = now};
 }
@@ -202,6 +207,13 @@
 	limit->slots = slots;
 }
 
+/* The first sample counts whole. */
+static double
+smooth(double value, double sample, double share)
+{
+	return value > 0 ? value + share * (sample - value) : sample;
+}
+
 static double
 latency_baseline(const limit_latency_t *latency)
 {
@@ -262,7 +274,9 @@
 
 	if (now < limit->window_since + LIMIT_WINDOW_MS * NS_PER_MS)
 		return;
-	if (limit->window_samples < LIMIT_WINDOW_SAMPLES && !limit->window_overload)
+	/* About as many samples as run at once, so a step takes one round. */
+	if (limit->window_samples < MIN_OF(LIMIT_WINDOW_SAMPLES, limit->limit) &&
+	    !limit->window_overload)
 		return;
 	ratio =
 	    limit->window_samples > 0 ? limit->window_ratio / limit->window_samples : 0;
@@ -283,25 +297,42 @@
 	limit->window_overload = false;
 }
 
+void
+limit_gate_start(limit_gate_t *limit, route_class_t route_class, uint64_t now)
+{
+	limit->seen = now;
+	if (route_class == ROUTE_UPLOAD)
+		return;
+	limit->open_count++;
+	limit->open_since += now - limit->created;
+}
+
+void
+limit_gate_end(
+    limit_gate_t *limit, route_class_t route_class, uint64_t started, uint64_t now)
+{
+	limit->seen = now;
+	if (route_class == ROUTE_UPLOAD)
+		return;
+	INVARIANT(limit->open_count > 0);
+	limit->open_count--;
+	limit->open_since -= started - limit->created;
+}
+
 void
 limit_gate_record(limit_gate_t *limit, route_class_t route_class, uint64_t latency_ns,
     uint32_t running, uint64_t now)
 {
 	limit_latency_t *latency = &limit->latency[route_class];
 	double sample_us = (double)MAX_OF(latency_ns, NS_PER_US) / NS_PER_US;
+	double share = MAX_OF(LATENCY_SAMPLE_SHARE, 1 / (1 + limit->limit));
 	double baseline;
 
 	if (route_class == ROUTE_UPLOAD)
 		return;
 	minimum_rotate(limit, now);
-	limit->latency_us = limit->latency_us > 0
-				? limit->latency_us + LATENCY_SAMPLE_SHARE *
-							  (sample_us - limit->latency_us)
-				: sample_us;
-	latency->smoothed = latency->smoothed > 0
-				? latency->smoothed + LATENCY_SAMPLE_SHARE *
-							  (sample_us - latency->smoothed)
-				: sample_us;
+	limit->latency_us = smooth(limit->latency_us, sample_us, share);
+	latency->smoothed = smooth(latency->smoothed, sample_us, share);
 	if (latency->samples < MINIMUM_SAMPLES)
 		latency->samples++;
 	if (latency->samples >= MINIMUM_SAMPLES &&
@@ -334,5 +365,11 @@
 uint32_t
 limit_gate_latency_us(const limit_gate_t *limit)
 {
-	return (uint32_t)limit->latency_us;
+	double age_us = 0;
+
+	if (limit->open_count > 0)
+		age_us = ((double)(limit->seen - limit->created) -
+			     (double)limit->open_since / limit->open_count) /
+			 NS_PER_US;
+	return (uint32_t)MAX_OF(limit->latency_us, age_us);
 }
--- a/src/limit.h
+++ b/src/limit.h
@@ -56,7 +56,10 @@
 uint32_t limit_entry_class_in_flight(
     const limit_entry_t *limit, route_class_t route_class);
 
-/* Fewest samples and shortest time (ms) of one step of the adaptive limit. */
+/*
+ * Samples of one step of the adaptive limit (fewer if fewer calls run at once)
+ * and its shortest time, ms.
+ */
 #define LIMIT_WINDOW_SAMPLES 8
 #define LIMIT_WINDOW_MS 50
 /* The long-term minimum is over the current and the last period of this, ms. */
@@ -91,12 +94,24 @@
 	double decrease_limit; /* when decreases began; 0: none under way */
 	double decrease_ratio; /* the highest since then */
 	double latency_us;     /* smoothed over all classes */
+	uint64_t created;
+	uint64_t seen; /* the latest time that was given */
+	uint32_t open_count;
+	uint64_t open_since; /* sum of the starts of open exchanges after created */
 } limit_gate_t;
 
 /* slots: announced by the backend server, at least 1. Starts at slots. */
 void limit_gate_init(limit_gate_t *limit, uint32_t slots, bool adaptive, uint64_t now);
 /* A changed announcement; keeps what is known otherwise. */
 void limit_gate_slots_set(limit_gate_t *limit, uint32_t slots);
+/*
+ * An exchange starts or ends, however it ends; started is the now of its start.
+ * The age of open exchanges shows a lag before the first late answer comes.
+ * Uploads are left out.
+ */
+void limit_gate_start(limit_gate_t *limit, route_class_t route_class, uint64_t now);
+void limit_gate_end(
+    limit_gate_t *limit, route_class_t route_class, uint64_t started, uint64_t now);
 /*
  * An exchange ended with an answer after latency_ns; running: calls that were
  * running when it started, with itself. Uploads are left out, their time is
@@ -108,7 +123,10 @@
 void limit_gate_overload(limit_gate_t *limit, uint64_t now);
 /* Calls that may run at once, from 1 to slots. */
 uint32_t limit_gate_current(const limit_gate_t *limit);
-/* Smoothed latency, for load reports; 0: no sample yet. */
+/*
+ * For load reports: the smoothed latency, or the mean age of open exchanges if
+ * that is longer; 0: neither is known yet.
+ */
 uint32_t limit_gate_latency_us(const limit_gate_t *limit);
 
 #ifdef __cplusplus
--- a/src/retry.c
+++ b/src/retry.c
@@ -173,7 +173,8 @@
 		return RETRY_STOP_ANSWERED;
 	if (failure->run == RUN_YES)
 		return RETRY_STOP_RUN_STATE;
-	if (failure->run != RUN_NO && !request->idempotent)
+	if (!request->idempotent &&
+	    (failure->run != RUN_NO || request->run_before != RUN_NO))
 		return RETRY_STOP_RUN_STATE;
 	if (!request->body_kept)
 		return RETRY_STOP_BODY;
@@ -203,7 +204,8 @@
 		return RETRY_STOP_ATTEMPTS;
 	if (!retry_time_suffices(request->deadline, request->min_attempt_ms, at))
 		return RETRY_STOP_DEADLINE;
-	if (budget->tokens < 1)
+	if (budget->tokens <
+	    (request->route_class == ROUTE_INTERNAL ? 1 : 1 + RETRY_TOKENS_INTERNAL))
 		return RETRY_STOP_BUDGET;
 	budget->tokens--;
 	return RETRY_STOP_NONE;
@@ -265,8 +267,9 @@
     const retry_request_t *request, const retry_failure_t *failure, rng_t *rng,
     uint64_t now)
 {
-	retry_decision_t decision = {
-	    .at = now, .reason = failure->reason, .run = failure->run};
+	retry_decision_t decision = {.at = now,
+	    .reason = failure->reason,
+	    .run = MAX_OF(failure->run, request->run_before)};
 
 	switch (retry->kind) {
 	case RETRY_NAIVE:
--- a/src/retry.h
+++ b/src/retry.h
@@ -19,6 +19,11 @@
 /* Retries that a service may save up, and has at the start. */
 #define RETRY_TOKENS_MAX 20
 #define RETRY_TOKENS_START 10
+/*
+ * The last ones of them are for internal calls: under overload the refused
+ * lookups would use up every token, and a slow internal call stalls all others.
+ */
+#define RETRY_TOKENS_INTERNAL 5
 /* Longest wait before the second attempt, ms; doubled for each further one. */
 #define RETRY_BACKOFF_MS 4
 #define RETRY_BACKOFF_MS_MAX 100
@@ -39,6 +44,13 @@
 	uint32_t attempts_max;	 /* of the route */
 	uint32_t min_attempt_ms; /* of the route */
 	uint64_t deadline;
+	/*
+	 * Worst run state of the attempts before the one that failed: the run of
+	 * the last decision, RUN_NO at first. An idempotent lookup that was repeated
+	 * after unknown and then refused as not run is unknown to its caller.
+	 */
+	run_state_t run_before;
+	route_class_t route_class;
 } retry_request_t;
 
 /* Why and how the attempt failed. */
@@ -65,8 +77,8 @@
 	uint64_t at;
 	/* For the refusal to the caller, unless the attempt is repeated. */
 	reason_t reason;
-	run_state_t run;
-	bool final; /* mark the answer, so that no entry above repeats it */
+	run_state_t run; /* over all attempts */
+	bool final;	 /* mark the answer, so that no entry above repeats it */
 } retry_decision_t;
 
 /* Errors: MASTICPITCH_E_NOMEM. */
--- a/test/test_balance.cc
+++ b/test/test_balance.cc
@@ -220,6 +220,29 @@
 	EXPECT_LT(shares(3000)[1], 100);
 }
 
+// Guards: internal calls that crowd one gate because lookups wait at another.
+TEST_F(Balance, WaitingLookupsDoNotMoveInternalCalls)
+{
+	std::vector<balance_attempt_t> lookups(20), internal(3);
+	uint64_t node;
+
+	add(1);
+	add(2);
+	answer(1, 1000);
+	answer(2, 1000);
+	for (balance_attempt_t &attempt : lookups)
+		balance_attempt_start(balance, 1, ROUTE_LOOKUP, now, &attempt);
+	for (balance_attempt_t &attempt : internal)
+		balance_attempt_start(balance, 2, ROUTE_INTERNAL, now, &attempt);
+	EXPECT_EQ(shares(1000).count(1), 0u);
+	for (int i = 0; i < 100; i++) {
+		ASSERT_EQ(balance_choose_for_class(balance, &service, ROUTE_INTERNAL,
+			      NULL, 0, &rng, now, &node),
+		    0);
+		EXPECT_EQ(node, 1u);
+	}
+}
+
 // Guards: an instance that was slow once and never gets work again.
 TEST_F(Balance, ASlowInstanceIsTriedAgain)
 {
@@ -318,6 +341,25 @@
 	EXPECT_FALSE(view(1).ejected);
 }
 
+// Guards: one lost connection that ejects a healthy instance, because it ends
+// many attempts at once.
+TEST_F(Balance, AttemptsLostTogetherCountOnce)
+{
+	std::vector<balance_attempt_t> attempts(50);
+
+	add(1);
+	add(2);
+	for (balance_attempt_t &attempt : attempts)
+		balance_attempt_start(balance, 1, ROUTE_LOOKUP, now, &attempt);
+	now += NS_PER_MS;
+	for (balance_attempt_t &attempt : attempts)
+		balance_attempt_refused(balance, &attempt, REASON_STREAM_LOST, NULL, now);
+	EXPECT_FALSE(view(1).ejected);
+	for (int i = 0; i < BALANCE_FAILURES_MAX - 1; i++)
+		fail(1);
+	EXPECT_TRUE(view(1).ejected);
+}
+
 // Guards: a fault of the network or of all instances that ejects a service.
 TEST_F(Balance, AtMostHalfOfAServiceIsEjected)
 {
@@ -371,6 +413,24 @@
 	EXPECT_TRUE(view(1).ejected);
 }
 
+// Guards: a gate that refuses at once, looks idle for that and draws all work.
+TEST_F(Balance, AGateThatRefusesGetsLessAndIsTriedAgain)
+{
+	std::vector<balance_attempt_t> attempts(10);
+
+	add(1);
+	add(2);
+	answer(1, 1000);
+	answer(2, 1000);
+	for (balance_attempt_t &attempt : attempts)
+		balance_attempt_start(balance, 2, ROUTE_LOOKUP, now, &attempt);
+	for (int i = 0; i < 50; i++)
+		refuse(1, REASON_QUEUE_FULL);
+	EXPECT_EQ(shares(1000).count(1), 0u);
+	now += 10 * NS_PER_S;
+	EXPECT_EQ(shares(1000)[1], 1000);
+}
+
 // Guards: a count of work in flight that leaks or goes below zero when an
 // attempt is closed twice or outlives its instance.
 TEST_F(Balance, InFlightSurvivesDoubleCloseAndReplacement)
--- a/test/test_limit.cc
+++ b/test/test_limit.cc
@@ -270,6 +270,27 @@
 	EXPECT_EQ(limit_gate_current(&limit), 40u);
 }
 
+// Guards: a lag that is reported only when its first late answers come.
+TEST_F(GateLimit, TheAgeOfOpenExchangesIsReported)
+{
+	std::vector<uint64_t> started;
+
+	now = drive(&limit, {40, 5000}, now, 1000, &rng);
+	EXPECT_LT(limit_gate_latency_us(&limit), 6000u);
+	for (int i = 0; i < 5; i++) {
+		limit_gate_start(&limit, ROUTE_LOOKUP, now);
+		limit_gate_start(&limit, ROUTE_UPLOAD, now);
+		started.push_back(now);
+		now += 100 * NS_PER_MS;
+	}
+	EXPECT_EQ(limit_gate_latency_us(&limit), 200000u);
+	for (uint64_t start : started) {
+		limit_gate_end(&limit, ROUTE_LOOKUP, start, now);
+		limit_gate_end(&limit, ROUTE_UPLOAD, start, now);
+	}
+	EXPECT_LT(limit_gate_latency_us(&limit), 6000u);
+}
+
 // Guards: a naive baseline that adapts, which would flatter it.
 TEST_F(GateLimit, NaiveKeepsTheSlots)
 {
--- a/test/test_retry.cc
+++ b/test/test_retry.cc
@@ -34,7 +34,8 @@
 		create(RETRY_ADAPTIVE);
 		string_copy(service.name, sizeof(service.name), "pamigay");
 		service.retry_percent = 10;
-		request = {false, true, false, 1, 3, 5, NOW + NS_PER_S};
+		request = {
+		    false, true, false, 1, 3, 5, NOW + NS_PER_S, RUN_NO, ROUTE_LOOKUP};
 	}
 
 	void
@@ -78,6 +79,21 @@
 	EXPECT_EQ(decide().stop, RETRY_STOP_RUN_STATE);
 }
 
+// Guards: a false "not run" for a lookup whose earlier attempt may have been run.
+TEST_F(Retry, TheRunStateCoversAllAttempts)
+{
+	request.idempotent = true;
+	request.run_before = RUN_UNKNOWN;
+	request.attempts_made = 3;
+	EXPECT_EQ(decide().stop, RETRY_STOP_ATTEMPTS);
+	EXPECT_EQ(decide().run, RUN_UNKNOWN);
+	request.attempts_made = 2;
+	EXPECT_EQ(decide().stop, RETRY_STOP_NONE);
+	EXPECT_EQ(decide().run, RUN_UNKNOWN);
+	request.idempotent = false;
+	EXPECT_EQ(decide().stop, RETRY_STOP_RUN_STATE);
+}
+
 // Guards: a second answer after part of the first has gone to the caller, and
 // a resent request whose body is not complete.
 TEST_F(Retry, NothingIsRepeatedAfterTheAnswerHeadOrWithoutTheBody)
@@ -167,6 +183,18 @@
 	EXPECT_EQ(decide().stop, RETRY_STOP_BUDGET);
 }
 
+// Guards: internal calls that cannot be repeated because lookups have used up
+// the budget.
+TEST_F(Retry, TheLastTokensAreForInternalCalls)
+{
+	while (decide().stop == RETRY_STOP_NONE)
+		continue;
+	request.route_class = ROUTE_INTERNAL;
+	for (int i = 0; i < RETRY_TOKENS_INTERNAL; i++)
+		EXPECT_EQ(decide().stop, RETRY_STOP_NONE);
+	EXPECT_EQ(decide().stop, RETRY_STOP_BUDGET);
+}
+
 // Guards: a quiet hour that saves up a burst of retries.
 TEST_F(Retry, TheBudgetIsCapped)
 {
