Read instances as the entry reports them

Cause: the entry's /instances names nodes, states and reachability.

Change: the harness waits for ready instances in reachable zones; the demo's internal calls go through two levels of nested calls.

Conclusion: untested with nodes.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -84,8 +84,9 @@
         targets = self.fleet.living()
         return [self.fleet.caller(f"p{self.phase_number}-{service}", targets,
                                   service=service, seconds=seconds,
+                                  inner=f"/{other}/internal/x", levels=2,
                                   seed=self.phase_number, **LOAD)
-                for service in self.services]
+                for service, other in (self.services, self.services[::-1])]
 
     def load_end(self, title, callers, planned):
         """Sums up a phase; planned: nothing died, so nothing may be cut or unknown."""
--- a/tools/harness.py
+++ b/tools/harness.py
@@ -429,12 +429,11 @@
         wait_for(reached, f"{count} members alive on every node", timeout)
 
     def instances(self, host, service):
-        """Names of the ready instances of a service that a node may use."""
-        report = host.get("/instances")
-        items = report.get("instances", []) if isinstance(report, dict) else report or []
-        return sorted(item.get("instance", "") for item in items
-                      if item.get("service") == service
-                      and item.get("ready", item.get("state")) in ("ready", True))
+        """Nodes of the ready instances of a service that a node may use."""
+        report = host.get("/instances") or {}
+        return [item["node"] for item in report.get("instances", [])
+                if item["service"] == service and item["state"] == "ready"
+                and item["reachable"]]
 
     def wait_instances(self, service, count, hosts=None, timeout=WAIT_S):
         waiting = list(hosts or self.living())
