--- /dev/null
+++ b/src/gate_exchange.c
@@ -0,0 +1,315 @@
+#include "gate_internal.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* libcurl calls this right before it writes the request; twice: its own resend. */
+static int
+prerequest_callback(
+    void *state, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	gate_call_t *call = state;
+
+	if (call->sent) {
+		call->resend_blocked = true;
+		metrics_add(
+		    kernel_metrics(call->gate->kernel), METRIC_BACKEND_RESEND_BLOCKED, 1);
+		return CURL_PREREQFUNC_ABORT;
+	}
+	call->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+/* Returns credit for the body bytes that libcurl has taken. */
+static void
+body_credit_return(gate_call_t *call)
+{
+	message_t *message;
+
+	if (call->body_end || call->body_credit < GATE_CREDIT_BYTES)
+		return;
+	message = gate_call_message(call, MESSAGE_CALL_CREDIT);
+	if (message == NULL)
+		return;
+	message->u.credit = call->body_credit;
+	call->body_credit = 0;
+	gate_call_post(call, message);
+}
+
+static size_t
+body_callback(char *target, size_t size, size_t count, void *state)
+{
+	gate_call_t *call = state;
+	size_t copied = chunk_queue_read(&call->body, target, size * count);
+
+	call->body_credit += (uint32_t)copied;
+	body_credit_return(call);
+	if (copied > 0 || call->body_end)
+		return copied;
+	call->body_paused = true;
+	return CURL_READFUNC_PAUSE;
+}
+
+/* Returning another size than given makes libcurl break the exchange. */
+static size_t
+header_callback(char *data, size_t size, size_t count, void *state)
+{
+	gate_call_t *call = state;
+	size_t length = size * count;
+
+	return gate_answer_line(call, data, length) ? length : 0;
+}
+
+static size_t
+answer_callback(char *data, size_t size, size_t count, void *state)
+{
+	gate_call_t *call = state;
+	size_t length = size * count;
+	message_t *message;
+
+	if (call->shed)
+		return length;
+	if (!call->answered)
+		return 0;
+	if (length > call->answer_credit) {
+		call->answer_paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	gate_ticket_keep(call, data, length);
+	for (size_t done = 0; done < length;) {
+		size_t part = MIN_OF(length - done, (size_t)STREAM_DATA_MAX);
+
+		message = gate_call_message(call, MESSAGE_ANSWER_DATA);
+		if (message == NULL)
+			return 0;
+		message->u.data.chunk = chunk_copy(data + done, part);
+		if (message->u.data.chunk == NULL) {
+			message_destroy(message);
+			return 0;
+		}
+		gate_call_post(call, message);
+		call->answer_credit -= (uint32_t)part;
+		done += part;
+	}
+	return length;
+}
+
+static void
+answer_end(gate_call_t *call)
+{
+	message_t *message = gate_call_message(call, MESSAGE_ANSWER_DATA);
+
+	if (message != NULL)
+		message->u.data.end = true;
+	gate_call_post(call, message);
+	gate_ticket_finish(call);
+	gate_crash_end(call, true);
+	gate_call_finish(call);
+}
+
+/* True if the backend server's port refused the connection. */
+static bool
+connection_refused(CURL *easy, CURLcode result)
+{
+	long number = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &number);
+	return result == CURLE_COULDNT_CONNECT && number == ECONNREFUSED;
+}
+
+/* What the end of an exchange without a whole answer means. */
+static void
+exchange_failed(gate_call_t *call, CURLcode result)
+{
+	gate_t *gate = call->gate;
+
+	if (!call->sent) {
+		bool refused = connection_refused(call->easy, result);
+
+		gate_call_refuse(call, REASON_BACKEND_CONNECT, RUN_NO, false);
+		if (refused)
+			gate_backend_died(gate, "connection refused");
+		return;
+	}
+	gate_crash_lost(call);
+	if (call->answered)
+		gate_call_refuse(call, REASON_BACKEND_LOST, RUN_YES, false);
+	else if (result == CURLE_WEIRD_SERVER_REPLY || result == CURLE_WRITE_ERROR ||
+		 result == CURLE_UNSUPPORTED_PROTOCOL)
+		gate_call_refuse(call, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN, false);
+	else
+		gate_call_refuse(call, REASON_BACKEND_LOST, RUN_UNKNOWN, false);
+}
+
+/* Teaches admission from an exchange that ended with an answer. */
+static void
+exchange_record(gate_call_t *call, uint64_t now)
+{
+	gate_t *gate = call->gate;
+	uint64_t duration = now - call->started;
+
+	metrics_observe(kernel_metrics(gate->kernel), HISTOGRAM_BACKEND, duration);
+	if (call->shed) {
+		limit_gate_overload(&gate->limit, now);
+		return;
+	}
+	if (!call->answered)
+		return;
+	limit_gate_record(
+	    &gate->limit, call->head->route_class, duration, call->running_at_start, now);
+	queue_service_record(&gate->queue, call->head->route_class, duration, now);
+	metrics_set(kernel_metrics(gate->kernel), METRIC_GATE_LIMIT, gate_limit(gate));
+}
+
+static void
+done_callback(void *state, CURL *easy, CURLcode result)
+{
+	gate_call_t *call = NULL;
+	long connects = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+	metrics_add(kernel_metrics(call->gate->kernel), METRIC_BACKEND_CONNECTIONS,
+	    (uint64_t)MAX_OF(connects, 0));
+	exchange_record(call, kernel_now(call->gate->kernel));
+	if (call->shed)
+		gate_call_refuse(call, REASON_BACKEND_SHED, RUN_NO, call->shed_final);
+	else if (result == CURLE_OK && call->answered)
+		answer_end(call);
+	else
+		exchange_failed(call, result);
+}
+
+/* Options that are the same for every call. */
+static CURL *
+handle_create(void)
+{
+	CURL *easy = curl_easy_init();
+
+	if (easy == NULL)
+		return NULL;
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 1L);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)GATE_CONNECT_MS);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, prerequest_callback);
+	curl_easy_setopt(easy, CURLOPT_READFUNCTION, body_callback);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, header_callback);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, answer_callback);
+	return easy;
+}
+
+static CURL *
+handle_take(gate_t *gate)
+{
+	return gate->handle_count > 0 ? gate->handles[--gate->handle_count]
+				      : handle_create();
+}
+
+static void
+handle_give(gate_t *gate, CURL *easy)
+{
+	if (gate->handle_count < GATE_HANDLES_MAX)
+		gate->handles[gate->handle_count++] = easy;
+	else
+		curl_easy_cleanup(easy);
+}
+
+static bool
+exchange_set_options(gate_call_t *call)
+{
+	const call_head_t *head = call->head;
+	CURL *easy = call->easy;
+	char address[ADDRESS_TEXT_BYTES];
+	char url[ADDRESS_TEXT_BYTES + 8];
+
+	address_format(&call->gate->backend.address, address);
+	snprintf(url, sizeof(url), "http://%s/", address);
+	/* A kept handle starts over from a GET without body. */
+	curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+	if (strcmp(head->method, "HEAD") == 0)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	if (head->has_body) {
+		curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(
+		    easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t)head->body_length);
+	}
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(easy, CURLOPT_READDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->lines);
+	return curl_easy_setopt(easy, CURLOPT_URL, url) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, head->path) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, head->method) == CURLE_OK;
+}
+
+int
+gate_exchange_start(gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+
+	call->easy = handle_take(gate);
+	if (call->easy == NULL)
+		return MASTICPITCH_E_NOMEM;
+	if (gate_lines_build(call) && exchange_set_options(call) &&
+	    curl_loop_add(gate->curl, call->easy) == MASTICPITCH_OK)
+		return MASTICPITCH_OK;
+	curl_slist_free_all(call->lines);
+	call->lines = NULL;
+	handle_give(gate, call->easy);
+	call->easy = NULL;
+	return MASTICPITCH_E_NOMEM;
+}
+
+void
+gate_exchange_stop(gate_call_t *call)
+{
+	if (call->easy == NULL)
+		return;
+	/* Harmless for a handle that has ended and was removed already. */
+	curl_loop_remove(call->gate->curl, call->easy);
+	handle_give(call->gate, call->easy);
+	call->easy = NULL;
+	curl_slist_free_all(call->lines);
+	call->lines = NULL;
+}
+
+void
+gate_exchange_resume_body(gate_call_t *call)
+{
+	if (!call->body_paused)
+		return;
+	call->body_paused = false;
+	curl_loop_unpause(call->gate->curl, call->easy);
+}
+
+void
+gate_exchange_resume_answer(gate_call_t *call)
+{
+	if (!call->answer_paused || call->answer_credit < STREAM_DATA_MAX)
+		return;
+	call->answer_paused = false;
+	curl_loop_unpause(call->gate->curl, call->easy);
+}
+
+int
+gate_exchange_open(gate_t *gate)
+{
+	return curl_loop_create(
+	    kernel_loop(gate->kernel), done_callback, gate, &gate->curl);
+}
+
+void
+gate_exchange_close(gate_t *gate)
+{
+	while (gate->handle_count > 0)
+		curl_easy_cleanup(gate->handles[--gate->handle_count]);
+	curl_loop_destroy(gate->curl);
+	gate->curl = NULL;
+}
