--- /dev/null
+++ b/src/cli_diff.c
@@ -0,0 +1,110 @@
+/*
+ * Differences of two presets by name of service and route, so that a moved
+ * line or another order of keys shows nothing.
+ */
+#include "cli_platform.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* The fields that differ; "" for the missing side. */
+static size_t
+diff_fields(FILE *out, const char *kind, const char *name, struct json_object *before,
+    struct json_object *after)
+{
+	size_t found = 0;
+
+	json_object_object_foreach(after, key, value)
+	{
+		struct json_object *old = cli_json_get(before, key);
+
+		if (json_object_equal(old, value))
+			continue;
+		fprintf(out, "~ %s %s: %s %s -> %s\n", kind, name, key,
+		    old != NULL ? json_object_to_json_string(old) : "default",
+		    json_object_to_json_string(value));
+		found++;
+	}
+	json_object_object_foreach(before, old_key, old_value)
+	{
+		if (cli_json_get(after, old_key) != NULL)
+			continue;
+		fprintf(out, "~ %s %s: %s %s -> default\n", kind, name, old_key,
+		    json_object_to_json_string(old_value));
+		found++;
+	}
+	return found;
+}
+
+/* Both are objects whose members are services or routes by name. */
+static size_t
+diff_members(
+    FILE *out, const char *kind, struct json_object *before, struct json_object *after)
+{
+	size_t found = 0;
+
+	json_object_object_foreach(after, name, value)
+	{
+		struct json_object *old = cli_json_get(before, name);
+
+		if (old != NULL) {
+			found += diff_fields(out, kind, name, old, value);
+			continue;
+		}
+		fprintf(out, "+ %s %s: %s\n", kind, name, json_object_to_json_string(value));
+		found++;
+	}
+	json_object_object_foreach(before, old_name, old_value)
+	{
+		(void)old_value;
+		if (cli_json_get(after, old_name) != NULL)
+			continue;
+		fprintf(out, "- %s %s\n", kind, old_name);
+		found++;
+	}
+	return found;
+}
+
+static struct json_object *
+services_of(struct json_object *preset)
+{
+	struct json_object *services = cli_json_get(preset, "services");
+
+	return json_object_is_type(services, json_type_object) ? json_object_get(services)
+							       : json_object_new_object();
+}
+
+/* The routes as an object by name. */
+static struct json_object *
+routes_of(struct json_object *preset)
+{
+	struct json_object *routes = cli_json_get(preset, "routes");
+	struct json_object *result = json_object_new_object();
+
+	if (!json_object_is_type(routes, json_type_array))
+		return result;
+	for (size_t i = 0; i < json_object_array_length(routes); i++) {
+		struct json_object *route = json_object_array_get_idx(routes, i);
+
+		json_object_object_add(
+		    result, cli_json_text(route, "name", "?"), json_object_get(route));
+	}
+	return result;
+}
+
+size_t
+cli_preset_diff(FILE *out, struct json_object *before, struct json_object *after)
+{
+	struct json_object *old_services = services_of(before);
+	struct json_object *new_services = services_of(after);
+	struct json_object *old_routes = routes_of(before);
+	struct json_object *new_routes = routes_of(after);
+	size_t found = diff_members(out, "service", old_services, new_services);
+
+	found += diff_members(out, "route", old_routes, new_routes);
+	json_object_put(old_services);
+	json_object_put(new_services);
+	json_object_put(old_routes);
+	json_object_put(new_routes);
+	return found;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,10 +1,7 @@
-#include "masticpitch/masticpitch.h"
-
-#include <stdio.h>
+#include "cli.h"
 
 int
 main(int argc, char **argv)
 {
-	printf("masticpitch %s\n", masticpitch_version());
-	return 0;
+	return cli_main(argc, argv);
 }
