Format the thin configuration service

Cause: make format lists tracked files only, so the new file was missed. Change: formatted. Conclusion: add new files before formatting.

--- a/src/cli_commit.c
+++ b/src/cli_commit.c
@@ -29,8 +29,8 @@
 	    NULL, "operation", "ID", "operation id, 32 hex digits (default: random)");
 	options->if_version = arg_str0(
 	    NULL, "if-version", "N", "commit only if N is the version on the platform");
-	options->wait = arg_lit0(
-	    NULL, "wait", "wait until every reachable node holds the version; needs --node");
+	options->wait = arg_lit0(NULL, "wait",
+	    "wait until every reachable node holds the version; needs --node");
 }
 
 /* Fills the request from the options; returns an exit code. */
@@ -41,7 +41,8 @@
 				     ? options->operator_name->sval[0]
 				     : getenv("MASTICPITCH_OPERATOR");
 	if (request->operator_name == NULL) {
-		cli_error(cli, "no operator given: use --operator NAME or MASTICPITCH_OPERATOR");
+		cli_error(cli,
+		    "no operator given: use --operator NAME or MASTICPITCH_OPERATOR");
 		return CLI_EXIT_SYNTAX;
 	}
 	if (options->operation->count > 0 &&
@@ -116,7 +117,8 @@
 		cli_sleep(cli, WAIT_POLL_S);
 	}
 	if (code == CLI_EXIT_TIMEOUT) {
-		cli_error(cli, "committed, but not every reachable node holds version %llu:",
+		cli_error(cli,
+		    "committed, but not every reachable node holds version %llu:",
 		    (unsigned long long)version);
 		cli_print_laggards(status, (int64_t)version);
 	} else if (code == CLI_EXIT_OK && spread.unreachable > 0) {
@@ -134,16 +136,19 @@
 	struct json_object *answer = json_object_new_object();
 
 	json_object_object_add(answer, "outcome",
-	    json_object_new_string(result->error == MASTICPITCH_OK	   ? "committed"
+	    json_object_new_string(result->error == MASTICPITCH_OK	    ? "committed"
 				   : result->error == MASTICPITCH_E_UNKNOWN ? "unknown"
-				   : result->error == MASTICPITCH_E_CONFLICT ? "conflict"
-									      : "refused"));
+				   : result->error == MASTICPITCH_E_CONFLICT
+				       ? "conflict"
+				       : "refused"));
 	json_object_object_add(
 	    answer, "version", json_object_new_int64((int64_t)result->version));
 	json_object_object_add(
 	    answer, "base_version", json_object_new_int64((int64_t)result->base_version));
-	json_object_object_add(answer, "operation", json_object_new_string(result->operation));
-	json_object_object_add(answer, "message", json_object_new_string(result->message));
+	json_object_object_add(
+	    answer, "operation", json_object_new_string(result->operation));
+	json_object_object_add(
+	    answer, "message", json_object_new_string(result->message));
 	if (result->error == MASTICPITCH_E_CONFLICT) {
 		json_object_object_add(answer, "lost_to_version",
 		    json_object_new_int64((int64_t)result->lost_to.version));
@@ -175,8 +180,7 @@
 
 /* Commits and, if asked to, waits for the nodes. */
 static int
-commit_and_report(
-    cli_t *cli, platform_t *platform, commit_request_t *request, bool wait)
+commit_and_report(cli_t *cli, platform_t *platform, commit_request_t *request, bool wait)
 {
 	commit_result_t result = {0};
 	int code = version_floor_read(cli, &request->version_floor);
@@ -237,8 +241,8 @@
 		goto out;
 	code = request_prepare(&cli, &commit, &request);
 	if (code == CLI_EXIT_OK)
-		code =
-		    cli_preset_file_read(&cli, file->sval[0], &text, &request.size, &preset);
+		code = cli_preset_file_read(
+		    &cli, file->sval[0], &text, &request.size, &preset);
 	if (code == CLI_EXIT_OK)
 		code = cli_platform_create(&cli, &platform);
 	if (code == CLI_EXIT_OK && kind == COMMIT_EDIT)
@@ -248,7 +252,8 @@
 	} else if (code == CLI_EXIT_OK && dry_run->count == 0) {
 		request.preset = name->sval[0];
 		request.text = text;
-		code = commit_and_report(&cli, platform, &request, commit.wait->count > 0);
+		code =
+		    commit_and_report(&cli, platform, &request, commit.wait->count > 0);
 	}
 	json_object_put(preset);
 	free(text);
@@ -297,7 +302,8 @@
 		code = cli_platform_create(&cli, &platform);
 	if (code == CLI_EXIT_OK) {
 		request.preset = name->sval[0];
-		code = commit_and_report(&cli, platform, &request, commit.wait->count > 0);
+		code =
+		    commit_and_report(&cli, platform, &request, commit.wait->count > 0);
 	}
 	platform_destroy(platform);
 	cli_end(&cli);
@@ -340,8 +346,8 @@
 		goto out;
 	code = CLI_EXIT_OK;
 	request.deadline = cli.deadline;
-	if (string_copy(request.operation, sizeof(request.operation), operation->sval[0]) !=
-	    MASTICPITCH_OK) {
+	if (string_copy(request.operation, sizeof(request.operation),
+		operation->sval[0]) != MASTICPITCH_OK) {
 		cli_error(&cli, "ID: must be 32 hex digits");
 		code = CLI_EXIT_SYNTAX;
 	}
--- a/src/cli_diff.c
+++ b/src/cli_diff.c
@@ -51,7 +51,8 @@
 			found += diff_fields(out, kind, name, old, value);
 			continue;
 		}
-		fprintf(out, "+ %s %s: %s\n", kind, name, json_object_to_json_string(value));
+		fprintf(
+		    out, "+ %s %s: %s\n", kind, name, json_object_to_json_string(value));
 		found++;
 	}
 	json_object_object_foreach(before, old_name, old_value)
--- a/src/cli_platform.c
+++ b/src/cli_platform.c
@@ -25,7 +25,8 @@
 	    .prefix = cli->platform_prefix};
 
 	if (cli->platform_url == NULL) {
-		cli_error(cli, "no platform given: use --platform URL or MASTICPITCH_PLATFORM");
+		cli_error(
+		    cli, "no platform given: use --platform URL or MASTICPITCH_PLATFORM");
 		return CLI_EXIT_SYNTAX;
 	}
 	if (platform_create(&options, platform) != MASTICPITCH_OK) {
@@ -58,7 +59,8 @@
 	buffer_init(&read.value, PLATFORM_VALUE_MAX);
 	for (;;) {
 		uint64_t now = os_clock_monotonic();
-		uint64_t deadline = MIN_OF(cli->deadline, now + CALL_TIMEOUT_MS * NS_PER_MS);
+		uint64_t deadline =
+		    MIN_OF(cli->deadline, now + CALL_TIMEOUT_MS * NS_PER_MS);
 
 		if (now >= cli->deadline) {
 			cli_error(cli, "platform %s: no answer (%s)", cli->platform_url,
--- a/src/cli_platform.h
+++ b/src/cli_platform.h
@@ -54,8 +54,7 @@
  * Prints the differences of two presets, by service and route, one a line;
  * either may be NULL. Returns their number.
  */
-size_t cli_preset_diff(
-    FILE *out, struct json_object *before, struct json_object *after);
+size_t cli_preset_diff(FILE *out, struct json_object *before, struct json_object *after);
 
 #ifdef __cplusplus
 }
--- a/src/cli_preset.c
+++ b/src/cli_preset.c
@@ -34,8 +34,8 @@
 	if (parts == NULL)
 		return CLI_EXIT_INTERNAL;
 	record_parts_init(parts);
-	error =
-	    record_preset_split(name, text, size, &entry, parts, message, sizeof(message));
+	error = record_preset_split(
+	    name, text, size, &entry, parts, message, sizeof(message));
 	if (error != MASTICPITCH_OK) {
 		cli_error(cli, "%s", message);
 		record_parts_clear(parts);
@@ -68,7 +68,8 @@
 	int code;
 
 	if (error != MASTICPITCH_OK) {
-		cli_error(cli, "%s: cannot be read: %s", path, masticpitch_strerror(error));
+		cli_error(
+		    cli, "%s: cannot be read: %s", path, masticpitch_strerror(error));
 		return CLI_EXIT_INVALID;
 	}
 	code = canonical_preset(cli, "file", *text, *size, preset);
@@ -110,8 +111,8 @@
 
 		cli_table_add(&table, "%s", preset->name);
 		cli_table_add(&table, "%zu", preset->part_count);
-		cli_table_add(&table, "%s",
-		    strcmp(preset->name, head->in_force) == 0 ? "yes" : "");
+		cli_table_add(
+		    &table, "%s", strcmp(preset->name, head->in_force) == 0 ? "yes" : "");
 	}
 	cli_table_print(&table);
 	printf("version %llu\n", (unsigned long long)head->version);
@@ -153,20 +154,21 @@
 	int code;
 
 	cli_options_create(&common);
-	void *table[] = {name, common.platform, common.prefix, common.timeout, common.json,
-	    common.help, common.node, common.token, common.end};
+	void *table[] = {name, common.platform, common.prefix, common.timeout,
+	    common.json, common.help, common.node, common.token, common.end};
 
 	code = cli_begin(&cli, argc, argv, command, table, &common);
 	if (code >= 0)
 		goto out;
 	code = cli_session_open(&cli, &session);
 	if (code == CLI_EXIT_OK)
-		code = cli_preset_read(&cli, session.platform, session.head, name->sval[0], &preset);
+		code = cli_preset_read(
+		    &cli, session.platform, session.head, name->sval[0], &preset);
 	if (code == CLI_EXIT_OK)
-		puts(json_object_to_json_string_ext(preset,
-		    cli.json ? JSON_C_TO_STRING_PLAIN
-			     : JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_SPACED |
-				   JSON_C_TO_STRING_NOSLASHESCAPE));
+		puts(json_object_to_json_string_ext(
+		    preset, cli.json ? JSON_C_TO_STRING_PLAIN
+				     : JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_SPACED |
+					   JSON_C_TO_STRING_NOSLASHESCAPE));
 	json_object_put(preset);
 	cli_session_close(&session);
 	cli_end(&cli);
@@ -190,8 +192,9 @@
 	int code;
 
 	cli_options_create(&common);
-	void *table[] = {name, other, file, common.platform, common.prefix, common.timeout,
-	    common.json, common.help, common.node, common.token, common.end};
+	void *table[] = {name, other, file, common.platform, common.prefix,
+	    common.timeout, common.json, common.help, common.node, common.token,
+	    common.end};
 
 	code = cli_begin(&cli, argc, argv, command, table, &common);
 	if (code >= 0)
@@ -203,11 +206,13 @@
 	if (code < 0)
 		code = cli_session_open(&cli, &session);
 	if (code == CLI_EXIT_OK)
-		code = cli_preset_read(&cli, session.platform, session.head, name->sval[0], &before);
+		code = cli_preset_read(
+		    &cli, session.platform, session.head, name->sval[0], &before);
 	if (code == CLI_EXIT_OK && file->count > 0)
 		code = cli_preset_file_read(&cli, file->sval[0], &text, &size, &after);
 	else if (code == CLI_EXIT_OK)
-		code = cli_preset_read(&cli, session.platform, session.head, other->sval[0], &after);
+		code = cli_preset_read(
+		    &cli, session.platform, session.head, other->sval[0], &after);
 	if (code == CLI_EXIT_OK && cli_preset_diff(stdout, before, after) == 0)
 		puts("no difference");
 	json_object_put(before);
@@ -236,8 +241,10 @@
 		json_object_object_add(item, "at", json_object_new_string(at));
 		json_object_object_add(
 		    item, "operator", json_object_new_string(commit->operator_name));
-		json_object_object_add(item, "action", json_object_new_string(commit->action));
-		json_object_object_add(item, "preset", json_object_new_string(commit->preset));
+		json_object_object_add(
+		    item, "action", json_object_new_string(commit->action));
+		json_object_object_add(
+		    item, "preset", json_object_new_string(commit->preset));
 		json_object_object_add(
 		    item, "operation", json_object_new_string(commit->operation));
 		json_object_array_add(list, item);
--- a/src/config.c
+++ b/src/config.c
@@ -38,7 +38,8 @@
 static uint64_t
 call_deadline(const config_t *config)
 {
-	return kernel_now(config->kernel) + config->settings->platform_timeout_ms * NS_PER_MS;
+	return kernel_now(config->kernel) +
+	       config->settings->platform_timeout_ms * NS_PER_MS;
 }
 
 static void
@@ -59,8 +60,8 @@
 		message->u.version.version = config->snapshot->version;
 	kernel_message_post(config->kernel, &config->service,
 	    kernel_service_find(config->kernel, "membership"), message);
-	metrics_set(
-	    kernel_metrics(config->kernel), METRIC_CONFIG_VERSION, config->snapshot->version);
+	metrics_set(kernel_metrics(config->kernel), METRIC_CONFIG_VERSION,
+	    config->snapshot->version);
 	metrics_add(kernel_metrics(config->kernel), METRIC_CONFIG_APPLIED, 1);
 	log_info(kernel_log(config->kernel), "configuration in force",
 	    LOG_NUMBER("version", config->snapshot->version),
@@ -145,7 +146,8 @@
 	config->busy = true;
 	config->pending = head;
 	record_parts_retain(&config->parts, config->head, head);
-	config->missing_count = record_parts_missing(&config->parts, head, config->missing);
+	config->missing_count =
+	    record_parts_missing(&config->parts, head, config->missing);
 	part_request(config);
 }
 
@@ -168,7 +170,8 @@
 	int size = snprintf(text, sizeof(text),
 	    "{\"version\":%llu,\"preset\":\"%s\",\"version_age_ms\":0,\"relay\":false,"
 	    "\"platform\":{\"reachable\":%s,\"regressed\":false}}",
-	    (unsigned long long)(config->snapshot != NULL ? config->snapshot->version : 0),
+	    (unsigned long long)(config->snapshot != NULL ? config->snapshot->version
+							  : 0),
 	    config->snapshot != NULL ? config->snapshot->preset_name : "none",
 	    reachable ? "true" : "false");
 	message_t *message = message_create(MESSAGE_REPORT, 0, query->stream);
