--- a/src/member.c
+++ b/src/member.c
@@ -424,12 +424,9 @@
 {
 	if (table == NULL)
 		return;
-	for (size_t i = 0; i < MEMBER_BUCKETS; i++) {
-		list_t *node;
-
-		while ((node = list_take_first(&table->buckets[i])) != NULL)
+	for (size_t i = 0; i < MEMBER_BUCKETS; i++)
+		LIST_FOREACH_SAFE (node, &table->buckets[i])
 			free(LIST_ENTRY(node, member_entry_t, bucket_link));
-	}
 	for (size_t i = 0; i < table->zone_count; i++) {
 		free(table->zones[i]->live);
 		free(table->zones[i]);
--- a/src/operators.c
+++ b/src/operators.c
@@ -364,8 +364,8 @@
 {
 	if (operators == NULL)
 		return;
-	while (!list_is_empty(&operators->pending))
-		pending_destroy(LIST_ENTRY(operators->pending.next, pending_t, link));
+	LIST_FOREACH_SAFE (node, &operators->pending)
+		pending_destroy(LIST_ENTRY(node, pending_t, link));
 	http_server_destroy(operators->server);
 	kernel_service_unregister(operators->kernel, &operators->service);
 	free(operators);
