--- /dev/null
+++ b/models/mutants/request-death-not-run.sed
@@ -0,0 +1,2 @@
+# Running calls count as not run when the backend server dies.
+s/job\[s\] = false; request_net\[s\] = false; result\[s\] = RESET/job[s] = false; request_net[s] = false; result[s] = SHED/
--- /dev/null
+++ b/models/mutants/request-drain-cuts.sed
@@ -0,0 +1,2 @@
+# A planned stop does not wait for running calls.
+s/leaving\[g\] && IDLE(g) ->/leaving[g] ->/
--- /dev/null
+++ b/models/mutants/request-foreign-stream.sed
@@ -0,0 +1,2 @@
+# Frames of other streams are accepted.
+s/(waiting && s == current)/(waiting)/
--- /dev/null
+++ b/models/mutants/request-leaving-accepts.sed
@@ -0,0 +1,2 @@
+# A leaving gate accepts new calls.
+s/:: leaving\[target\[s\]\] -> refuse(s, NOT_RUN)/:: leaving[target[s]] -> enqueue(s)/
