Let callers go on to another node after a proven refusal

Cause: a node that leaves refuses requests as not run for a second, and the caller took this as the end although another node would serve it.

--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -4,7 +4,8 @@
  * second) --seconds N --mix lookup=N,call=N,upload=N,internal=N,crash=N (shares)
  * --answer-bytes N --upload-bytes N --upload-pace N (bytes a second, 0: none)
  * --work-ms N --deadline-ms N --inner PATH --levels N --tickets 0|1
- * --failover N (further targets tried when one cannot be connected)
+ * --failover N (further targets tried when one cannot be connected, or takes
+ * no requests because it leaves or has just started)
  * --outcomes FILE --prefix TEXT (of request ids) --seed N.
  * The report goes to standard output as one JSON object. A line of the file:
  *   ID once|many CLASS answered|refused|unknown|failed|wrong|cut REASON US
@@ -69,6 +70,7 @@
 	uint64_t due;
 	unsigned starts; /* times the request was about to be written */
 	int tries_left;
+	uint64_t target;  /* index, modulo the number of targets */
 	bool asks_ticket; /* this exchange only fetches a ticket */
 	buffer_t answer;
 	char ticket[300];
@@ -185,6 +187,17 @@
 	return right;
 }
 
+/* True if this target certainly did nothing and another one may serve. */
+static bool
+target_is_closed(const call_t *call, CURLcode code)
+{
+	if (code != CURLE_OK)
+		return call->starts == 0;
+	return strcmp(call->run, "no") == 0 &&
+	       (strcmp(call->reason, "shutdown") == 0 ||
+		   strcmp(call->reason, "no-configuration") == 0);
+}
+
 static void
 call_done(call_t *call, CURLcode code)
 {
@@ -192,8 +205,9 @@
 
 	curl_easy_getinfo(call->curl, CURLINFO_RESPONSE_CODE, &status);
 	curl_multi_remove_handle(call->caller->multi, call->curl);
-	if (code != CURLE_OK && call->starts == 0 && call->tries_left > 0) {
+	if (call->tries_left > 0 && target_is_closed(call, code)) {
 		call->tries_left--;
+		call->target++;
 		call->caller->report.failovers++;
 		call_start(call);
 	} else if (call->asks_ticket && code == CURLE_OK && status == 200) {
@@ -226,13 +240,12 @@
 	}
 }
 
-/* Starts or restarts the exchange at a target of its own choice. */
+/* Starts or restarts the exchange. */
 static void
 call_start(call_t *call)
 {
 	caller_t *caller = call->caller;
-	const char *target =
-	    caller->targets[rng_below(&caller->rng, caller->target_count)];
+	const char *target = caller->targets[call->target % caller->target_count];
 	bool is_post = is_once(call->load_class) && !call->asks_ticket;
 	char url[STANDIN_URI_MAX + 128], line[340];
 	CURL *curl = call->curl;
@@ -316,6 +329,7 @@
 	call->load_class = load_class;
 	call->due = due;
 	call->tries_left = caller->failover;
+	call->target = rng_below(&caller->rng, caller->target_count);
 	call->asks_ticket = caller->tickets && load_class == LOAD_CALL;
 	call->body_size = load_class == LOAD_UPLOAD ? caller->upload_bytes
 			  : load_class == LOAD_CALL ? 256
