--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -5,7 +5,8 @@
 import subprocess
 import time
 
-from harness import ROOT, Fleet, HarnessError, preset_make, wait_for
+from harness import ROOT, Fleet, HarnessError, preset_make
+from harness_poll import MetricPoll
 
 ZONES = 5
 SERVICES = 320
@@ -140,20 +141,19 @@
         start(fleet, nodes)
         values = []
         for victim in rng.sample(fleet.hosts, min(KILLS, nodes // 4)):
-            killed = time.time()
-            victim.node.kill()
-            others = fleet.living()
-
-            def removed():
-                return all(host.metrics().get("members_alive") == len(others)
-                           for host in others)
-            wait_for(removed, f"{victim.name} removed everywhere", START_WAIT_S)
-            for host in others:
-                times = [at for at, peer in host.down_times()
-                         if peer == victim.peers and at >= killed]
-                if not times:
-                    raise HarnessError(f"{host.name} logged no end of {victim.name}")
-                values.append((min(times) - killed) * 1000)
+            others = [host for host in fleet.living() if host is not victim]
+            left = set(others)
+            with MetricPoll(others, "members_alive") as poll:
+                poll.values()
+                killed = time.monotonic()
+                victim.node.kill()
+                while left:
+                    for host, (alive, at) in poll.values().items():
+                        if host in left and alive == len(others):
+                            left.discard(host)
+                            values.append((at - killed) * 1000)
+                    if time.monotonic() - killed > START_WAIT_S:
+                        raise HarnessError(f"{victim.name} is not removed everywhere")
         return {"dead_host_removed_ms": values}
 
 
--- a/tools/harness.py
+++ b/tools/harness.py
@@ -158,11 +158,6 @@
         return [(event_time(event), event["version"]) for event in self.log_events()
                 if event.get("message") == "configuration in force"]
 
-    def down_times(self):
-        """(wall clock s, peer address) of each member that the node found down."""
-        return [(event_time(event), event.get("member")) for event in self.log_events()
-                if event.get("message") == "member down"]
-
     def log_events(self):
         """The node's log as objects."""
         events = []
