Run the spread of configuration in the config task

Cause: the polling placeholder reads the platform from every node and knows neither floors nor peers.

Change: config performs the actions of spread on platform, peer and timers, answers queries with version, ages, relay, alarms and the reason of a refused record, and lists relay/ keys for a node that must join.

Conclusion: the real variant replaces the placeholder.

--- a/src/config.c
+++ b/src/config.c
@@ -1,21 +1,21 @@
-/*
- * Thin configuration service: reads the head from the platform at an interval
- * and puts each newer valid version in force.
- */
 #include "config.h"
 
 #include "http_client.h"
+#include "json_text.h"
 #include "os.h"
 #include "platform.h"
-#include "record.h"
-#include "snapshot.h"
+#include "spread.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_S 0.25
-#define CONNECTIONS_MAX 4
+/* The watch, reads of parts, the head, the lease and the list of relays. */
+#define CONNECTIONS_MAX (SPREAD_PART_READS + 4)
+/* Random wait before relay/ keys are listed, so that a mass restart spreads. */
+#define JOIN_JITTER_NS (500 * NS_PER_MS)
+#define RELAY_VALUE_MAX 4096
 
 struct config {
 	kernel_t *kernel;
@@ -23,200 +23,522 @@
 	service_t service;
 	http_client_t *http;
 	platform_t *platform;
-	ev_timer poll;
-	record_head_t *head;	/* in force, or NULL */
-	record_head_t *pending; /* whose parts are being read, or NULL */
-	record_parts_t parts;
-	digest_t missing[RECORD_PARTS_MAX];
-	size_t missing_count;
-	snapshot_t *snapshot;
-	bool busy;
+	spread_t *spread;
+	ev_timer timer;
+	ev_timer join_timer;
+	bool joining; /* the list of relays is due or under way */
+	list_t calls;
+	spread_status_t reported; /* what metrics and log have seen */
 };
 
-static void part_request(config_t *config);
+/* One call on the platform on behalf of spread. */
+typedef struct config_call {
+	list_t link;
+	config_t *config;
+	platform_call_t *call;
+	spread_call_t kind;
+	digest_t digest;
+} config_call_t;
+
+static void config_run(config_t *config);
+
+static void
+post(config_t *config, const char *name, message_t *message)
+{
+	kernel_message_post(config->kernel, &config->service,
+	    kernel_service_find(config->kernel, name), message);
+}
 
 static uint64_t
 call_deadline(const config_t *config)
 {
-	return kernel_now(config->kernel) + config->settings->platform_timeout_ms * NS_PER_MS;
+	return kernel_now(config->kernel) +
+	       config->settings->platform_timeout_ms * NS_PER_MS;
+}
+
+static void
+call_free(config_call_t *call)
+{
+	list_remove(&call->link);
+	free(call);
+}
+
+static void
+call_done(void *state, const platform_answer_t *answer)
+{
+	config_call_t *call = state;
+	config_t *config = call->config;
+
+	spread_platform_answer(config->spread, call->kind, &call->digest, answer,
+	    kernel_now(config->kernel));
+	call_free(call);
+	config_run(config);
+}
+
+static int
+relay_put(config_call_t *call, const spread_action_t *action, const char *key)
+{
+	platform_put_t put = {.key = key,
+	    .value = action->text != NULL ? action->text : "",
+	    .size = action->text != NULL ? strlen(action->text) : 0,
+	    .expect = action->revision,
+	    .lease = action->lease};
+
+	return platform_put(call->config->platform, &put, call_deadline(call->config),
+	    call_done, call, &call->call);
+}
+
+static int
+call_start(config_call_t *call, const spread_action_t *action)
+{
+	config_t *config = call->config;
+	platform_t *platform = config->platform;
+	uint64_t deadline = call_deadline(config);
+	char key[PLATFORM_KEY_BYTES];
+	char digest[DIGEST_TEXT_BYTES];
+
+	snprintf(key, sizeof(key), "relay/%s", config->settings->zone);
+	switch (action->call) {
+	case SPREAD_CALL_GET_HEAD:
+		return platform_get(
+		    platform, "head", deadline, call_done, call, &call->call);
+	case SPREAD_CALL_WATCH_HEAD:
+		return platform_watch(platform, "head", action->revision, action->wait_ms,
+		    deadline + action->wait_ms * NS_PER_MS, call_done, call, &call->call);
+	case SPREAD_CALL_GET_PART:
+		digest_format(&action->digest, digest);
+		snprintf(key, sizeof(key), "part/%s", digest);
+		return platform_get(
+		    platform, key, deadline, call_done, call, &call->call);
+	case SPREAD_CALL_LEASE_CREATE:
+		return platform_lease_create(platform, SPREAD_LEASE_TTL_MS, deadline,
+		    call_done, call, &call->call);
+	case SPREAD_CALL_LEASE_RENEW:
+		return platform_lease_renew(
+		    platform, action->lease, deadline, call_done, call, &call->call);
+	case SPREAD_CALL_LEASE_REVOKE:
+		return platform_lease_revoke(
+		    platform, action->lease, deadline, call_done, call, &call->call);
+	case SPREAD_CALL_RELAY_PUT:
+		return relay_put(call, action, key);
+	case SPREAD_CALL_RELAY_GET:
+		return platform_get(
+		    platform, key, deadline, call_done, call, &call->call);
+	}
+	return MASTICPITCH_E_INVALID;
+}
+
+/* A call that cannot be started counts as not sent. */
+static void
+call_perform(config_t *config, const spread_action_t *action)
+{
+	const platform_answer_t not_sent = {.outcome = PLATFORM_NOT_SENT};
+	config_call_t *call = calloc(1, sizeof(*call));
+
+	if (call != NULL) {
+		call->config = config;
+		call->kind = action->call;
+		call->digest = action->digest;
+		list_append(&config->calls, &call->link);
+		if (call_start(call, action) == MASTICPITCH_OK)
+			return;
+		call_free(call);
+	}
+	spread_platform_answer(config->spread, action->call, &action->digest, &not_sent,
+	    kernel_now(config->kernel));
 }
 
 static void
-snapshot_announce(config_t *config)
+watch_cancel(config_t *config)
 {
-	const char *const names[] = {"entry", "gate", "operators"};
+	LIST_FOREACH_SAFE (node, &config->calls) {
+		config_call_t *call = LIST_ENTRY(node, config_call_t, link);
+
+		if (call->kind != SPREAD_CALL_WATCH_HEAD)
+			continue;
+		platform_call_cancel(call->call);
+		call_free(call);
+	}
+}
+
+static void
+message_send(config_t *config, const spread_action_t *action)
+{
+	message_t *message = message_create(MESSAGE_CONTROL, action->node, 0);
+
+	if (message == NULL)
+		return;
+	message->u.control.kind = CONTROL_CONFIG;
+	message->u.control.payload = spread_message_pack(action->message);
+	if (message->u.control.payload == NULL) {
+		message_destroy(message);
+		return;
+	}
+	post(config, "peer", message);
+}
+
+static void
+snapshot_post(config_t *config, snapshot_t *snapshot)
+{
+	static const char *const names[] = {"entry", "gate", "operators"};
 	message_t *message = message_create(MESSAGE_VERSION, 0, 0);
 
 	for (size_t i = 0; i < ARRAY_LENGTH(names); i++) {
 		message_t *copy = message_create(MESSAGE_SNAPSHOT, 0, 0);
 
 		if (copy != NULL)
-			copy->u.snapshot = snapshot_hold(config->snapshot);
-		kernel_message_post(config->kernel, &config->service,
-		    kernel_service_find(config->kernel, names[i]), copy);
+			copy->u.snapshot = snapshot_hold(snapshot);
+		post(config, names[i], copy);
 	}
-	if (message != NULL)
-		message->u.version.version = config->snapshot->version;
-	kernel_message_post(config->kernel, &config->service,
-	    kernel_service_find(config->kernel, "membership"), message);
-	metrics_set(
-	    kernel_metrics(config->kernel), METRIC_CONFIG_VERSION, config->snapshot->version);
-	metrics_add(kernel_metrics(config->kernel), METRIC_CONFIG_APPLIED, 1);
+	if (message != NULL) {
+		message->u.version.version = snapshot->version;
+		message->u.version.floor = snapshot->version;
+	}
+	post(config, "membership", message);
 	log_info(kernel_log(config->kernel), "configuration in force",
-	    LOG_NUMBER("version", config->snapshot->version),
-	    LOG_TEXT("preset", config->snapshot->preset_name));
-}
-
-static void
-pending_apply(config_t *config)
-{
-	char message[MASTICPITCH_MESSAGE_MAX];
-	preset_t *preset = NULL;
-	snapshot_t *snapshot;
-
-	if (record_check(config->pending, config->head, &config->parts, &preset, message,
-		sizeof(message)) != MASTICPITCH_OK) {
-		metrics_add(kernel_metrics(config->kernel), METRIC_CONFIG_REFUSED, 1);
-		log_warning(kernel_log(config->kernel), "record refused",
-		    LOG_TEXT("reason", message));
-		free(config->pending);
-	} else if ((snapshot = snapshot_create(config->pending->version,
-			config->pending->in_force, preset)) != NULL) {
-		free(config->head);
-		config->head = config->pending;
-		snapshot_release(config->snapshot);
-		config->snapshot = snapshot;
-		snapshot_announce(config);
+	    LOG_NUMBER("version", snapshot->version),
+	    LOG_TEXT("preset", snapshot->preset_name));
+}
+
+static void
+action_perform(config_t *config, spread_action_t *action)
+{
+	switch (action->kind) {
+	case SPREAD_SEND:
+		message_send(config, action);
+		break;
+	case SPREAD_CALL:
+		call_perform(config, action);
+		break;
+	case SPREAD_WATCH_CANCEL:
+		watch_cancel(config);
+		break;
+	case SPREAD_IN_FORCE:
+		snapshot_post(config, action->snapshot);
+		break;
+	case SPREAD_REFUSED:
+		log_warning(kernel_log(config->kernel), "configuration refused",
+		    LOG_TEXT("reason", action->text != NULL ? action->text : ""));
+		break;
 	}
-	config->pending = NULL;
-	config->busy = false;
 }
 
+/* Brings metrics and log up to what has changed since the last call. */
 static void
-part_done(void *state, const platform_answer_t *answer)
+changes_report(config_t *config)
 {
-	config_t *config = state;
-	chunk_t *content;
+	spread_status_t status = spread_status(config->spread);
+	const spread_counters_t *now = &status.counters;
+	const spread_counters_t *old = &config->reported.counters;
+	metrics_t *metrics = kernel_metrics(config->kernel);
+	log_t *log = kernel_log(config->kernel);
 
-	if (answer->outcome != PLATFORM_OK) {
-		free(config->pending);
-		config->pending = NULL;
-		config->busy = false;
-		return;
-	}
-	content = chunk_copy(answer->value, answer->size);
-	if (content != NULL)
-		record_parts_add(&config->parts, content);
-	chunk_release(content);
-	config->missing_count--;
-	part_request(config);
+	metrics_add(metrics, METRIC_CONFIG_APPLIED, now->applied - old->applied);
+	metrics_add(metrics, METRIC_CONFIG_REFUSED, now->refused - old->refused);
+	metrics_add(metrics, METRIC_CONFIG_STALE, now->stale - old->stale);
+	metrics_add(metrics, METRIC_CONFIG_PULLS, now->pulls - old->pulls);
+	metrics_add(metrics, METRIC_CONFIG_PUSHES, now->pushes - old->pushes);
+	metrics_add(metrics, METRIC_CONFIG_DROPPED, now->dropped - old->dropped);
+	metrics_set(metrics, METRIC_CONFIG_VERSION, status.version);
+	metrics_set(metrics, METRIC_CONFIG_RELAY, status.relay);
+	metrics_set(metrics, METRIC_PLATFORM_REGRESSED, status.regressed);
+	if (status.regressed && !config->reported.regressed)
+		log_warning(log,
+		    "the platform holds an older configuration than this node",
+		    LOG_NUMBER("version", status.held));
+	if (!status.regressed && config->reported.regressed)
+		log_info(log, "the platform holds the newest configuration again");
+	if (status.relay != config->reported.relay)
+		log_info(log, status.relay ? "relay of the zone"
+					   : "not relay of the zone any more");
+	config->reported = status;
 }
 
 static void
-part_request(config_t *config)
+timer_set(config_t *config)
 {
-	char key[PLATFORM_KEY_BYTES] = "part/";
+	struct ev_loop *loop = kernel_loop(config->kernel);
+	uint64_t wake = spread_wake(config->spread);
+	uint64_t now = kernel_now(config->kernel);
 
-	if (config->missing_count == 0) {
-		pending_apply(config);
+	ev_timer_stop(loop, &config->timer);
+	if (wake == TIME_NEVER)
 		return;
+	ev_now_update(loop);
+	ev_timer_set(&config->timer,
+	    wake > now ? (double)(wake - now) / (double)NS_PER_S : 0.0, 0.0);
+	ev_timer_start(loop, &config->timer);
+}
+
+/* Performs what spread decided after an event. */
+static void
+config_run(config_t *config)
+{
+	spread_action_t *action;
+
+	while ((action = spread_action_take(config->spread)) != NULL) {
+		action_perform(config, action);
+		spread_action_destroy(action);
 	}
-	digest_format(&config->missing[config->missing_count - 1], key + strlen(key));
-	platform_get(
-	    config->platform, key, call_deadline(config), part_done, config, NULL);
+	changes_report(config);
+	timer_set(config);
 }
 
 static void
-head_done(void *state, const platform_answer_t *answer)
+timer_callback(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	config_t *config = timer->data;
+
+	spread_tick(config->spread, kernel_now(config->kernel));
+	config_run(config);
+}
+
+/* Reads the address of a relay/ZONE value. Errors: MASTICPITCH_E_INVALID. */
+static int
+relay_address_read(const platform_entry_t *entry, address_t *address)
+{
+	struct json_object *object = NULL;
+	json_report_t report;
+	char text[ADDRESS_TEXT_BYTES];
+	int error;
+
+	json_report_init(&report, NULL, 0);
+	error = json_text_parse(
+	    entry->value, entry->size, RELAY_VALUE_MAX, false, &object, &report);
+	if (error == MASTICPITCH_OK)
+		error =
+		    json_read_text(&report, "", object, "address", text, sizeof(text));
+	if (error == MASTICPITCH_OK)
+		error = address_parse(text, address);
+	json_object_put(object);
+	return error;
+}
+
+static void
+relays_listed(void *state, const platform_answer_t *answer)
 {
 	config_t *config = state;
-	char message[MASTICPITCH_MESSAGE_MAX];
-	record_head_t *head = NULL;
 
-	config->busy = false;
-	if (answer->outcome != PLATFORM_OK ||
-	    record_head_parse(answer->value, answer->size, &head, message,
-		sizeof(message)) != MASTICPITCH_OK)
-		return;
-	if (config->head != NULL && head->version <= config->head->version) {
-		free(head);
-		return;
+	config->joining = false;
+	for (size_t i = 0; i < answer->entry_count; i++) {
+		message_t *message = message_create(MESSAGE_JOIN_ADDRESS, 0, 0);
+
+		if (message != NULL && relay_address_read(&answer->entries[i],
+					   &message->u.address) != MASTICPITCH_OK) {
+			message_destroy(message);
+			continue;
+		}
+		post(config, "membership", message);
 	}
-	config->busy = true;
-	config->pending = head;
-	record_parts_retain(&config->parts, config->head, head);
-	config->missing_count = record_parts_missing(&config->parts, head, config->missing);
-	part_request(config);
 }
 
 static void
-poll_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+join_callback(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	config_t *config = watcher->data;
+	config_t *config = timer->data;
 
-	if (config->busy)
+	config->joining = platform_list(config->platform, "relay/", call_deadline(config),
+			      relays_listed, config, NULL) == MASTICPITCH_OK;
+}
+
+/* Membership asks again until it has joined; one list at a time is enough. */
+static void
+join_start(config_t *config)
+{
+	struct ev_loop *loop = kernel_loop(config->kernel);
+	uint64_t pause = rng_below(kernel_rng(config->kernel), JOIN_JITTER_NS);
+
+	if (config->joining)
 		return;
-	config->busy = platform_get(config->platform, "head", call_deadline(config),
-			   head_done, config, NULL) == MASTICPITCH_OK;
+	config->joining = true;
+	ev_timer_set(&config->join_timer, (double)pause / (double)NS_PER_S, 0.0);
+	ev_timer_start(loop, &config->join_timer);
+}
+
+static uint64_t
+age_ms(uint64_t now, uint64_t at)
+{
+	return at != 0 && now > at ? (now - at) / NS_PER_MS : 0;
+}
+
+static void
+alarms_add(const spread_status_t *status, bool reachable, struct json_object *report)
+{
+	struct json_object *alarms = json_object_new_array();
+
+	if (status->regressed)
+		json_object_array_add(
+		    alarms, json_object_new_string("platform-regressed"));
+	if (status->refused[0] != '\0')
+		json_object_array_add(
+		    alarms, json_object_new_string("configuration-refused"));
+	if (!reachable)
+		json_object_array_add(
+		    alarms, json_object_new_string("platform-unreachable"));
+	if (status->version == 0)
+		json_object_array_add(alarms, json_object_new_string("no-configuration"));
+	json_object_object_add(report, "alarms", alarms);
+}
+
+static struct json_object *
+status_json(const config_t *config)
+{
+	spread_status_t status = spread_status(config->spread);
+	platform_health_t health = platform_health(config->platform);
+	uint64_t now = kernel_now(config->kernel);
+	/* A node that need not call the platform has no opinion of it. */
+	bool reachable = health.reachable || health.failures == 0;
+	struct json_object *report = json_object_new_object();
+	struct json_object *platform = json_object_new_object();
+
+	json_object_object_add(report, "version", json_object_new_uint64(status.version));
+	json_object_object_add(report, "preset", json_object_new_string(status.preset));
+	json_object_object_add(report, "version_age_ms",
+	    json_object_new_uint64(age_ms(now, status.accepted_at)));
+	if (status.confirmed_at != 0)
+		json_object_object_add(report, "confirmed_age_ms",
+		    json_object_new_uint64(age_ms(now, status.confirmed_at)));
+	json_object_object_add(
+	    report, "version_floor", json_object_new_uint64(status.floor));
+	json_object_object_add(
+	    report, "version_max", json_object_new_uint64(status.version_max));
+	json_object_object_add(platform, "reachable", json_object_new_boolean(reachable));
+	if (health.last_answer != 0)
+		json_object_object_add(platform, "last_answer_ms",
+		    json_object_new_uint64(age_ms(now, health.last_answer)));
+	json_object_object_add(
+	    platform, "regressed", json_object_new_boolean(status.regressed));
+	json_object_object_add(report, "platform", platform);
+	json_object_object_add(report, "relay", json_object_new_boolean(status.relay));
+	if (status.refused[0] != '\0')
+		json_object_object_add(
+		    report, "refused", json_object_new_string(status.refused));
+	alarms_add(&status, reachable, report);
+	return report;
 }
 
 static void
-status_report(config_t *config, const message_t *query)
+query_answer(config_t *config, const message_t *query)
 {
-	char text[512];
-	bool reachable = platform_health(config->platform).reachable;
-	int size = snprintf(text, sizeof(text),
-	    "{\"version\":%llu,\"preset\":\"%s\",\"version_age_ms\":0,\"relay\":false,"
-	    "\"platform\":{\"reachable\":%s,\"regressed\":false}}",
-	    (unsigned long long)(config->snapshot != NULL ? config->snapshot->version : 0),
-	    config->snapshot != NULL ? config->snapshot->preset_name : "none",
-	    reachable ? "true" : "false");
-	message_t *message = message_create(MESSAGE_REPORT, 0, query->stream);
+	struct json_object *report = status_json(config);
+	const char *text = json_object_to_json_string_ext(report, JSON_C_TO_STRING_PLAIN);
+	message_t *answer = message_create(MESSAGE_REPORT, 0, query->stream);
 
-	if (message != NULL)
-		message->u.report = chunk_copy(text, (size_t)size);
-	kernel_message_post(config->kernel, &config->service, query->from, message);
+	if (answer != NULL)
+		answer->u.report = chunk_copy(text, strlen(text));
+	json_object_put(report);
+	kernel_message_post(config->kernel, &config->service, query->from, answer);
+}
+
+static void
+control_receive(config_t *config, const message_t *message, uint64_t now)
+{
+	const chunk_t *payload = message->u.control.payload;
+	spread_message_t *unpacked = NULL;
+
+	if (payload == NULL || spread_message_unpack(payload->data, payload->size,
+				   &unpacked) != MASTICPITCH_OK) {
+		metrics_add(kernel_metrics(config->kernel), METRIC_PEER_BAD_FRAMES, 1);
+		return;
+	}
+	spread_message_receive(config->spread, message->node, unpacked, now);
+	spread_message_release(unpacked);
 }
 
 static void
 config_receive(void *state, message_t *message)
 {
-	if (message->type == MESSAGE_QUERY)
-		status_report(state, message);
+	config_t *config = state;
+	uint64_t now = kernel_now(config->kernel);
+
+	switch (message->type) {
+	case MESSAGE_CONTROL:
+		control_receive(config, message, now);
+		break;
+	case MESSAGE_CONTROL_FAILED:
+		spread_send_failed(config->spread, message->node, now);
+		break;
+	case MESSAGE_MEMBER:
+		spread_member_update(config->spread, &message->u.member, now);
+		break;
+	case MESSAGE_MEMBER_REMOVED:
+		spread_member_remove(config->spread, message->u.member.node, now);
+		break;
+	case MESSAGE_VERSION_HEARD:
+		spread_version_heard(config->spread, message->node,
+		    message->u.version.version, message->u.version.floor, now);
+		break;
+	case MESSAGE_JOIN_NEEDED:
+		join_start(config);
+		return;
+	case MESSAGE_QUERY:
+		if (message->u.query.kind == QUERY_STATUS)
+			query_answer(config, message);
+		return;
+	case MESSAGE_LEAVE:
+		spread_leave(config->spread, now);
+		break;
+	default:
+		return;
+	}
+	config_run(config);
 }
 
-int
-config_create(kernel_t *kernel, const settings_t *settings, config_t **result)
+static int
+parts_create(config_t *config)
 {
-	config_t *config = calloc(1, sizeof(*config));
-	platform_options_t options = {.loop = kernel_loop(kernel),
+	const settings_t *settings = config->settings;
+	kernel_t *kernel = config->kernel;
+	platform_options_t platform = {.loop = kernel_loop(kernel),
 	    .metrics = kernel_metrics(kernel),
 	    .url = settings->platform_url,
 	    .prefix = settings->platform_prefix};
+	spread_options_t spread = {.node = address_to_node_id(&settings->peers),
+	    .address = settings->peers,
+	    .zone = settings->zone,
+	    .boot = kernel_boot_id(kernel),
+	    .mode = settings->spread,
+	    .source = settings->config_source,
+	    .seed = rng_next(kernel_rng(kernel)) ^ kernel_boot_id(kernel)};
+	int error =
+	    http_client_create(kernel_loop(kernel), CONNECTIONS_MAX, &config->http);
+
+	if (error != MASTICPITCH_OK)
+		return error;
+	platform.http = config->http;
+	error = platform_create(&platform, &config->platform);
+	if (error != MASTICPITCH_OK)
+		return error;
+	return spread_create(&spread, kernel_now(kernel), &config->spread);
+}
+
+int
+config_create(kernel_t *kernel, const settings_t *settings, config_t **result)
+{
+	config_t *config = calloc(1, sizeof(*config));
 	int error;
 
 	if (config == NULL)
 		return MASTICPITCH_E_NOMEM;
 	config->kernel = kernel;
 	config->settings = settings;
-	record_parts_init(&config->parts);
+	list_init(&config->calls);
 	list_init(&config->service.link);
 	config->service.name = "config";
 	config->service.state = config;
 	config->service.receive = config_receive;
-	ev_timer_init(&config->poll, poll_callback, 0., POLL_S);
-	config->poll.data = config;
-	error = http_client_create(kernel_loop(kernel), CONNECTIONS_MAX, &config->http);
-	options.http = config->http;
-	if (error == MASTICPITCH_OK)
-		error = platform_create(&options, &config->platform);
+	ev_timer_init(&config->timer, timer_callback, 0.0, 0.0);
+	config->timer.data = config;
+	ev_timer_init(&config->join_timer, join_callback, 0.0, 0.0);
+	config->join_timer.data = config;
+	error = parts_create(config);
 	if (error == MASTICPITCH_OK)
 		error = kernel_service_register(kernel, &config->service);
 	if (error != MASTICPITCH_OK) {
 		config_destroy(config);
 		return error;
 	}
-	ev_timer_start(kernel_loop(kernel), &config->poll);
+	ev_timer_start(kernel_loop(kernel), &config->timer);
 	*result = config;
 	return MASTICPITCH_OK;
 }
@@ -226,13 +548,13 @@
 {
 	if (config == NULL)
 		return;
-	ev_timer_stop(kernel_loop(config->kernel), &config->poll);
+	ev_timer_stop(kernel_loop(config->kernel), &config->timer);
+	ev_timer_stop(kernel_loop(config->kernel), &config->join_timer);
 	kernel_service_unregister(config->kernel, &config->service);
 	platform_destroy(config->platform);
 	http_client_destroy(config->http);
-	snapshot_release(config->snapshot);
-	record_parts_clear(&config->parts);
-	free(config->head);
-	free(config->pending);
+	LIST_FOREACH_SAFE (node, &config->calls)
+		call_free(LIST_ENTRY(node, config_call_t, link));
+	spread_destroy(config->spread);
 	free(config);
 }
--- a/src/record.c
+++ b/src/record.c
@@ -100,11 +100,30 @@
 	return MASTICPITCH_OK;
 }
 
-static bool
-action_is_valid(const char *action)
+/* Reads "VERB PRESET". Errors: MASTICPITCH_E_INVALID. */
+static int
+action_read(json_report_t *report, const char *place, struct json_object *object,
+    record_commit_t *commit)
 {
-	return strcmp(action, "create") == 0 || strcmp(action, "edit") == 0 ||
-	       strcmp(action, "delete") == 0 || strcmp(action, "use") == 0;
+	static const char *const verbs[] = {"create", "edit", "delete", "use"};
+	char text[RECORD_ACTION_BYTES + NAME_BYTES];
+
+	if (json_read_text(report, place, object, "action", text, sizeof(text)) !=
+	    MASTICPITCH_OK)
+		return report->error;
+	for (size_t i = 0; i < ARRAY_LENGTH(verbs); i++) {
+		size_t length = strlen(verbs[i]);
+		const char *name = text + length + 1;
+
+		if (strncmp(text, verbs[i], length) != 0 || text[length] != ' ' ||
+		    !json_name_is_valid(name, strlen(name)))
+			continue;
+		string_copy(commit->action, sizeof(commit->action), verbs[i]);
+		string_copy(commit->preset, sizeof(commit->preset), name);
+		return MASTICPITCH_OK;
+	}
+	return json_report_fail(report, MASTICPITCH_E_INVALID, place,
+	    "action: must be create, edit, delete or use with the name of a preset");
 }
 
 static int
@@ -112,7 +131,7 @@
     record_commit_t *commit)
 {
 	static const char *const keys[] = {
-	    "version", "operation", "operator", "action", "preset", "at", NULL};
+	    "version", "operation", "operator", "action", "at", NULL};
 	struct json_object *operation = NULL;
 	char place[JSON_PLACE_BYTES];
 
@@ -125,12 +144,7 @@
 	    &commit->version);
 	json_read_uint(report, place, object, "at", true, 0, INT64_MAX, &commit->at);
 	name_read(report, place, object, "operator", commit->operator_name);
-	name_read(report, place, object, "preset", commit->preset);
-	if (json_read_text(report, place, object, "action", commit->action,
-		sizeof(commit->action)) == MASTICPITCH_OK &&
-	    !action_is_valid(commit->action))
-		json_report_fail(report, MASTICPITCH_E_INVALID, place,
-		    "action: must be create, edit, delete or use");
+	action_read(report, place, object, commit);
 	json_object_object_get_ex(object, "operation", &operation);
 	if (!digest_text_is_valid(operation))
 		return json_report_fail(report, MASTICPITCH_E_INVALID, place,
@@ -253,7 +267,7 @@
 
 		error = buffer_printf(text,
 		    "%s{\"version\":%" PRIu64 ",\"operation\":\"%s\",\"operator\":\"%s\","
-		    "\"action\":\"%s\",\"preset\":\"%s\",\"at\":%" PRIu64 "}",
+		    "\"action\":\"%s %s\",\"at\":%" PRIu64 "}",
 		    i > 0 ? "," : "", commit->version, commit->operation,
 		    commit->operator_name, commit->action, commit->preset, commit->at);
 	}
--- a/src/record.h
+++ b/src/record.h
@@ -29,7 +29,7 @@
 #define RECORD_OPERATION_BYTES DIGEST_TEXT_BYTES
 #define RECORD_ACTION_BYTES 8 /* "create", "edit", "delete", "use" */
 
-/* One commit, as the head's history keeps it. */
+/* One commit, as the head's history keeps it; there action is "VERB PRESET". */
 typedef struct record_commit {
 	uint64_t version;
 	char operation[RECORD_OPERATION_BYTES];
--- a/src/spread.h
+++ b/src/spread.h
@@ -142,8 +142,9 @@
 	uint64_t confirmed_at; /* the platform last had the version held; 0: never */
 	bool relay;
 	bool lease_held;
-	bool regressed;	     /* the platform holds an older head than this node */
-	const char *refused; /* why the last record was refused, or "" */
+	bool regressed; /* the platform holds an older head than this node */
+	/* Why a record was refused, or "" once a newer one was accepted. */
+	const char *refused;
 	uint64_t refused_version;
 	spread_counters_t counters;
 } spread_status_t;
--- a/src/spread_accept.c
+++ b/src/spread_accept.c
@@ -174,6 +174,8 @@
 	held->digest = candidate->digest;
 	held->snapshot = snapshot;
 	held->accepted_at = now;
+	spread->refused[0] = '\0';
+	spread->refused_version = 0;
 	candidate->head = NULL;
 	candidate->text = NULL;
 	spread_candidate_drop(spread);
--- a/test/fuzz_record.c
+++ b/test/fuzz_record.c
@@ -14,9 +14,9 @@
     "{\"format\":1,\"version\":9,\"in_force\":\"a\",\"presets\":{\"a\":{\"parts\":"
     "[" DIGEST "]},\"b\":{\"parts\":[" DIGEST "," DIGEST
     "]}},\"history\":[{\"version\":8,"
-    "\"operation\":" DIGEST ",\"operator\":\"o\",\"action\":\"use\",\"preset\":\"a\","
+    "\"operation\":" DIGEST ",\"operator\":\"o\",\"action\":\"use a\","
     "\"at\":1},{\"version\":9,\"operation\":" DIGEST
-    ",\"operator\":\"o\",\"action\":\"edit\",\"preset\":\"b\",\"at\":2}]}";
+    ",\"operator\":\"o\",\"action\":\"edit b\",\"at\":2}]}";
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
