Test tickets and deaths at the gate, announce a restart

Cause: a backend server that announced itself under a new boot id was withdrawn and not put back: whether its state had changed was looked up before the death withdrew it.

Change: the change is looked up after the death. Tests for tickets (run at most once, replay while leaving, unknown after a break, withdrawn when refused unrun) and for deaths (reset with the port open, port closed, new boot id).

Conclusion: a restarted backend server gets work with its first announcement.

--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -194,7 +194,7 @@
 backend_set(gate_t *gate, const gate_backend_t *announced)
 {
 	static const char *const states[] = {"none", "starting", "ready", "leaving"};
-	bool changed = backend_changed(&gate->backend, announced);
+	bool changed;
 
 	if (gate->backend.boot[0] != '\0' &&
 	    strcmp(gate->backend.boot, announced->boot) != 0)
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -447,4 +447,113 @@
 	EXPECT_EQ(server->with("bad"), nullptr);
 }
 
+// A repeat with the same ticket gets the stored outcome, also from a gate that
+// takes no new work; a broken first run is unknown for good.
+TEST_F(Gate, TicketRunsAtMostOnce)
+{
+	std::string body, ticket;
+	auto with_ticket = [&](uint64_t stream) {
+		message_t *message = call(0, stream, "POST", "/katalogo/book");
+
+		string_copy(message->u.call->ticket, TICKET_BYTES, ticket.c_str());
+		message->u.call->fingerprint = 55;
+		entry->post("gate", message);
+	};
+	auto issue = [&](uint64_t stream) {
+		entry->post("gate",
+		    call(0, stream, "GET", "/.masticpitch/ticket?method=POST&path=/x"));
+		ASSERT_TRUE(until([&] { return has_ended(stream); }));
+		body = entry->body(MESSAGE_ANSWER_DATA, stream);
+		ticket = body.substr(11, body.find('"', 11) - 11);
+	};
+
+	ASSERT_EQ(announce("ready"), 200);
+	issue(1);
+	with_ticket(2);
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/book") != nullptr; }));
+	EXPECT_TRUE(server->with("/katalogo/book")->has("Idempotency-Key: " + ticket));
+	with_ticket(3);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 3, REASON_TICKET_RUNNING, RUN_UNKNOWN);
+	server->with("/katalogo/book")->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(2); }));
+	entry->post("gate", message_create(MESSAGE_LEAVE, 0, 0));
+	with_ticket(4);
+	ASSERT_TRUE(until([&] { return has_ended(4); }));
+	EXPECT_EQ(entry->find(MESSAGE_ANSWER_HEAD, 4)->status, 200);
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 4), "ok");
+	EXPECT_EQ(metric(METRIC_GATE_ADMITTED), 1u);
+}
+
+TEST_F(Gate, BrokenTicketRunIsUnknownAndARefusedOneMayRunLater)
+{
+	std::string body, ticket;
+	auto with_ticket = [&](uint64_t stream, uint64_t deadline_ms) {
+		message_t *message =
+		    call(0, stream, "POST", "/katalogo/book", 0, deadline_ms);
+
+		string_copy(message->u.call->ticket, TICKET_BYTES, ticket.c_str());
+		message->u.call->fingerprint = 55;
+		entry->post("gate", message);
+	};
+
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/.masticpitch/ticket"));
+	ASSERT_TRUE(until([&] { return has_ended(1); }));
+	body = entry->body(MESSAGE_ANSWER_DATA, 1);
+	ticket = body.substr(11, body.find('"', 11) - 11);
+	with_ticket(2, 0);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_DEADLINE_PASSED, RUN_NO);
+	with_ticket(3, 5000);
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/book") != nullptr; }));
+	server->with("/katalogo/book")->abort();
+	expect_refusal(*entry, MESSAGE_REFUSAL, 3, REASON_BACKEND_LOST, RUN_UNKNOWN);
+	with_ticket(4, 5000);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 4, REASON_TICKET_UNKNOWN, RUN_UNKNOWN);
+	EXPECT_EQ(metric(METRIC_GATE_ADMITTED), 1u);
+}
+
+// A reset with the port still open is no death; with the port closed it is, and
+// every request in flight is reported once.
+TEST_F(Gate, DeathReportsTheRequestsInFlight)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/1"));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/1") != nullptr; }));
+	server->with("/katalogo/1")->abort();
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_LOST, RUN_UNKNOWN);
+	ASSERT_TRUE(until([&] {
+		server->poll();
+		return server->connections.size() == 2; // the probe
+	}));
+	settle();
+	EXPECT_EQ(membership->count(MESSAGE_CRASH_REPORT), 0u);
+	entry->post("gate", call(0, 2, "GET", "/katalogo/2"));
+	entry->post("gate", call(0, 3, "GET", "/katalogo/3"));
+	ASSERT_TRUE(until([&] {
+		return server->with("/katalogo/2") != nullptr &&
+		       server->with("/katalogo/3") != nullptr;
+	}));
+	server->stop();
+	server->connections.clear();
+	ASSERT_TRUE(until([&] { return membership->count(MESSAGE_CRASH_REPORT) == 2; }));
+	settle();
+	EXPECT_EQ(membership->count(MESSAGE_CRASH_REPORT), 2u);
+	EXPECT_EQ(entry->count(MESSAGE_CRASH_REPORT), 2u);
+	EXPECT_EQ(metric(METRIC_BACKEND_DEATHS), 1u);
+	EXPECT_EQ(membership->messages.back().instance.state, INSTANCE_NONE);
+}
+
+TEST_F(Gate, NewBootIdIsADeath)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/1"));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/1") != nullptr; }));
+	ASSERT_EQ(announce("ready", 2, "b2"), 200);
+	ASSERT_TRUE(until([&] { return membership->count(MESSAGE_CRASH_REPORT) == 1; }));
+	EXPECT_EQ(membership->find(MESSAGE_CRASH_REPORT, 0)->fingerprint, 1001u);
+	ASSERT_TRUE(until([&] {
+		return membership->messages.back().instance.state == INSTANCE_READY;
+	}));
+}
+
 } // namespace
