--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -199,6 +199,8 @@
 	if (gate->backend.boot[0] != '\0' &&
 	    strcmp(gate->backend.boot, announced->boot) != 0)
 		gate_backend_died(gate, "announced under a new boot id");
+	/* Looked up after a death, which withdraws the instance. */
+	changed = backend_changed(&gate->backend, announced);
 	gate->backend = *announced;
 	gate->backend.live = true;
 	gate->backend.announced = kernel_now(gate->kernel);
