--- a/test/test_member.cc
+++ b/test/test_member.cc
@@ -116,6 +116,26 @@
 	EXPECT_EQ(removed, 0u);
 }
 
+TEST(Member, MemberThatOthersHearIsNotRemovedByOneMonitor)
+{
+	VirtualMesh mesh(40, 2, 14);
+	uint64_t removed = 0;
+	member_statistics_t statistics;
+
+	ASSERT_TRUE(start_converged(mesh));
+	mesh.changed = [&](int, int, const member_t &record) {
+		removed += record.state == MEMBER_DOWN;
+	};
+	// Node 2 reaches half of its zone's members only; all hear each other else.
+	mesh.is_cut = [](int a, int b) {
+		return (a == 2 && b % 4 == 0) || (b == 2 && a % 4 == 0);
+	};
+	mesh.run(30000);
+	member_table_statistics(mesh.nodes[2].table, &statistics);
+	EXPECT_GT(statistics.suspicions, 0u);
+	EXPECT_EQ(removed, 0u);
+}
+
 TEST(Member, HalfOfTheNodesKilledAndBack)
 {
 	for (uint64_t seed = 1; seed <= 2; seed++) {
@@ -274,6 +294,33 @@
 	EXPECT_EQ(mesh.find(5, 3)->instance.state, INSTANCE_NONE);
 }
 
+TEST(Member, DelayedRecordOfAFormerStartIsIgnored)
+{
+	VirtualMesh mesh(20, 2, 13);
+	chunk_t *former = NULL;
+
+	// The first datagram of the first start holds its own record.
+	mesh.acted = [&](int of, const member_action_t *action) {
+		if (of == 3 && action->type == MEMBER_ACTION_SEND && former == NULL)
+			former = chunk_hold(action->payload);
+	};
+	ASSERT_TRUE(start_converged(mesh));
+	ASSERT_NE(former, nullptr);
+	mesh.run(100);
+	mesh.start(3);
+	ASSERT_TRUE(mesh.run(5000, [&] { return mesh.is_converged(); }));
+	uint64_t newest = mesh.find(5, 3)->incarnation;
+	mesh.act(5, [&](member_table_t *table, list_t *actions) {
+		member_receive(table, &mesh.nodes[3].address, former->data, former->size,
+		    mesh.now, actions);
+	});
+	EXPECT_EQ(mesh.find(5, 3)->incarnation, newest);
+	mesh.run(2000);
+	for (int i = 0; i < 20; i++)
+		EXPECT_GE(mesh.find(i, 3)->incarnation, newest);
+	chunk_release(former);
+}
+
 TEST(Member, OlderIncarnationNeverReplacesANewerOne)
 {
 	VirtualMesh mesh(60, 3, 8);
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -486,8 +486,16 @@
 		relay.pump(b.settings.peers, middle.ip);
 		return a.entry.counts[MESSAGE_ANSWER_DATA] == 1;
 	}));
+	message = message_create(MESSAGE_CONTROL, b.id, 0);
+	message->u.control.kind = CONTROL_CONFIG;
+	message->u.control.payload = chunk_copy("x", 1);
+	a.config.post(message);
+	ASSERT_TRUE(wait([&] {
+		relay.pump(b.settings.peers, middle.ip);
+		return b.config.counts[MESSAGE_CONTROL] == 1;
+	}));
 	EXPECT_EQ(b.metric(METRIC_PEER_BAD_FRAMES), 0u);
-	// The last frame of the node once more.
+	// The last frame of the node once more; only its digest tells it apart.
 	size_t offset = 0, length = 0, last = 0;
 	while (offset < relay.seen.size()) {
 		ASSERT_EQ(frame_length((const uint8_t *)relay.seen.data() + offset,
@@ -498,7 +506,7 @@
 	}
 	send(relay.up, relay.seen.data() + last, relay.seen.size() - last, MSG_NOSIGNAL);
 	EXPECT_TRUE(wait([&] { return b.metric(METRIC_PEER_BAD_FRAMES) == 1; }));
-	EXPECT_EQ(b.gate.counts[MESSAGE_CALL_OPEN], 1);
+	EXPECT_EQ(b.config.counts[MESSAGE_CONTROL], 1);
 	// The whole recording on a new connection proves nothing.
 	int fd = -1;
 	ASSERT_EQ(os_socket_connect(&b.settings.peers, middle.ip, &fd), 0);
