Test failures with real processes

Cause: the failures of platform, relay, zone, host and operators are only seen when real nodes, backend servers and callers meet them.

--- /dev/null
+++ b/test/process_platform.py
@@ -0,0 +1,77 @@
+"""The platform is down, slow, loses answers, or comes back with an older store."""
+
+from common_process import VersionWatch, check, check_equal, check_verdict, run, \
+    start_mesh, wait_for
+
+
+def test_outage(fleet):
+    """Guards against nodes that stop routing, or forget what they hold, without the
+    platform."""
+    version = start_mesh(fleet)
+    fleet.faults(outage=True)
+    caller = fleet.caller("outage", fleet.hosts, rate=50, seconds=3,
+                          mix="lookup=8,call=2")
+    code, _, errors = fleet.operator("use", "peak", "--timeout", "3000")
+    check_equal(code, 5, f"exit code of a commit during an outage ({errors})")
+    wait_for(lambda: any(not (host.status() or {}).get("platform", {})
+                         .get("reachable", True) for host in fleet.hosts),
+             "a node reports the outage")
+    report = caller.wait()
+    check_equal(report["answered"], report["sent"], "answered without the platform")
+    for host in fleet.hosts:
+        check_equal(host.version(), version, f"version of {host.name}")
+    fleet.faults(outage=False)
+    fleet.wait_versions(fleet.use("peak"))
+    check_verdict(fleet)
+
+
+def test_slow(fleet):
+    """Guards against nodes and commits that fail when each call takes long."""
+    start_mesh(fleet)
+    fleet.faults(slow_ms=700)
+    caller = fleet.caller("slow", fleet.hosts, rate=50, seconds=3)
+    fleet.wait_versions(fleet.use("peak"))
+    report = caller.wait()
+    check_equal(report["answered"], report["sent"], "answered with a slow platform")
+    check_verdict(fleet)
+
+
+def test_answers_lost(fleet):
+    """Guards against a commit that is reported wrongly, or made twice, when the write
+    took effect but its answer was lost."""
+    start_mesh(fleet, hosts_per_zone=1, backends=False)
+    for share in (1.0, 0.5, 0.5, 0.5):
+        before = fleet.head()
+        fleet.faults(lose_answers=share)
+        name = "peak" if before["in_force"] != "peak" else "normal"
+        code, _, errors = fleet.operator("use", name)
+        fleet.faults(lose_answers=0)
+        after = fleet.head()
+        check_equal(code, 0, f"exit code with lost answers ({errors})")
+        check_equal(after["version"], before["version"] + 1, "version after one commit")
+        check_equal(after["in_force"], name, "preset in force")
+        fleet.wait_versions(after["version"])
+
+
+def test_regressed(fleet):
+    """Guards against nodes that follow a platform restored from an old backup."""
+    start_mesh(fleet, hosts_per_zone=2, backends=False)
+    revision = fleet.counts()["revision"]
+    fleet.use("peak")
+    version = fleet.use("maintenance")
+    watch = VersionWatch(fleet)
+    watch.wait(version)
+    fleet.faults(regress_to_revision=revision)
+    check(fleet.head()["version"] < version, "the platform's head did not go back")
+    wait_for(lambda: watch.look() and any(
+        "platform-regressed" in str((host.status() or {}).get("alarms", ""))
+        for host in fleet.hosts), "a node raises platform-regressed")
+    # A restarted node learns the floor from its peers, not from the platform.
+    fleet.hosts[-1].node.kill()
+    fleet.hosts[-1].node_start()
+    watch.wait(version)
+    for host in fleet.hosts:
+        check_equal(host.version(), version, f"version of {host.name}")
+
+
+run(test_outage, test_slow, test_answers_lost, test_regressed)
