--- /dev/null
+++ b/models/mutants/commit-garbage-unchecked.sed
@@ -0,0 +1,1 @@
+s|part_revision\[3 - p\] < head_revision /\* GARBAGE \*/|true|
--- /dev/null
+++ b/models/mutants/commit-no-compare.sed
@@ -0,0 +1,1 @@
+s|head_revision == expect -> /\* SWAP \*/|true ->|
--- /dev/null
+++ b/models/mutants/commit-no-lookup.sed
@@ -0,0 +1,1 @@
+s|(history\[head\] \& bit_of(mine)) /\* LOOKUP \*/|false|
--- /dev/null
+++ b/models/mutants/config-accepts-older.sed
@@ -0,0 +1,1 @@
+s|w > in_force\[i\] /\* NEWER \*/|w != in_force[i]|
--- /dev/null
+++ b/models/mutants/config-no-floor.sed
@@ -0,0 +1,1 @@
+s|lowest\[i\] = heard\[i\] /\* FLOOR \*/|skip|
--- /dev/null
+++ b/models/mutants/config-no-validation.sed
@@ -0,0 +1,1 @@
+s|valid\[candidate\[i\]\] /\* VALIDATE \*/|true|
