Count uploads against the slots, not against the adaptive limit

Cause: paced uploads (1 s and longer) counted against the adaptive limit, so one or two of them left no place for lookups once the limit had fallen, and ten of them took all ten slots.

Change: limit_gate_start() and limit_gate_end() frame each exchange, however it ends, and count open uploads. Uploads may take the slots except a kept share of 30%; the other classes run up to min(adaptive limit, slots left). queue_pop() passes over what may not start, and the expected wait divides the work of each class by the places of its kind. The gate's load report carries adaptive limit + open uploads.

Conclusion: running uploads no longer keep lookups waiting.

--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -7,9 +7,7 @@
 {
 	if (!gate->backend.live)
 		return 0;
-	if (gate->naive)
-		return gate->backend.connections;
-	return MIN_OF(limit_gate_current(&gate->limit), gate->backend.connections);
+	return limit_gate_total(&gate->limit);
 }
 
 void
@@ -25,7 +23,9 @@
 		    preset_service_find(gate->snapshot->preset, gate->backend.service);
 	if (service != NULL)
 		queue_limit = service->queue_limit;
-	limit_gate_slots_set(&gate->limit, gate->backend.slots);
+	limit_gate_slots_set(&gate->limit,
+	    gate->naive ? gate->backend.connections
+			: MIN_OF(gate->backend.slots, gate->backend.connections));
 	queue_limit_set(&gate->queue, queue_limit, gate->backend.slots);
 	metrics_set(kernel_metrics(gate->kernel), METRIC_GATE_LIMIT, gate_limit(gate));
 }
@@ -61,7 +61,9 @@
 
 	call->state = GATE_CALL_RUNNING;
 	call->started = kernel_now(gate->kernel);
-	call->running_at_start = ++gate->running;
+	gate->running++;
+	limit_gate_start(&gate->limit, call->head->route_class, call->started);
+	call->running_at_start = limit_gate_others(&gate->limit);
 	gate_crash_start(call);
 	if (gate_exchange_start(call) != MASTICPITCH_OK) {
 		gate_call_refuse(call, REASON_BACKEND_CONNECT, RUN_NO, false);
@@ -71,16 +73,34 @@
 	counts_show(gate);
 }
 
+/* Uploads and the other classes wait for different places. */
+static bool
+call_may_run(const gate_call_t *call)
+{
+	const gate_t *gate = call->gate;
+	route_class_t route_class = call->head->route_class;
+	uint32_t waiting = queue_length(&gate->queue);
+
+	if (!gate->naive)
+		waiting = route_class == ROUTE_UPLOAD
+			      ? queue_uploads(&gate->queue)
+			      : waiting - queue_uploads(&gate->queue);
+	return waiting == 0 && gate->backend.live &&
+	       limit_gate_admits(&gate->limit, route_class);
+}
+
 static reason_t
 call_queue(gate_call_t *call, uint64_t now)
 {
 	gate_t *gate = call->gate;
 	queue_item_t *shed = NULL;
+	queue_places_t places = {.uploads = limit_gate_uploads_max(&gate->limit),
+	    .others = limit_gate_others_max(&gate->limit)};
 	reason_t reason;
 
 	call->item.route_class = call->head->route_class;
 	call->item.deadline = call->head->deadline;
-	reason = queue_push(&gate->queue, &call->item, gate_limit(gate), now, &shed);
+	reason = queue_push(&gate->queue, &call->item, places, now, &shed);
 	if (reason != REASON_NONE)
 		return reason;
 	call->state = GATE_CALL_QUEUED;
@@ -113,7 +133,7 @@
 	}
 	if (gate_ticket_issue(call))
 		return;
-	if (gate->running < gate_limit(gate) && queue_length(&gate->queue) == 0) {
+	if (call_may_run(call)) {
 		call_run(call);
 		return;
 	}
@@ -128,8 +148,11 @@
 	gate_t *gate = call->gate;
 
 	queue_remove(&gate->queue, &call->item);
-	if (call->state == GATE_CALL_RUNNING)
+	if (call->state == GATE_CALL_RUNNING) {
 		gate->running--;
+		limit_gate_end(&gate->limit, call->head->route_class, call->started,
+		    kernel_now(gate->kernel));
+	}
 	call->state = GATE_CALL_NEW;
 	counts_show(gate);
 }
@@ -157,8 +180,10 @@
 	gate->in_queue_run = true;
 	now = kernel_now(gate->kernel);
 	queue_expire_late(gate, now);
-	while (gate->running < gate_limit(gate)) {
-		queue_item_t *item = queue_pop(&gate->queue, now);
+	while (gate->backend.live) {
+		queue_item_t *item =
+		    queue_pop(&gate->queue, limit_gate_admits(&gate->limit, ROUTE_UPLOAD),
+			limit_gate_admits(&gate->limit, ROUTE_LOOKUP), now);
 
 		if (item == NULL)
 			break;
--- a/src/limit.c
+++ b/src/limit.c
@@ -301,8 +301,10 @@
 limit_gate_start(limit_gate_t *limit, route_class_t route_class, uint64_t now)
 {
 	limit->seen = now;
-	if (route_class == ROUTE_UPLOAD)
+	if (route_class == ROUTE_UPLOAD) {
+		limit->uploads++;
 		return;
+	}
 	limit->open_count++;
 	limit->open_since += now - limit->created;
 }
@@ -312,8 +314,11 @@
     limit_gate_t *limit, route_class_t route_class, uint64_t started, uint64_t now)
 {
 	limit->seen = now;
-	if (route_class == ROUTE_UPLOAD)
+	if (route_class == ROUTE_UPLOAD) {
+		INVARIANT(limit->uploads > 0);
+		limit->uploads--;
 		return;
+	}
 	INVARIANT(limit->open_count > 0);
 	limit->open_count--;
 	limit->open_since -= started - limit->created;
@@ -362,6 +367,47 @@
 	return limit->adaptive ? (uint32_t)limit->limit : limit->slots;
 }
 
+uint32_t
+limit_gate_uploads_max(const limit_gate_t *limit)
+{
+	uint64_t kept;
+
+	if (!limit->adaptive || limit->slots == 1)
+		return limit->slots;
+	kept = ((uint64_t)limit->slots * LIMIT_UPLOAD_KEPT_PERCENT + 99) / 100;
+	return limit->slots - (uint32_t)kept;
+}
+
+uint32_t
+limit_gate_others_max(const limit_gate_t *limit)
+{
+	/* Fewer slots may have been announced since the uploads started. */
+	uint32_t left = limit->slots - MIN_OF(limit->slots, limit->uploads);
+
+	return MIN_OF(limit_gate_current(limit), left);
+}
+
+uint32_t
+limit_gate_total(const limit_gate_t *limit)
+{
+	return MIN_OF((uint64_t)limit_gate_current(limit) + limit->uploads, limit->slots);
+}
+
+uint32_t
+limit_gate_others(const limit_gate_t *limit)
+{
+	return limit->open_count;
+}
+
+bool
+limit_gate_admits(const limit_gate_t *limit, route_class_t route_class)
+{
+	if (route_class != ROUTE_UPLOAD)
+		return limit->open_count < limit_gate_others_max(limit);
+	return limit->uploads < limit_gate_uploads_max(limit) &&
+	       limit->uploads + limit->open_count < limit->slots;
+}
+
 uint32_t
 limit_gate_latency_us(const limit_gate_t *limit)
 {
--- a/src/limit.h
+++ b/src/limit.h
@@ -62,6 +62,11 @@
  */
 #define LIMIT_WINDOW_SAMPLES 8
 #define LIMIT_WINDOW_MS 50
+/*
+ * Share of the slots that uploads leave to the other classes, rounded up. An
+ * upload lasts as long as its caller's link needs, often minutes.
+ */
+#define LIMIT_UPLOAD_KEPT_PERCENT 30
 /* The long-term minimum is over the current and the last period of this, ms. */
 #define LIMIT_MINIMUM_MS 30000
 /* Smoothed latency over the minimum above which the limit shrinks. */
@@ -95,9 +100,10 @@
 	double decrease_ratio; /* the highest since then */
 	double latency_us;     /* smoothed over all classes */
 	uint64_t created;
-	uint64_t seen; /* the latest time that was given */
-	uint32_t open_count;
-	uint64_t open_since; /* sum of the starts of open exchanges after created */
+	uint64_t seen;	     /* the latest time that was given */
+	uint32_t uploads;    /* open */
+	uint32_t open_count; /* open exchanges of the other classes */
+	uint64_t open_since; /* sum of their starts after created */
 } limit_gate_t;
 
 /* slots: announced by the backend server, at least 1. Starts at slots. */
@@ -106,23 +112,38 @@
 void limit_gate_slots_set(limit_gate_t *limit, uint32_t slots);
 /*
  * An exchange starts or ends, however it ends; started is the now of its start.
- * The age of open exchanges shows a lag before the first late answer comes.
- * Uploads are left out.
+ * The age of open exchanges shows a lag before the first late answer comes;
+ * uploads are left out of it.
  */
 void limit_gate_start(limit_gate_t *limit, route_class_t route_class, uint64_t now);
 void limit_gate_end(
     limit_gate_t *limit, route_class_t route_class, uint64_t started, uint64_t now);
 /*
- * An exchange ended with an answer after latency_ns; running: calls that were
- * running when it started, with itself. Uploads are left out, their time is
- * the caller's.
+ * An exchange ended with an answer after latency_ns; running: calls other than
+ * uploads that were running when it started, with itself. Uploads are left
+ * out, their time is the caller's.
  */
 void limit_gate_record(limit_gate_t *limit, route_class_t route_class,
     uint64_t latency_ns, uint32_t running, uint64_t now);
 /* The backend server shed a call or let its deadline pass. */
 void limit_gate_overload(limit_gate_t *limit, uint64_t now);
-/* Calls that may run at once, from 1 to slots. */
+/* Calls other than uploads that may run at once, from 1 to slots. */
 uint32_t limit_gate_current(const limit_gate_t *limit);
+/*
+ * Whether another exchange of the class may start. Uploads count against the
+ * slots, not against the adaptive limit, and leave the kept share to the other
+ * classes unless there is only one slot.
+ */
+bool limit_gate_admits(const limit_gate_t *limit, route_class_t route_class);
+/* Places that the other classes have beside the open uploads. */
+uint32_t limit_gate_others_max(const limit_gate_t *limit);
+/* Uploads that may be open at once, at least 1. */
+uint32_t limit_gate_uploads_max(const limit_gate_t *limit);
+/* All exchanges that may be open beside the open uploads, with these; for load reports.
+ */
+uint32_t limit_gate_total(const limit_gate_t *limit);
+/* Open exchanges that are not uploads. */
+uint32_t limit_gate_others(const limit_gate_t *limit);
 /*
  * For load reports: the smoothed latency, or the mean age of open exchanges if
  * that is longer; 0: neither is known yet.
--- a/src/queue.c
+++ b/src/queue.c
@@ -136,21 +136,25 @@
 
 uint64_t
 queue_wait_expected(const queue_t *queue, route_class_t route_class, uint64_t deadline,
-    uint32_t running_limit, uint64_t now)
+    queue_places_t places, uint64_t now)
 {
-	double work = 0;
+	double wait = 0;
 
 	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
 		const queue_class_t *class = &queue->classes[ranking[i]];
 		bool own = ranking[i] == route_class;
 		uint32_t ahead = own ? class_ahead(class, deadline) : class->count;
 
+		uint32_t running =
+		    ranking[i] == ROUTE_UPLOAD ? places.uploads : places.others;
+
 		/* One more, for the rest of what runs at the moment. */
-		work += (ahead + (own ? 1 : 0)) * class_service_time(class, now);
+		wait += (ahead + (own ? 1 : 0)) * class_service_time(class, now) /
+			MAX_OF(running, 1);
 		if (own)
 			break;
 	}
-	return (uint64_t)(work / MAX_OF(running_limit, 1));
+	return (uint64_t)wait;
 }
 
 /* The time that an item still needs once it runs; an upload's is its caller's. */
@@ -187,7 +191,7 @@
 }
 
 reason_t
-queue_push(queue_t *queue, queue_item_t *item, uint32_t running_limit, uint64_t now,
+queue_push(queue_t *queue, queue_item_t *item, queue_places_t places, uint64_t now,
     queue_item_t **shed)
 {
 	uint64_t needed;
@@ -202,9 +206,9 @@
 	}
 	if (item->deadline <= now)
 		return REASON_DEADLINE_PASSED;
-	needed = queue_wait_expected(
-		     queue, item->route_class, item->deadline, running_limit, now) +
-		 item_run_expected(queue, item, now);
+	needed =
+	    queue_wait_expected(queue, item->route_class, item->deadline, places, now) +
+	    item_run_expected(queue, item, now);
 	if (needed > item->deadline - now)
 		return REASON_DEADLINE_TOO_SHORT;
 	queue_insert(queue, item, now);
@@ -219,16 +223,16 @@
 	return REASON_QUEUE_FULL;
 }
 
-/* The class whose turn it is, or NULL if nothing waits. */
+/* The class whose turn it is, or NULL if nothing waits that may start. */
 static queue_class_t *
-queue_turn(queue_t *queue)
+queue_turn(queue_t *queue, bool uploads, bool others)
 {
 	queue_class_t *turn = NULL;
 
 	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
 		queue_class_t *class = &queue->classes[ranking[i]];
 
-		if (class->count == 0)
+		if (class->count == 0 || !(ranking[i] == ROUTE_UPLOAD ? uploads : others))
 			continue;
 		if (turn == NULL || class->passed >= QUEUE_PASSED_MAX)
 			turn = class;
@@ -253,7 +257,7 @@
 }
 
 queue_item_t *
-queue_pop(queue_t *queue, uint64_t now)
+queue_pop(queue_t *queue, bool uploads, bool others, uint64_t now)
 {
 	queue_class_t *turn;
 	queue_item_t *item;
@@ -265,7 +269,7 @@
 			queue_remove(queue, item);
 		return item;
 	}
-	turn = queue_turn(queue);
+	turn = queue_turn(queue, uploads, others);
 	if (turn == NULL)
 		return NULL;
 	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
@@ -337,3 +341,9 @@
 {
 	return queue->count;
 }
+
+uint32_t
+queue_uploads(const queue_t *queue)
+{
+	return queue->classes[ROUTE_UPLOAD].count;
+}
--- a/src/queue.h
+++ b/src/queue.h
@@ -49,23 +49,33 @@
 	bool ordered; /* false: first come, first served, no shedding (naive) */
 } queue_t;
 
+/* Calls that may run at once; 0 counts as 1. */
+typedef struct queue_places {
+	uint32_t uploads;
+	uint32_t others; /* calls of the other classes together */
+} queue_places_t;
+
 /* limit: 0: QUEUE_LIMIT_PER_SLOT x slots. ordered: false for the naive policy. */
 void queue_init(queue_t *queue, uint32_t limit, uint32_t slots, bool ordered);
 /* Changed settings or slots; queued calls above a smaller limit stay. */
 void queue_limit_set(queue_t *queue, uint32_t limit, uint32_t slots);
 
 /*
- * Adds an item. running_limit: calls that the gate may run at once. Returns
+ * Adds an item. places: what the gate may run at once. Returns
  * REASON_NONE with the item queued; then *shed, if not NULL, is an item taken
  * out in its favour and is to be refused as not run with REASON_QUEUE_SHED.
  * Else the item is not queued and is refused as not run:
  * REASON_DEADLINE_PASSED; REASON_DEADLINE_TOO_SHORT: the expected wait and run
  * do not fit before its deadline; REASON_QUEUE_FULL: full, and it ranks last.
  */
-reason_t queue_push(queue_t *queue, queue_item_t *item, uint32_t running_limit,
+reason_t queue_push(queue_t *queue, queue_item_t *item, queue_places_t places,
     uint64_t now, queue_item_t **shed);
-/* Takes out the next item to run, or NULL. Call queue_expire() before. */
-queue_item_t *queue_pop(queue_t *queue, uint64_t now);
+/*
+ * Takes out the next item to run, or NULL. Call queue_expire() before. uploads,
+ * others: whether an upload, or a call of another class, may start now; what
+ * may not start is passed over.
+ */
+queue_item_t *queue_pop(queue_t *queue, bool uploads, bool others, uint64_t now);
 /*
  * Takes out one item that cannot finish before its deadline, or NULL; it is to
  * be refused as not run with *reason (DEADLINE_PASSED or DEADLINE_TOO_SHORT).
@@ -83,8 +93,10 @@
     queue_t *queue, route_class_t route_class, uint64_t duration_ns, uint64_t now);
 /* Expected time until a new item of this class and deadline would start, ns. */
 uint64_t queue_wait_expected(const queue_t *queue, route_class_t route_class,
-    uint64_t deadline, uint32_t running_limit, uint64_t now);
+    uint64_t deadline, queue_places_t places, uint64_t now);
 uint32_t queue_length(const queue_t *queue);
+/* Uploads among them. */
+uint32_t queue_uploads(const queue_t *queue);
 
 #ifdef __cplusplus
 }
--- a/test/policy_simulation.h
+++ b/test/policy_simulation.h
@@ -410,11 +410,13 @@
 			    REASON_BACKEND_STARTING, RUN_NO);
 		gate_expire(event.gate);
 		call = call_create(event);
-		if (gate->running < limit_gate_current(&gate->limit) &&
+		if (limit_gate_admits(&gate->limit, call->item.route_class) &&
 		    queue_length(&gate->queue) == 0)
 			return gate_run(event.gate, call);
 		reason = queue_push(&gate->queue, &call->item,
-		    limit_gate_current(&gate->limit), now, &shed);
+		    {limit_gate_uploads_max(&gate->limit),
+			limit_gate_others_max(&gate->limit)},
+		    now, &shed);
 		if (reason != REASON_NONE)
 			gate_refuse(event.gate, &call->item, reason);
 		if (shed != NULL)
@@ -474,13 +476,10 @@
 		gate_t *gate = &gates[i];
 
 		gate_expire(i);
-		while (gate->running < limit_gate_current(&gate->limit)) {
-			queue_item_t *item = queue_pop(&gate->queue, now);
-
-			if (item == NULL)
-				return;
+		while (queue_item_t *item = queue_pop(&gate->queue,
+			   limit_gate_admits(&gate->limit, ROUTE_UPLOAD),
+			   limit_gate_admits(&gate->limit, ROUTE_LOOKUP), now))
 			gate_run(i, call_of(item));
-		}
 	}
 
 	void
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -376,6 +376,24 @@
 	EXPECT_TRUE(is_idle());
 }
 
+// Guards: uploads over weak links that take every slot, so that lookups wait for
+// them; and a waiting upload that keeps the lookups behind it from running.
+TEST_F(Gate, RunningUploadsLeavePlacesForLookups)
+{
+	ASSERT_EQ(announce("ready", 10), 200);
+	for (uint64_t i = 1; i <= 12; i++) {
+		message_t *upload = call(0, i, "POST", "/katalogo/up", 100);
+
+		upload->u.call->route_class = ROUTE_UPLOAD;
+		entry->post("gate", upload);
+	}
+	entry->post("gate", call(0, 20, "GET", "/katalogo/lookup"));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/lookup ") != nullptr; }));
+	server->with("/katalogo/lookup ")->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(20); }));
+	EXPECT_EQ(entry->find(MESSAGE_REFUSAL, 12), nullptr);
+}
+
 TEST_F(Gate, LostNodeEndsItsCalls)
 {
 	ASSERT_EQ(announce("ready", 1), 200);
--- a/test/test_limit.cc
+++ b/test/test_limit.cc
@@ -291,6 +291,41 @@
 	EXPECT_LT(limit_gate_latency_us(&limit), 6000u);
 }
 
+// Guards: uploads that take every slot, or lookups that an adaptive limit of
+// one keeps waiting behind running uploads.
+TEST_F(GateLimit, UploadsCountAgainstTheSlotsOnly)
+{
+	for (uint32_t slots : {1u, 2u, 3u, 10u, 100u}) {
+		uint32_t uploads = 0, lookups = 0;
+
+		limit_gate_init(&limit, slots, true, now);
+		for (; limit_gate_admits(&limit, ROUTE_UPLOAD); uploads++)
+			limit_gate_start(&limit, ROUTE_UPLOAD, now);
+		EXPECT_GE(uploads, 1u);
+		for (; limit_gate_admits(&limit, ROUTE_LOOKUP); lookups++)
+			limit_gate_start(&limit, ROUTE_LOOKUP, now);
+		EXPECT_EQ(uploads + lookups, slots);
+		EXPECT_GE(
+		    100 * lookups, slots > 1 ? slots * LIMIT_UPLOAD_KEPT_PERCENT : 0);
+		EXPECT_FALSE(limit_gate_admits(&limit, ROUTE_INTERNAL));
+		EXPECT_EQ(limit_gate_total(&limit), slots);
+	}
+	limit_gate_init(&limit, 10, true, now);
+	for (int i = 0; i < 100; i++)
+		limit_gate_overload(&limit, now += LIMIT_WINDOW_MS * NS_PER_MS);
+	ASSERT_EQ(limit_gate_current(&limit), 1u);
+	for (int i = 0; i < 5; i++)
+		limit_gate_start(&limit, ROUTE_UPLOAD, now);
+	EXPECT_EQ(limit_gate_total(&limit), 6u);
+	EXPECT_TRUE(limit_gate_admits(&limit, ROUTE_LOOKUP));
+	limit_gate_start(&limit, ROUTE_LOOKUP, now);
+	EXPECT_FALSE(limit_gate_admits(&limit, ROUTE_LOOKUP));
+	EXPECT_TRUE(limit_gate_admits(&limit, ROUTE_UPLOAD));
+	limit_gate_slots_set(&limit, 3);
+	EXPECT_FALSE(limit_gate_admits(&limit, ROUTE_UPLOAD));
+	EXPECT_EQ(limit_gate_others_max(&limit), 0u);
+}
+
 // Guards: a naive baseline that adapts, which would flatter it.
 TEST_F(GateLimit, NaiveKeepsTheSlots)
 {
--- a/test/test_queue.cc
+++ b/test/test_queue.cc
@@ -43,7 +43,7 @@
 	push(queue_item_t *item, queue_item_t **shed_item = nullptr)
 	{
 		queue_item_t *shed;
-		reason_t reason = queue_push(&queue, item, 10, now, &shed);
+		reason_t reason = queue_push(&queue, item, {10, 10}, now, &shed);
 
 		if (shed_item != nullptr)
 			*shed_item = shed;
@@ -65,8 +65,8 @@
 	for (queue_item_t *item : {upload, lookup, call_late, call_soon, internal})
 		ASSERT_EQ(push(item), REASON_NONE);
 	for (queue_item_t *item : {internal, call_soon, call_late, lookup, upload})
-		EXPECT_EQ(queue_pop(&queue, now), item);
-	EXPECT_EQ(queue_pop(&queue, now), nullptr);
+		EXPECT_EQ(queue_pop(&queue, true, true, now), item);
+	EXPECT_EQ(queue_pop(&queue, true, true, now), nullptr);
 }
 
 // Guards: uploads and lookups that never run while internal calls keep coming.
@@ -80,7 +80,7 @@
 		ASSERT_EQ(push(item), REASON_NONE);
 	for (int turn = 0; turn < 3 * (QUEUE_PASSED_MAX + 2); turn++) {
 		ASSERT_EQ(push(make(ROUTE_INTERNAL, 1000)), REASON_NONE);
-		queue_item_t *item = queue_pop(&queue, now);
+		queue_item_t *item = queue_pop(&queue, true, true, now);
 		served += std::count(std::begin(waiting), std::end(waiting), item);
 	}
 	EXPECT_EQ(served, 3u);
@@ -94,7 +94,7 @@
 	ASSERT_EQ(push(make(ROUTE_UPLOAD, 10000)), REASON_NONE);
 	for (int turn = 0; turn < 900; turn++) {
 		ASSERT_EQ(push(make(ROUTE_INTERNAL, 10000)), REASON_NONE);
-		if (queue_pop(&queue, now)->route_class == ROUTE_INTERNAL)
+		if (queue_pop(&queue, true, true, now)->route_class == ROUTE_INTERNAL)
 			internal++;
 		else
 			ASSERT_EQ(push(make(ROUTE_UPLOAD, 10000)), REASON_NONE);
@@ -122,6 +122,45 @@
 	EXPECT_EQ(push(make(ROUTE_LOOKUP, 12)), REASON_NONE);
 }
 
+// Guards: uploads that have no place and block the classes that have one, or
+// are blocked by these.
+TEST_F(Queue, AClassWithoutAPlaceIsPassedOver)
+{
+	queue_item_t *upload = make(ROUTE_UPLOAD, 100000);
+	queue_item_t *lookup;
+
+	ASSERT_EQ(push(upload), REASON_NONE);
+	for (int turn = 0; turn < 2 * QUEUE_PASSED_MAX; turn++) {
+		ASSERT_EQ(push(lookup = make(ROUTE_LOOKUP, 1000)), REASON_NONE);
+		EXPECT_EQ(queue_pop(&queue, false, true, now), lookup);
+	}
+	EXPECT_EQ(queue_pop(&queue, false, true, now), nullptr);
+	ASSERT_EQ(push(lookup = make(ROUTE_LOOKUP, 1000)), REASON_NONE);
+	EXPECT_EQ(queue_pop(&queue, true, false, now), upload);
+	EXPECT_EQ(queue_pop(&queue, true, false, now), nullptr);
+	EXPECT_EQ(queue_pop(&queue, false, true, now), lookup);
+}
+
+// Guards: a lookup refused because of the time that uploads take, for which it
+// does not wait; an upload whose wait is estimated with the places of others.
+TEST_F(Queue, TheExpectedWaitCountsThePlacesOfEachClass)
+{
+	queue_places_t places = {.uploads = 2, .others = 10};
+
+	queue_service_record(&queue, ROUTE_UPLOAD, 60 * NS_PER_S, now);
+	queue_service_record(&queue, ROUTE_LOOKUP, 10 * NS_PER_MS, now);
+	for (int i = 0; i < 3; i++) {
+		ASSERT_EQ(push(make(ROUTE_UPLOAD, 1000000)), REASON_NONE);
+		ASSERT_EQ(push(make(ROUTE_LOOKUP, 1000)), REASON_NONE);
+	}
+	EXPECT_EQ(
+	    queue_wait_expected(&queue, ROUTE_LOOKUP, now + 2 * NS_PER_S, places, now),
+	    4 * NS_PER_MS);
+	EXPECT_EQ(
+	    queue_wait_expected(&queue, ROUTE_UPLOAD, now + 2000 * NS_PER_S, places, now),
+	    120 * NS_PER_S + 3 * NS_PER_MS);
+}
+
 // Guards: one slow spell after which every call is refused for good.
 TEST_F(Queue, AnOutdatedServiceTimeIsForgotten)
 {
@@ -198,7 +237,7 @@
 		now += rng_below(&rng, 2 * NS_PER_MS);
 		switch (rng_below(&rng, 6)) {
 		case 0:
-			item = queue_pop(&queue, now);
+			item = queue_pop(&queue, true, true, now);
 			break;
 		case 1:
 			item = queue_expire(&queue, now, &reason);
@@ -218,7 +257,7 @@
 		default:
 			item = make((route_class_t)rng_below(&rng, ROUTE_CLASS_COUNT),
 			    rng_below(&rng, 300));
-			if (queue_push(&queue, item, 10, now, &shed) == REASON_NONE)
+			if (queue_push(&queue, item, {10, 10}, now, &shed) == REASON_NONE)
 				inside.insert(item);
 			ASSERT_EQ(item->queued, inside.count(item) == 1);
 			item = shed;
@@ -243,8 +282,8 @@
 	ASSERT_EQ(push(first), REASON_NONE);
 	now++;
 	ASSERT_EQ(push(second), REASON_NONE);
-	EXPECT_EQ(queue_pop(&queue, now + NS_PER_S), first);
-	EXPECT_EQ(queue_pop(&queue, now + NS_PER_S), second);
+	EXPECT_EQ(queue_pop(&queue, true, true, now + NS_PER_S), first);
+	EXPECT_EQ(queue_pop(&queue, true, true, now + NS_PER_S), second);
 }
 
 } // namespace
