Do not take a few milliseconds of delay for overload

Cause: the adaptive limit compared latency with its minimum by ratio only. At 1 to 2 ms a call, delays of up to 5 ms by a busy host are several times the minimum, and the limit fell to 1 of 40.

Change: LIMIT_SLACK_US (4 ms) is taken off the smoothed latency before the comparison.

--- a/src/limit.c
+++ b/src/limit.c
@@ -266,6 +266,13 @@
 	limit->decrease_limit = 0;
 }
 
+/* Smoothed latency over the minimum, without the slack; at least 1. */
+static double
+latency_ratio(const limit_latency_t *latency, double baseline)
+{
+	return MAX_OF(latency->smoothed - LIMIT_SLACK_US, baseline) / baseline;
+}
+
 /* Ends the window if it is long enough: one step of the limit. */
 static void
 window_step(limit_gate_t *limit, uint64_t now)
@@ -346,7 +353,7 @@
 	baseline = latency_baseline(latency);
 	if (baseline > 0) {
 		limit->window_samples++;
-		limit->window_ratio += latency->smoothed / baseline;
+		limit->window_ratio += latency_ratio(latency, baseline);
 	}
 	limit->window_running = MAX_OF(limit->window_running, running);
 	if (limit->adaptive)
--- a/src/limit.h
+++ b/src/limit.h
@@ -73,6 +73,12 @@
 #define LIMIT_RATIO_HIGH 2.0
 /* The same below which it grows while it is in use. */
 #define LIMIT_RATIO_LOW 1.5
+/*
+ * Part of a smoothed latency above the minimum that is no sign of overload, us.
+ * Scheduling on a shared host delays single calls by a few milliseconds, many
+ * times the minimum of calls that take 1 to 2 ms.
+ */
+#define LIMIT_SLACK_US 4000
 /* Factor of one decrease. */
 #define LIMIT_DECREASE 0.85
 
--- a/test/test_limit.cc
+++ b/test/test_limit.cc
@@ -226,6 +226,26 @@
 	EXPECT_EQ(limit_gate_current(&limit), 40u);
 }
 
+// Guards: delays of a few milliseconds by a busy host, on calls that take 1 to
+// 2 ms, taken for overload: the limit fell to one call.
+TEST_F(GateLimit, SchedulingNoiseOnShortCallsIsNoOverload)
+{
+	uint32_t lowest = 40;
+
+	limit_gate_init(&limit, 40, true, now);
+	for (int i = 0; i < 60000; i++) {
+		// Every few seconds the host is busy for a while.
+		double noise_ms = i % 3000 < 1000 ? 0.2 : 5.0;
+		double latency_ms = 1 + rng_unit(&rng) + noise_ms * rng_unit(&rng);
+
+		now += 5 * NS_PER_MS;
+		limit_gate_record(
+		    &limit, ROUTE_LOOKUP, (uint64_t)(latency_ms * NS_PER_MS), 2, now);
+		lowest = std::min(lowest, limit_gate_current(&limit));
+	}
+	EXPECT_EQ(lowest, 40u);
+}
+
 // Guards: a backend server that got slower by itself, for example by a new
 // release, and is held at one call for good.
 TEST_F(GateLimit, ASlowerServerIsNotHeldAtOneCall)
