Tell balance and retry the class of a request

Cause: the entry chose instances as for ROUTE_CALL and left the class out of its retry facts, so internal calls were kept from the retries reserved for them.

Change: entry_attempt.c calls balance_choose_for_class() and sets route_class in the retry facts. limit_gate_start() and limit_gate_end() are already called around each exchange by gate admission. test_gate also counts the seven uploads that run beside the lookup.

--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -61,11 +61,13 @@
 	}
 	if (entry->naive)
 		excluded = 0;
-	if (balance_choose(entry->balance, request->preset_service, request->tried,
-		excluded, rng, now, node) == MASTICPITCH_OK)
+	if (balance_choose_for_class(entry->balance, request->preset_service,
+		request->route->route_class, request->tried, excluded, rng, now,
+		node) == MASTICPITCH_OK)
 		return true;
 	return excluded > 0 && failure_is_brief(request->last_reason) &&
-	       balance_choose(entry->balance, request->preset_service, NULL, 0, rng, now,
+	       balance_choose_for_class(entry->balance, request->preset_service,
+		   request->route->route_class, NULL, 0, rng, now,
 		   node) == MASTICPITCH_OK;
 }
 
@@ -196,6 +198,7 @@
 	    .attempts_max = request->ticket_bound ? 1 : route->attempts,
 	    .min_attempt_ms = route->min_attempt_ms,
 	    .deadline = request->head->deadline,
+	    .route_class = route->route_class,
 	};
 	retry_failure_t failure = {.reason = refusal->reason, .final = refusal->final};
 	retry_decision_t decision;
--- a/test/test_entry.cc
+++ b/test/test_entry.cc
@@ -3,6 +3,7 @@
 // answers that look whole, and work that goes on after its caller is gone.
 #include "common_request.h"
 #include "entry.h"
+#include "retry.h"
 
 #include <json-c/json.h>
 
@@ -17,6 +18,10 @@
     "\"service\":\"katalogo\",\"class\":\"lookup\",\"idempotent\":true,"
     "\"deadline_ms\":5000,\"min_attempt_ms\":1,\"attempts\":3,"
     "\"body_limit_bytes\":65536},"
+    "{\"name\":\"inner\",\"methods\":[\"GET\"],\"prefix\":\"/katalogo/inner/\","
+    "\"service\":\"katalogo\",\"class\":\"internal\",\"idempotent\":true,"
+    "\"deadline_ms\":5000,\"min_attempt_ms\":1,\"attempts\":3,"
+    "\"body_limit_bytes\":65536},"
     "{\"name\":\"book\",\"methods\":[\"POST\"],\"prefix\":\"/katalogo/book/\","
     "\"service\":\"katalogo\",\"class\":\"call\",\"deadline_ms\":5000,"
     "\"min_attempt_ms\":1,\"attempts\":3,\"body_limit_bytes\":200000},"
@@ -784,6 +789,26 @@
 	EXPECT_EQ(metric(METRIC_ATTEMPTS), 4u);
 }
 
+// Guards: the last retries of the budget, kept for internal calls, that these
+// do not get since the entry does not tell their class.
+TEST_F(Entry, InternalCallsHaveTheLastRetriesOfTheBudget)
+{
+	ready();
+	add_remote();
+	settle();
+	for (int i = 0; i < RETRY_TOKENS_START; i++) {
+		std::string path = "/katalogo/inner/" + std::to_string(i);
+		std::unique_ptr<Raw> caller = send_request(get(path));
+		Attempt second;
+
+		refuse(attempt(path), REASON_QUEUE_FULL, RUN_NO);
+		second = attempt(path, 2);
+		ASSERT_NE(second.to, nullptr);
+		answer(second, "done", 4);
+		ASSERT_TRUE(until([&] { return caller->has("done"); }));
+	}
+}
+
 TEST_F(Entry, ReportsAreJson)
 {
 	ready();
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -391,7 +391,9 @@
 	ASSERT_TRUE(until([&] { return server->with("/katalogo/lookup ") != nullptr; }));
 	server->with("/katalogo/lookup ")->write(OK_ANSWER);
 	ASSERT_TRUE(until([&] { return has_ended(20); }));
-	EXPECT_EQ(entry->find(MESSAGE_REFUSAL, 12), nullptr);
+	/* Seven uploads run, five wait. */
+	EXPECT_EQ(server->connections.size(), 8u);
+	EXPECT_EQ(entry->count(MESSAGE_REFUSAL), 0u);
 }
 
 TEST_F(Gate, LostNodeEndsItsCalls)
