--- a/test/common_entry.h
+++ b/test/common_entry.h
@@ -17,6 +17,10 @@
     "\"service\":\"katalogo\",\"class\":\"lookup\",\"idempotent\":true,"
     "\"deadline_ms\":5000,\"min_attempt_ms\":1,\"attempts\":3,"
     "\"body_limit_bytes\":65536},"
+    "{\"name\":\"inner\",\"methods\":[\"GET\"],\"prefix\":\"/katalogo/inner/\","
+    "\"service\":\"katalogo\",\"class\":\"internal\",\"idempotent\":true,"
+    "\"deadline_ms\":5000,\"min_attempt_ms\":1,\"attempts\":3,"
+    "\"body_limit_bytes\":65536},"
     "{\"name\":\"book\",\"methods\":[\"POST\"],\"prefix\":\"/katalogo/book/\","
     "\"service\":\"katalogo\",\"class\":\"call\",\"deadline_ms\":5000,"
     "\"min_attempt_ms\":1,\"attempts\":3,\"body_limit_bytes\":200000},"
@@ -96,12 +100,12 @@
 		gate->post("entry", message);
 	}
 	void
-	add_remote()
+	add_remote(uint64_t node = REMOTE)
 	{
-		message_t *message = message_create(MESSAGE_MEMBER, REMOTE, 0);
+		message_t *message = message_create(MESSAGE_MEMBER, node, 0);
 		member_t *member = &message->u.member;
 
-		member->node = REMOTE;
+		member->node = node;
 		member->address = {own_ip(), 9000};
 		strcpy(member->zone, "cebu-a");
 		strcpy(member->region, "visayas");
--- a/test/test_entry.cc
+++ b/test/test_entry.cc
@@ -1,6 +1,7 @@
 // Guards the entry against ambiguous framing, unbounded heads and bodies, and
 // repeats of requests that may have been run.
 #include "common_entry.h"
+#include "retry.h"
 
 namespace
 {
@@ -196,6 +197,44 @@
 	EXPECT_TRUE(lookup->has("Masticpitch-Run: unknown\r\n"));
 }
 
+// Guards: the last retries of the budget, kept for internal calls, that these
+// do not get since the entry does not tell their class.
+TEST_F(Entry, InternalCallsHaveTheLastRetriesOfTheBudget)
+{
+	ready();
+	add_remote();
+	settle();
+	for (int i = 0; i < RETRY_TOKENS_START; i++) {
+		std::string path = "/katalogo/inner/" + std::to_string(i);
+		std::unique_ptr<Raw> caller = send_request(get(path));
+		Attempt second;
+
+		refuse(attempt(path), REASON_QUEUE_FULL, RUN_NO);
+		second = attempt(path, 2);
+		ASSERT_NE(second.to, nullptr);
+		answer(second, "done", 4);
+		ASSERT_TRUE(until([&] { return caller->has("done"); }));
+	}
+}
+
+// Guards against a crashing lookup whose own attempts take down every server.
+TEST_F(Entry, RequestThatLostTwoBackendServersIsNotRepeated)
+{
+	std::unique_ptr<Raw> lookup;
+
+	ready();
+	add_remote();
+	add_remote(REMOTE + 1);
+	settle();
+	lookup = send_request(get("/katalogo/1"));
+	for (uint32_t i = 1; i <= 2; i++)
+		refuse(attempt("/katalogo/1", i), REASON_BACKEND_LOST, RUN_UNKNOWN);
+	ASSERT_TRUE(until([&] { return lookup->has("}"); }));
+	expect_refused(lookup->input, 502, "backend-lost", "unknown");
+	EXPECT_TRUE(lookup->has("Masticpitch-Final: 1\r\n"));
+	EXPECT_EQ(metric(METRIC_ATTEMPTS), 2u);
+}
+
 TEST_F(Entry, BodyThatIsNotKeptIsNotResent)
 {
 	std::unique_ptr<Raw> caller;
--- a/test/test_limit.cc
+++ b/test/test_limit.cc
@@ -226,6 +226,26 @@
 	EXPECT_EQ(limit_gate_current(&limit), 40u);
 }
 
+// Guards: delays of a few milliseconds by a busy host, on calls that take 1 to
+// 2 ms, taken for overload: the limit fell to one call.
+TEST_F(GateLimit, SchedulingNoiseOnShortCallsIsNoOverload)
+{
+	uint32_t lowest = 40;
+
+	limit_gate_init(&limit, 40, true, now);
+	for (int i = 0; i < 60000; i++) {
+		// Every few seconds the host is busy for a while.
+		double noise_ms = i % 3000 < 1000 ? 0.2 : 5.0;
+		double latency_ms = 1 + rng_unit(&rng) + noise_ms * rng_unit(&rng);
+
+		now += 5 * NS_PER_MS;
+		limit_gate_record(
+		    &limit, ROUTE_LOOKUP, (uint64_t)(latency_ms * NS_PER_MS), 2, now);
+		lowest = std::min(lowest, limit_gate_current(&limit));
+	}
+	EXPECT_EQ(lowest, 40u);
+}
+
 // Guards: a backend server that got slower by itself, for example by a new
 // release, and is held at one call for good.
 TEST_F(GateLimit, ASlowerServerIsNotHeldAtOneCall)
@@ -291,6 +311,41 @@
 	EXPECT_LT(limit_gate_latency_us(&limit), 6000u);
 }
 
+// Guards: uploads that take every slot, or lookups that an adaptive limit of
+// one keeps waiting behind running uploads.
+TEST_F(GateLimit, UploadsCountAgainstTheSlotsOnly)
+{
+	for (uint32_t slots : {1u, 2u, 3u, 10u, 100u}) {
+		uint32_t uploads = 0, lookups = 0;
+
+		limit_gate_init(&limit, slots, true, now);
+		for (; limit_gate_admits(&limit, ROUTE_UPLOAD); uploads++)
+			limit_gate_start(&limit, ROUTE_UPLOAD, now);
+		EXPECT_GE(uploads, 1u);
+		for (; limit_gate_admits(&limit, ROUTE_LOOKUP); lookups++)
+			limit_gate_start(&limit, ROUTE_LOOKUP, now);
+		EXPECT_EQ(uploads + lookups, slots);
+		EXPECT_GE(
+		    100 * lookups, slots > 1 ? slots * LIMIT_UPLOAD_KEPT_PERCENT : 0);
+		EXPECT_FALSE(limit_gate_admits(&limit, ROUTE_INTERNAL));
+		EXPECT_EQ(limit_gate_total(&limit), slots);
+	}
+	limit_gate_init(&limit, 10, true, now);
+	for (int i = 0; i < 100; i++)
+		limit_gate_overload(&limit, now += LIMIT_WINDOW_MS * NS_PER_MS);
+	ASSERT_EQ(limit_gate_current(&limit), 1u);
+	for (int i = 0; i < 5; i++)
+		limit_gate_start(&limit, ROUTE_UPLOAD, now);
+	EXPECT_EQ(limit_gate_total(&limit), 6u);
+	EXPECT_TRUE(limit_gate_admits(&limit, ROUTE_LOOKUP));
+	limit_gate_start(&limit, ROUTE_LOOKUP, now);
+	EXPECT_FALSE(limit_gate_admits(&limit, ROUTE_LOOKUP));
+	EXPECT_TRUE(limit_gate_admits(&limit, ROUTE_UPLOAD));
+	limit_gate_slots_set(&limit, 3);
+	EXPECT_FALSE(limit_gate_admits(&limit, ROUTE_UPLOAD));
+	EXPECT_EQ(limit_gate_others_max(&limit), 0u);
+}
+
 // Guards: a naive baseline that adapts, which would flatter it.
 TEST_F(GateLimit, NaiveKeepsTheSlots)
 {
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -145,14 +145,24 @@
 	}
 };
 
+// An address of this process alone, so that two runs on one machine do not meet.
+std::string
+own_address(int host)
+{
+	unsigned pid = (unsigned)getpid();
+
+	return "127." + std::to_string(pid >> 8 & 255) + "." + std::to_string(pid & 255) +
+	       "." + std::to_string(host);
+}
+
 class Peer : public ::testing::Test
 {
       protected:
 	void
 	SetUp() override
 	{
-		a.open("127.66.0.1:7100", 1);
-		b.open("127.66.0.2:7100", 1);
+		a.open((own_address(1) + ":7100").c_str(), 1);
+		b.open((own_address(2) + ":7100").c_str(), 1);
 		a.learn(b);
 		b.learn(a);
 	}
@@ -365,7 +375,7 @@
 	fault_t *fault = (fault_t *)service->state;
 
 	ASSERT_TRUE(connect());
-	ASSERT_EQ(fault_command(fault, "cut 127.66.0.2"), 0);
+	ASSERT_EQ(fault_command(fault, ("cut " + own_address(2)).c_str()), 0);
 	a.call(b.id, 7);
 	// Nothing could be written; the silence ends the connection.
 	ASSERT_TRUE(wait([&] { return a.entry.refusals.size() == 1; }));
@@ -417,7 +427,7 @@
 {
 	Node c;
 
-	c.open("127.66.0.3:7100", 2);
+	c.open((own_address(3) + ":7100").c_str(), 2);
 	a.learn(c);
 	a.call(c.id, 1);
 	bool refused = wait([&] {
@@ -475,7 +485,7 @@
 	address_t middle;
 	message_t *message = message_create(MESSAGE_MEMBER, b.id, 0);
 
-	ASSERT_EQ(address_parse("127.66.0.9:7100", &middle), 0);
+	ASSERT_EQ(address_parse((own_address(9) + ":7100").c_str(), &middle), 0);
 	relay.open(middle);
 	message->u.member.node = b.id;
 	message->u.member.address = middle;
