Measure the convergence of edits

Cause: convergence_ms only switches the preset in force, which changes the head alone. An edit also distributes a part and makes each node parse the preset again.

Change: edit_convergence_ms edits one service of the preset in force with each change: a new part and a new head, written directly to the platform. Default node counts can now be given for each group.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -11,6 +11,7 @@
 import sys
 
 import bench_control
+import bench_faults
 import bench_traffic
 from harness import BUILD, ROOT, HarnessError, install_signals
 
@@ -32,9 +33,12 @@
     (bench_traffic.measure_added_latency, ("added_latency_ms",)),
     (bench_traffic.measure_overload, ("goodput_ratio", "internal_p99_ratio")),
     (bench_traffic.measure_leaving, ("leaving_no_new_work_ms",)),
+    (bench_faults.measure_edits, ("edit_convergence_ms",)),
 ]
-# Groups with traffic need a backend server on each host: one size is enough.
-TRAFFIC_NODES = {"added_latency_ms": 20, "goodput_ratio": 4, "leaving_no_new_work_ms": 20}
+# Default node counts by a group's first measure. Groups with traffic need a backend
+# server on each host: one size is enough.
+GROUP_NODES = {"added_latency_ms": [20], "goodput_ratio": [4],
+               "leaving_no_new_work_ms": [20], "edit_convergence_ms": [10, 50]}
 UNITS = {"control_bytes_per_node_s": "B/s", "platform_calls_per_change": "calls",
          "platform_waiting_watches": "watches", "goodput_ratio": "ratio",
          "internal_p99_ratio": "ratio", "node_rss_mb": "MB", "node_cpu_percent": "%"}
@@ -125,8 +129,7 @@
     for function, measures in GROUPS:
         if not chosen(measures, only):
             continue
-        default = TRAFFIC_NODES.get(measures[0])
-        for nodes in counts or ([default] if default else NODE_COUNTS):
+        for nodes in counts or GROUP_NODES.get(measures[0], NODE_COUNTS):
             for variant, settings in VARIANTS.items():
                 try:
                     found = function(nodes, settings, seed)
--- /dev/null
+++ b/tools/bench_faults.py
@@ -0,0 +1,90 @@
+"""Measures of edits, planned stops, crashing requests and the cost of requests."""
+
+import hashlib
+import json
+import os
+import random
+import time
+
+from bench_control import CHANGE_INTERVAL_S, CHANGES, convergence, process_usage
+from bench_control import START_WAIT_S, ZONES
+from bench_control import start as start_control
+from harness import Fleet, HarnessError, preset_make, wait_for
+
+HEAD = "masticpitch/head"
+PART = "masticpitch/part/"
+# Each edit writes a value above the default of 10,000 ms that no edit wrote before.
+SLOW_START_MS = 10001
+SERVICE = "katalogo"
+STOPS = int(os.environ.get("STOPS", "40"))
+CRASHES = int(os.environ.get("CRASHES", "1000"))
+UPLOADS = int(os.environ.get("UPLOADS", "100"))
+UPLOAD_MB = int(os.environ.get("UPLOAD_MB", "50"))
+# Slower than the gossip that spreads crash reports (a probe every 300 ms).
+CRASH_RATE = 10
+CPU_RATE = 500
+CPU_S = 10
+CPU_ROUNDS = 3
+# The deadline of uploads is 120 s.
+UPLOAD_WAIT_S = 200
+
+
+def report_line(text):
+    print(f"{text}; load average {os.getloadavg()[0]:.1f}", flush=True)
+
+
+def parts_read(fleet, digests):
+    """The parts of services: {digest: object}."""
+    parts = {}
+    for digest in digests:
+        _, value = fleet.key_read(PART + digest)
+        part = json.loads(value)
+        if "services" in part:
+            parts[digest] = part
+    return parts
+
+
+def edit_directly(fleet, parts, service, slow_start_ms):
+    """Edits one service of the preset in force without the client's process:
+    (version, wall clock of the head's write)."""
+    revision, value = fleet.key_read(HEAD)
+    head = json.loads(value)
+    name = head["in_force"]
+    listed = head["presets"][name]["parts"]
+    old = next(digest for digest, part in parts.items() if service in part["services"])
+    part = parts.pop(old)
+    part["services"][service]["slow_start_ms"] = slow_start_ms
+    text = json.dumps(part, separators=(",", ":")).encode()
+    new = hashlib.blake2b(text, digest_size=16).hexdigest()
+    parts[new] = part
+    listed[listed.index(old)] = new
+    fleet.key_write(PART + new, text)
+    head["version"] += 1
+    fleet.operations += 1
+    head["history"] = (head["history"] + [{
+        "version": head["version"], "operation": f"{fleet.operations:032x}",
+        "operator": "harness", "action": f"edit {name}",
+        "at": int(time.time() * 1000)}])[-128:]
+    started = time.time()
+    if not fleet.key_write(HEAD, json.dumps(head), revision):
+        raise HarnessError("another writer changed the head")
+    return head["version"], started
+
+
+def measure_edits(nodes, settings, seed):
+    """As convergence_ms, but each change edits one service of the preset in force."""
+    rng = random.Random(seed)
+    with Fleet(zones=ZONES, settings=settings) as fleet:
+        start_control(fleet, nodes)
+        head = fleet.head()
+        parts = parts_read(fleet, head["presets"][head["in_force"]]["parts"])
+        services = sorted(name for part in parts.values() for name in part["services"])
+        commits = []
+        for number in range(CHANGES):
+            commits.append(edit_directly(
+                fleet, parts, rng.choice(services), SLOW_START_MS + number))
+            time.sleep(CHANGE_INTERVAL_S * (0.75 + rng.random() / 2))
+        fleet.wait_versions(commits[-1][0], timeout=START_WAIT_S)
+        report_line(f"edits, {nodes} nodes, {len(services)} services, "
+                    f"{len(parts)} parts of services")
+        return {"edit_convergence_ms": convergence(fleet, commits)}
