Measure what planned stops break

Change: planned_stop_broken stops each node by SIGTERM, waits for exit status 0 and starts it again, STOPS times, under lookups, calls and paced uploads. It counts requests that the harness's verdict finds cut, doubled, lost, wrong or of unknown outcome.

--- a/tools/bench_faults.py
+++ b/tools/bench_faults.py
@@ -88,3 +88,50 @@
         report_line(f"edits, {nodes} nodes, {len(services)} services, "
                     f"{len(parts)} parts of services")
         return {"edit_convergence_ms": convergence(fleet, commits)}
+
+
+def start_hosts(fleet, plans):
+    """Starts a host for each (zone, service or None, options of the backend server)."""
+    for zone, service, options in plans:
+        fleet.host_add(zone, service, **options)
+    fleet.preset_create("normal", preset_make([SERVICE]))
+    fleet.wait_versions(fleet.use("normal"), timeout=START_WAIT_S)
+    fleet.wait_instances(SERVICE, sum(1 for _, service, _ in plans if service),
+                         timeout=START_WAIT_S)
+
+
+def broken_requests(fleet, sent):
+    """(requests with a broken guarantee, the counts) from the harness's verdict."""
+    verdict = fleet.verdict()
+    # Lost: answered without a run, without a recorded end, or failed though no host
+    # died. A refusal as not run is accurate and does not count, unless it was run.
+    verdict["unrecorded"] = sent - verdict["sent"]
+    names = ("cut", "doubled", "wrong", "unknown", "failed", "answered_unrun",
+             "refused_but_run", "unrecorded")
+    return sum(verdict[name] for name in names), verdict
+
+
+def measure_planned_stops(nodes, settings, seed):
+    """Nodes are stopped and started again, one after another, under load."""
+    with Fleet(zones=2, settings=settings) as fleet:
+        start_hosts(fleet, [(number % 2 + 1, SERVICE, {"slots": 20})
+                            for number in range(nodes)])
+        # The callers are ended by a signal after the last stop.
+        common = {"seconds": 60 * STOPS, "failover": 3, "seed": seed}
+        callers = [
+            fleet.caller("calls", fleet.hosts, rate=60, mix="lookup=7,call=3", **common),
+            fleet.caller("uploads", fleet.hosts, rate=6, mix="upload=1",
+                         upload_bytes=600000, upload_pace=300000, **common)]
+        for number in range(STOPS):
+            host = fleet.hosts[number % nodes]
+            host.node.terminate()
+            if (code := host.node.wait(60)) != 0:
+                raise HarnessError(f"stop {number} of {host.name}: exit code {code}")
+            host.node_start()
+            fleet.wait_instances(SERVICE, nodes, timeout=START_WAIT_S)
+        for caller in callers:
+            caller.process.terminate()
+        sent = sum(caller.wait(90)["sent"] for caller in callers)
+        broken, verdict = broken_requests(fleet, sent)
+        report_line(f"planned stops, {nodes} nodes, {STOPS} stops: {verdict}")
+        return {"planned_stop_broken": [broken]}
