Measure backend servers lost to a crashing request

Change: crash_deaths sends one crashing request CRASHES times beside other traffic, starts dead backend servers again and counts them. The success share of the other traffic is printed beside it.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -35,16 +35,17 @@
     (bench_traffic.measure_leaving, ("leaving_no_new_work_ms",)),
     (bench_faults.measure_edits, ("edit_convergence_ms",)),
     (bench_faults.measure_planned_stops, ("planned_stop_broken",)),
+    (bench_faults.measure_crashes, ("crash_deaths",)),
 ]
 # Default node counts by a group's first measure. Groups with traffic need a backend
 # server on each host: one size is enough.
 GROUP_NODES = {"added_latency_ms": [20], "goodput_ratio": [4],
                "leaving_no_new_work_ms": [20], "edit_convergence_ms": [10, 50],
-               "planned_stop_broken": [8]}
+               "planned_stop_broken": [8], "crash_deaths": [8]}
 UNITS = {"control_bytes_per_node_s": "B/s", "platform_calls_per_change": "calls",
          "platform_waiting_watches": "watches", "goodput_ratio": "ratio",
          "internal_p99_ratio": "ratio", "node_rss_mb": "MB", "node_cpu_percent": "%",
-         "planned_stop_broken": "requests"}
+         "planned_stop_broken": "requests", "crash_deaths": "deaths"}
 
 
 def percentile(values, share):
--- a/tools/bench_faults.py
+++ b/tools/bench_faults.py
@@ -135,3 +135,32 @@
         broken, verdict = broken_requests(fleet, sent)
         report_line(f"planned stops, {nodes} nodes, {STOPS} stops: {verdict}")
         return {"planned_stop_broken": [broken]}
+
+
+def measure_crashes(nodes, settings, seed):
+    """One crashing request is sent again and again beside other traffic."""
+    seconds = CRASHES / CRASH_RATE
+    with Fleet(zones=2, settings=settings) as fleet:
+        start_hosts(fleet, [(number % 2 + 1, SERVICE, {}) for number in range(nodes)])
+        crashing = fleet.caller("crash", fleet.hosts, rate=CRASH_RATE, seconds=seconds,
+                                mix="crash=1", seed=seed)
+        others = fleet.caller("others", fleet.hosts, rate=60, seconds=seconds,
+                              mix="lookup=7,call=3", seed=seed)
+        deaths = 0
+
+        def ended():
+            nonlocal deaths
+            for host in fleet.hosts:
+                if not host.backend.alive():
+                    deaths += 1
+                    host.backend_start()
+            return not (crashing.process.alive() or others.process.alive())
+        wait_for(ended, "the callers end", seconds + 120, pause=0.05)
+        report, other = crashing.wait(), others.wait()
+        verdict = fleet.verdict()
+        report_line(f"crashing request, {nodes} nodes: sent {report['sent']} times, "
+                    f"{deaths} backend servers lost, reasons {report['reasons']}")
+        report_line(f"other traffic: {other['answered']} of {other['sent']} answered "
+                    f"({100 * other['answered'] / other['sent']:.2f}%), "
+                    f"reasons {other['reasons']}, verdict {verdict}")
+        return {"crash_deaths": [deaths]}
