Measure memory under uploads and processor time a call

Cause: the bench had no figures for the bound on memory while uploads pass and for the processor time that a routed call costs.

Change: upload_rss_mb and upload_rss_before_mb give the resident memory of the entry's and the gate's node while UPLOADS uploads of UPLOAD_MB pass at once, and before. cpu_us_per_call gives the processor time of both nodes together for each call at 500 calls/s. Both groups always have two nodes, whatever NODES says.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -36,16 +36,21 @@
     (bench_faults.measure_edits, ("edit_convergence_ms",)),
     (bench_faults.measure_planned_stops, ("planned_stop_broken",)),
     (bench_faults.measure_crashes, ("crash_deaths",)),
+    (bench_faults.measure_uploads, ("upload_rss_mb", "upload_rss_before_mb")),
+    (bench_faults.measure_cpu, ("cpu_us_per_call",)),
 ]
 # Default node counts by a group's first measure. Groups with traffic need a backend
 # server on each host: one size is enough.
 GROUP_NODES = {"added_latency_ms": [20], "goodput_ratio": [4],
                "leaving_no_new_work_ms": [20], "edit_convergence_ms": [10, 50],
                "planned_stop_broken": [8], "crash_deaths": [8]}
+# An entry's node and a gate's node, whatever NODES says.
+FIXED_NODES = {"upload_rss_mb": [2], "cpu_us_per_call": [2]}
 UNITS = {"control_bytes_per_node_s": "B/s", "platform_calls_per_change": "calls",
          "platform_waiting_watches": "watches", "goodput_ratio": "ratio",
          "internal_p99_ratio": "ratio", "node_rss_mb": "MB", "node_cpu_percent": "%",
-         "planned_stop_broken": "requests", "crash_deaths": "deaths"}
+         "planned_stop_broken": "requests", "crash_deaths": "deaths",
+         "upload_rss_mb": "MB", "upload_rss_before_mb": "MB", "cpu_us_per_call": "us"}
 
 
 def percentile(values, share):
@@ -133,7 +138,8 @@
     for function, measures in GROUPS:
         if not chosen(measures, only):
             continue
-        for nodes in counts or GROUP_NODES.get(measures[0], NODE_COUNTS):
+        sizes = counts or GROUP_NODES.get(measures[0], NODE_COUNTS)
+        for nodes in FIXED_NODES.get(measures[0], sizes):
             for variant, settings in VARIANTS.items():
                 try:
                     found = function(nodes, settings, seed)
--- a/tools/bench_faults.py
+++ b/tools/bench_faults.py
@@ -164,3 +164,75 @@
                     f"({100 * other['answered'] / other['sent']:.2f}%), "
                     f"reasons {other['reasons']}, verdict {verdict}")
         return {"crash_deaths": [deaths]}
+
+
+def start_pair(fleet, **backend_options):
+    """Two hosts in one zone, only the second with a backend server: (entry, gate)."""
+    start_hosts(fleet, [(1, None, {}), (1, SERVICE, backend_options)])
+    return fleet.hosts
+
+
+def most_at_once(host):
+    """Largest number of runs in progress at one time on a host's backend server."""
+    running = most = 0
+    with open(host.runs_path, encoding="utf-8") as file:
+        for line in file:
+            running += {"run": 1, "end": -1}.get(line.split(" ")[0], 0)
+            most = max(most, running)
+    return most
+
+
+def measure_uploads(nodes, settings, seed):
+    """Uploads pass at once through one entry to another host; resident memory of both
+    nodes, sampled until the last upload ends."""
+    with Fleet(zones=1, settings=settings) as fleet:
+        pair = start_pair(fleet, slots=UPLOADS, connections=UPLOADS + 10)
+        before = [process_usage(host.node.pid)[0] for host in pair]
+        peak, started = list(before), time.monotonic()
+        caller = fleet.caller("uploads", pair[:1], rate=10 * UPLOADS, seconds=0.1,
+                              mix="upload=1", upload_bytes=UPLOAD_MB * 1000000,
+                              seed=seed)
+
+        def ended():
+            for index, host in enumerate(pair):
+                peak[index] = max(peak[index], process_usage(host.node.pid)[0])
+            return not caller.process.alive()
+        wait_for(ended, "the uploads end", UPLOAD_WAIT_S)
+        report = caller.wait()
+        report_line(f"uploads, {report['answered']} of {report['sent']} of {UPLOAD_MB} MB "
+                    f"answered in {time.monotonic() - started:.1f} s, at most "
+                    f"{most_at_once(pair[1])} at once, reasons "
+                    f"{report['reasons']}: entry's node {before[0]:.1f} MB before, "
+                    f"{peak[0]:.1f} MB at peak; gate's node {before[1]:.1f} MB before, "
+                    f"{peak[1]:.1f} MB at peak")
+        if report["answered"] != UPLOADS:
+            raise HarnessError(f"not all uploads passed: {report}")
+        return {"upload_rss_mb": peak, "upload_rss_before_mb": before}
+
+
+def measure_cpu(nodes, settings, seed):
+    """Processor time of both nodes together for each routed call, over some rounds.
+    What an idle node uses is part of it and printed beside it."""
+    with Fleet(zones=1, settings=settings) as fleet:
+        pair = start_pair(fleet, work_ms=0)
+
+        def usage():
+            return [process_usage(host.node.pid)[1] for host in pair]
+        time.sleep(2)  # the work of the start ends
+        before, values = usage(), []
+        time.sleep(CPU_S / 2)
+        idle = [(after - start) / (CPU_S / 2) for start, after in zip(before, usage())]
+        for turn in range(CPU_ROUNDS):
+            before = usage()
+            report = fleet.caller(
+                f"cpu-{turn}", pair[:1], rate=CPU_RATE, seconds=CPU_S,
+                mix="lookup=7,call=3", work_ms=0, seed=seed + turn).wait(90)
+            used = [after - start for start, after in zip(before, usage())]
+            if report["answered"] < 0.99 * report["sent"]:
+                raise HarnessError(f"cpu: {report}")
+            values.append(1e6 * sum(used) / report["answered"])
+            report_line(f"processor time a call: entry's node "
+                        f"{1e6 * used[0] / report['answered']:.0f} us, gate's node "
+                        f"{1e6 * used[1] / report['answered']:.0f} us; idle nodes "
+                        f"{1e3 * idle[0]:.1f} and {1e3 * idle[1]:.1f} ms a second")
+        return {"cpu_us_per_call": values}
