Wait for callers' idle connections at a planned stop

Change: a leaving entry is idle when every caller's connection has been closed in order by an answer with Connection: close, or after 5 s.

--- a/src/entry.c
+++ b/src/entry.c
@@ -107,6 +107,9 @@
 		entry_report(entry, message);
 		break;
 	case MESSAGE_LEAVE:
+		if (!entry->leaving)
+			entry->leave_deadline =
+			    kernel_now(entry->kernel) + ENTRY_LEAVE_IDLE_NS;
 		entry->leaving = true;
 		break;
 	default:
@@ -119,7 +122,10 @@
 {
 	const entry_t *entry = state;
 
-	return list_is_empty(&entry->requests);
+	if (!list_is_empty(&entry->requests))
+		return false;
+	return !entry->leaving || kernel_now(entry->kernel) >= entry->leave_deadline ||
+	       entry_connections(entry) == 0;
 }
 
 static int
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -214,6 +214,15 @@
 	return MASTICPITCH_OK;
 }
 
+unsigned
+entry_connections(const entry_t *entry)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(entry->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return info != NULL ? info->num_connections : 0;
+}
+
 void
 entry_http_close(entry_t *entry)
 {
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -42,6 +42,12 @@
 #define ENTRY_DEADLINE_GRACE_MS 20
 /* Attempts of an idempotent request under the naive policy. */
 #define ENTRY_NAIVE_ATTEMPTS 3
+/*
+ * A leaving entry waits so long for callers to use their idle connections once
+ * more: the refusal closes the connection in order. A connection that is closed
+ * while a request is on its way leaves the caller with an unknown outcome.
+ */
+#define ENTRY_LEAVE_IDLE_NS (5 * NS_PER_S)
 /*
  * A request whose attempts lost this many backend servers is not sent again: the
  * third attempt of a crashing lookup would take down a third one before any
@@ -76,6 +82,7 @@
 	quarantine_t *quarantine;
 	bool naive;
 	bool leaving;
+	uint64_t leave_deadline; /* of waiting for idle connections */
 	bool stopping;
 };
 
@@ -149,6 +156,8 @@
 /* entry_http.c */
 int entry_http_open(entry_t *entry);
 void entry_http_close(entry_t *entry);
+/* Callers' open connections. */
+unsigned entry_connections(const entry_t *entry);
 void entry_request_resume(entry_request_t *request);
 /* Breaks the caller's connection without an answer. */
 void entry_request_break(entry_request_t *request);
--- a/test/test_entry_stream.cc
+++ b/test/test_entry_stream.cc
@@ -264,6 +264,25 @@
 	EXPECT_TRUE(uploading->has("Connection: close"));
 }
 
+// Guards against a planned stop that closes an idle connection while a request
+// is on its way, so that its caller cannot know the outcome.
+TEST_F(Entry, LeavingWaitsForIdleConnections)
+{
+	std::unique_ptr<Raw> caller;
+
+	ready();
+	caller = send_request(get("/katalogo/1"));
+	answer(attempt("/katalogo/1"), "first", 5);
+	ASSERT_TRUE(until([&] { return caller->has("first"); }));
+	config->post("entry", message_create(MESSAGE_LEAVE, 0, 0));
+	settle();
+	EXPECT_FALSE(is_idle());
+	caller->write(get("/katalogo/2"));
+	ASSERT_TRUE(until([&] { return caller->has("Masticpitch-Run: no"); }));
+	EXPECT_TRUE(caller->has("Connection: close"));
+	EXPECT_TRUE(until([&] { return is_idle(); }));
+}
+
 TEST_F(Entry, RequestsInFlightAreBounded)
 {
 	std::vector<std::unique_ptr<Raw>> callers;
