Read settings with the JSON reader of presets

Cause: the parser of settings took text after the end, the last of two equal keys, and a key of two neighbouring names with a blank between.

Change: settings_parse() uses json_text_parse(); known keys are a table that is compared whole.

Measured: the three new cases of test_settings fail on the former parser, which returned no error, and pass now.

Checked: lint clean; fuzz without fault; ctest 36 of 37 passed in one run, where process_operators failed: test_edit_race edited a preset whose create had lost its race (exit code 8). It passed when run again alone and in the run before. The commit subcommands are not changed here.

--- a/src/settings.c
+++ b/src/settings.c
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include "json_text.h"
 #include "util.h"
 
 #include <json-c/json.h>
@@ -155,35 +156,33 @@
 	return preset_value;
 }
 
-/* Refuses keys that the table does not name; space-separated names. */
+static bool
+name_is_listed(const char *name, const char *const *names)
+{
+	while (*names != NULL && strcmp(*names, name) != 0)
+		names++;
+	return *names != NULL;
+}
+
+/* Refuses keys of a section that are not in names, which ends with NULL. */
 static void
-check_keys(
-    reader_t *reader, struct json_object *root, const char *section, const char *names)
+check_keys(reader_t *reader, struct json_object *root, const char *section,
+    const char *const *names)
 {
 	struct json_object *object =
 	    section[0] != '\0' ? settings_lookup(root, section) : root;
-	size_t length;
 
 	if (object == NULL)
 		return;
 	if (!json_object_is_type(object, json_type_object)) {
-		reader_fail(reader, MASTICPITCH_E_INVALID, "%s: must be an object",
-		    section[0] != '\0' ? section : "settings");
+		reader_fail(
+		    reader, MASTICPITCH_E_INVALID, "%s: must be an object", section);
 		return;
 	}
 	json_object_object_foreach(object, key, value)
 	{
-		const char *found = names;
-
 		(void)value;
-		length = strlen(key);
-		while ((found = strstr(found, key)) != NULL) {
-			if ((found == names || found[-1] == ' ') && length > 0 &&
-			    (found[length] == ' ' || found[length] == '\0'))
-				break;
-			found++;
-		}
-		if (found == NULL)
+		if (!name_is_listed(key, names))
 			reader_fail(reader, MASTICPITCH_E_INVALID, "%s%s%s: unknown key",
 			    section, section[0] != '\0' ? "." : "", key);
 	}
@@ -360,22 +359,31 @@
 	settings->log_level = LOG_LEVEL_INFO;
 }
 
+#define SECTION_KEYS_MAX 11
+
+/* The keys of each section; "" is the top level. */
+static const struct section {
+	const char *name;
+	const char *keys[SECTION_KEYS_MAX + 1];
+} sections[] = {
+    {"", {"availability_zone", "region", "listen", "platform", "mesh", "operators",
+	     "configuration", "routing", "limits", "shutdown", "log", NULL}},
+    {"listen", {"callers", "backend_servers", "peers", "operators", NULL}},
+    {"platform", {"url", "prefix", "timeout_ms", NULL}},
+    {"mesh", {"seeds", "keys", NULL}},
+    {"operators", {"token", NULL}},
+    {"configuration", {"spread", "source", NULL}},
+    {"routing", {"policy", NULL}},
+    {"limits", {"requests", "streams_per_peer", NULL}},
+    {"shutdown", {"grace_ms", NULL}},
+    {"log", {"level", NULL}},
+};
+
 static void
 settings_read(reader_t *reader, struct json_object *root, settings_t *settings)
 {
-	check_keys(reader, root, "",
-	    "availability_zone region listen platform mesh operators configuration "
-	    "routing "
-	    "limits shutdown log");
-	check_keys(reader, root, "listen", "callers backend_servers peers operators");
-	check_keys(reader, root, "platform", "url prefix timeout_ms");
-	check_keys(reader, root, "mesh", "seeds keys");
-	check_keys(reader, root, "operators", "token");
-	check_keys(reader, root, "configuration", "spread source");
-	check_keys(reader, root, "routing", "policy");
-	check_keys(reader, root, "limits", "requests streams_per_peer");
-	check_keys(reader, root, "shutdown", "grace_ms");
-	check_keys(reader, root, "log", "level");
+	for (size_t i = 0; i < ARRAY_LENGTH(sections); i++)
+		check_keys(reader, root, sections[i].name, sections[i].keys);
 	if (reader->error != MASTICPITCH_OK)
 		return;
 	read_label(reader, root, "availability_zone", settings->zone);
@@ -399,46 +407,27 @@
 	read_log_level(reader, root, settings);
 }
 
-/* The line of a byte offset, for messages. */
-static size_t
-line_at(const char *text, size_t offset)
-{
-	size_t line = 1;
-
-	for (size_t i = 0; i < offset; i++)
-		line += text[i] == '\n';
-	return line;
-}
-
 int
 settings_parse(const char *name, const char *text, size_t size, settings_t *settings,
     char *message, size_t message_size)
 {
 	reader_t reader = {
 	    .name = name, .message = message, .message_size = message_size};
-	struct json_tokener *tokener = json_tokener_new();
+	char reason[MASTICPITCH_MESSAGE_MAX];
 	struct json_object *root = NULL;
+	json_report_t report;
 
-	if (tokener == NULL)
-		return MASTICPITCH_E_NOMEM;
 	message[0] = '\0';
 	settings_set_defaults(settings);
-	if (size > SETTINGS_TEXT_MAX) {
-		reader_fail(&reader, MASTICPITCH_E_LIMIT, "longer than %d bytes",
-		    SETTINGS_TEXT_MAX);
-		goto out;
-	}
-	root = json_tokener_parse_ex(tokener, text, (int)size);
-	if (json_tokener_get_error(tokener) != json_tokener_success) {
-		reader_fail(&reader, MASTICPITCH_E_INVALID, "line %zu: %s",
-		    line_at(text, json_tokener_get_parse_end(tokener)),
-		    json_tokener_error_desc(json_tokener_get_error(tokener)));
-		goto out;
-	}
-	settings_read(&reader, root, settings);
-out:
+	json_report_init(&report, reason, sizeof(reason));
+	if (json_text_parse(text, size, SETTINGS_TEXT_MAX, true, &root, &report) ==
+	    MASTICPITCH_OK)
+		settings_read(&reader, root, settings);
+	else
+		/* A fault of the text as a whole has no line. */
+		reader_fail(&reader, report.error, "%s%s",
+		    strncmp(reason, "line ", 5) == 0 ? "" : "settings: ", reason);
 	json_object_put(root);
-	json_tokener_free(tokener);
 	return reader.error;
 }
 
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -69,6 +69,10 @@
 	    {"{\"a\":", "f.json: line 1: "},
 	    {"[]", "f.json: settings: must be an object"},
 	    {"{}", "f.json: availability_zone: missing"},
+	    {text_with(",\"limits\":{\"requests streams_per_peer\":1}"),
+		"f.json: limits.requests streams_per_peer: unknown key"},
+	    {text_with(",\"region\":\"other\""), "f.json: settings: a key appears twice"},
+	    {text_with("") + " {}", "f.json: line 2: text after the end"},
 	};
 
 	for (const auto &item : cases)
