Share the checks of a connection's callbacks

Cause: the read and write callbacks repeated the same ten lines.

Change: connection_is_stopped() has them.

The commit subcommands are not changed here.

--- a/src/peer_connection.c
+++ b/src/peer_connection.c
@@ -241,6 +241,24 @@
 	peer_connection_fail(connection);
 }
 
+/* True, with its watchers stopped, if the connection has failed or is cut. */
+static bool
+connection_is_stopped(peer_connection_t *connection, ev_io *watcher)
+{
+	struct ev_loop *loop = kernel_loop(connection->peer->kernel);
+
+	if (connection->failed) {
+		ev_io_stop(loop, watcher);
+		return true;
+	}
+	if (!fault_is_cut(connection->peer->fault, connection->remote_ip))
+		return false;
+	connection->paused = true;
+	ev_io_stop(loop, &connection->reader);
+	ev_io_stop(loop, &connection->writer);
+	return true;
+}
+
 static void
 read_callback(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -249,16 +267,8 @@
 	ssize_t size;
 	int error;
 
-	if (connection->failed) {
-		ev_io_stop(loop, watcher);
+	if (connection_is_stopped(connection, watcher))
 		return;
-	}
-	if (fault_is_cut(connection->peer->fault, connection->remote_ip)) {
-		connection->paused = true;
-		ev_io_stop(loop, &connection->reader);
-		ev_io_stop(loop, &connection->writer);
-		return;
-	}
 	size = recv(connection->fd, data, sizeof(data), 0);
 	if (size < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -282,16 +292,8 @@
 	int error = 0;
 	socklen_t size = sizeof(error);
 
-	if (connection->failed) {
-		ev_io_stop(loop, watcher);
+	if (connection_is_stopped(connection, watcher))
 		return;
-	}
-	if (fault_is_cut(connection->peer->fault, connection->remote_ip)) {
-		connection->paused = true;
-		ev_io_stop(loop, &connection->reader);
-		ev_io_stop(loop, &connection->writer);
-		return;
-	}
 	if (connection->state == PEER_CONNECTING) {
 		if (getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &error, &size) !=
 			0 ||
