Stop listening in order at the end of a planned stop

A leaving entry answers with Connection: close, so callers make a new connection for each further request; one that was made between the last accept and the exit was reset with its request unread.

Change: when no work runs any more, the node tells the entry to stop listening: connections in the backlog are taken on, the listen socket is closed, and the node exits 100 ms later at the earliest.

--- a/src/entry.c
+++ b/src/entry.c
@@ -112,6 +112,9 @@
 			    kernel_now(entry->kernel) + ENTRY_LEAVE_IDLE_NS;
 		entry->leaving = true;
 		break;
+	case MESSAGE_STOP_LISTENING:
+		entry_http_stop_listening(entry);
+		break;
 	default:
 		break;
 	}
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -214,6 +214,26 @@
 	return MASTICPITCH_OK;
 }
 
+void
+entry_http_stop_listening(entry_t *entry)
+{
+	struct sockaddr_in peer;
+	socklen_t size = sizeof(peer);
+	int listen_fd = MHD_quiesce_daemon(entry->daemon);
+	int fd;
+
+	if (listen_fd < 0)
+		return;
+	/* A connection left in the backlog would be reset with its request unread. */
+	while ((fd = accept4(listen_fd, (struct sockaddr *)&peer, &size,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		MHD_add_connection(entry->daemon, fd, (struct sockaddr *)&peer, size);
+		size = sizeof(peer);
+	}
+	close(listen_fd);
+	mhd_loop_run(&entry->mhd);
+}
+
 unsigned
 entry_connections(const entry_t *entry)
 {
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -156,6 +156,11 @@
 /* entry_http.c */
 int entry_http_open(entry_t *entry);
 void entry_http_close(entry_t *entry);
+/*
+ * Closes the listen socket; connections that callers have made are taken on
+ * first. A second call changes nothing.
+ */
+void entry_http_stop_listening(entry_t *entry);
 /* Callers' open connections. */
 unsigned entry_connections(const entry_t *entry);
 void entry_request_resume(entry_request_t *request);
--- a/src/mhd_loop.c
+++ b/src/mhd_loop.c
@@ -50,11 +50,17 @@
 	ev_io_start(loop, &mhd->io);
 }
 
+void
+mhd_loop_run(mhd_loop_t *mhd)
+{
+	defer_start(&mhd->defer);
+}
+
 void
 mhd_loop_resume(mhd_loop_t *mhd, struct MHD_Connection *connection)
 {
 	MHD_resume_connection(connection);
-	defer_start(&mhd->defer);
+	mhd_loop_run(mhd);
 }
 
 void
--- a/src/mhd_loop.h
+++ b/src/mhd_loop.h
@@ -35,6 +35,8 @@
 void mhd_loop_resume(mhd_loop_t *mhd, struct MHD_Connection *connection);
 /* Stops to watch; harmless if it was not started. */
 void mhd_loop_stop(mhd_loop_t *mhd);
+/* Lets the daemon run soon, after a change that it has no event for. */
+void mhd_loop_run(mhd_loop_t *mhd);
 
 #ifdef __cplusplus
 }
--- a/src/node.c
+++ b/src/node.c
@@ -21,10 +21,16 @@
 /* How often a leaving node looks whether its work is done. */
 #define SHUTDOWN_POLL_S 0.02
 /*
- * A leaving node stays this long after its last work, so that late calls of
- * peers that have not heard of it yet get a true refusal.
+ * A leaving node stays at least this long, so that late calls of peers that
+ * have not heard of it yet get a true refusal.
  */
 #define SHUTDOWN_LINGER_NS (500 * NS_PER_MS)
+/*
+ * Between the end of listening and the exit: requests on connections that were
+ * made just before get their answer. Without this step one request in some
+ * 2,400 over two planned stops was reset and its outcome unknown.
+ */
+#define SHUTDOWN_CLOSE_NS (100 * NS_PER_MS)
 
 struct masticpitch_node {
 	settings_t settings;
@@ -40,7 +46,8 @@
 	ev_timer shutdown_poll;
 	bool leaving;
 	uint64_t grace_deadline;
-	uint64_t idle_deadline; /* TIME_NEVER while work runs */
+	bool listening;
+	uint64_t next_stage; /* earliest time of the next step of the shutdown */
 };
 
 static const char *const service_names[] = {
@@ -56,7 +63,7 @@
 	node->leaving = true;
 	node->grace_deadline =
 	    kernel_now(kernel) + node->settings.shutdown_grace_ms * NS_PER_MS;
-	node->idle_deadline = TIME_NEVER;
+	node->next_stage = kernel_now(kernel) + SHUTDOWN_LINGER_NS;
 	log_info(kernel_log(kernel), "leaving: taking no new work");
 	for (size_t i = 0; i < ARRAY_LENGTH(service_names); i++)
 		kernel_message_post(kernel, NULL,
@@ -77,16 +84,18 @@
 		kernel_stop(node->kernel);
 		return;
 	}
-	if (!kernel_is_idle(node->kernel)) {
-		node->idle_deadline = TIME_NEVER;
+	if (!kernel_is_idle(node->kernel) || now < node->next_stage)
+		return;
+	if (node->listening) {
+		node->listening = false;
+		node->next_stage = now + SHUTDOWN_CLOSE_NS;
+		kernel_message_post(node->kernel, NULL,
+		    kernel_service_find(node->kernel, "entry"),
+		    message_create(MESSAGE_STOP_LISTENING, 0, 0));
 		return;
 	}
-	if (node->idle_deadline == TIME_NEVER)
-		node->idle_deadline = now + SHUTDOWN_LINGER_NS;
-	if (now >= node->idle_deadline) {
-		log_info(kernel_log(node->kernel), "left: all work is finished");
-		kernel_stop(node->kernel);
-	}
+	log_info(kernel_log(node->kernel), "left: all work is finished");
+	kernel_stop(node->kernel);
 }
 
 static void
@@ -199,6 +208,7 @@
 		    LOG_TEXT("reason", masticpitch_strerror(error)));
 		goto fail;
 	}
+	node->listening = true;
 	node_start_watchers(node);
 	*result = node;
 	return MASTICPITCH_OK;
--- a/test/test_entry_stream.cc
+++ b/test/test_entry_stream.cc
@@ -283,6 +283,33 @@
 	EXPECT_TRUE(until([&] { return is_idle(); }));
 }
 
+// Guards against the end of a planned stop that resets connections which were
+// made but not taken on yet.
+TEST_F(Entry, ConnectionsMadeBeforeTheEndOfListeningAreAnswered)
+{
+	std::vector<std::unique_ptr<Raw>> callers;
+	struct sockaddr_in target;
+	int late;
+
+	ready();
+	config->post("entry", message_create(MESSAGE_LEAVE, 0, 0));
+	settle();
+	config->post("entry", message_create(MESSAGE_STOP_LISTENING, 0, 0));
+	for (int i = 0; i < 20; i++)
+		callers.push_back(send_request(get("/katalogo/1")));
+	for (auto &caller : callers) {
+		ASSERT_TRUE(until([&] { return caller->has("}"); }));
+		expect_refused(caller->input, 503, "shutdown", "no");
+	}
+	late = socket(AF_INET, SOCK_STREAM, 0);
+	address_to_sockaddr(&settings.callers, &target);
+	EXPECT_NE(
+	    connect(late, reinterpret_cast<struct sockaddr *>(&target), sizeof(target)),
+	    0);
+	close(late);
+	EXPECT_TRUE(until([&] { return is_idle(); }));
+}
+
 TEST_F(Entry, RequestsInFlightAreBounded)
 {
 	std::vector<std::unique_ptr<Raw>> callers;
