Bound the decoding of configuration messages; stricter announcements

Cause: found by reading. The decoder of configuration messages used the library's allocator, so that many empty parts could take far more memory than the frame; an announcement was taken with text after its object and with a load that is no number.

Change: the bounded allocator of frames decodes configuration messages; the announcement names both faults.

The memory before and after was not measured.

--- a/src/announcement.c
+++ b/src/announcement.c
@@ -93,6 +93,9 @@
 		return "address is not IP:PORT";
 	if (json_object_object_get_ex(object, "load", &load)) {
 		backend->load = json_object_get_double(load);
+		if (!json_object_is_type(load, json_type_double) &&
+		    !json_object_is_type(load, json_type_int))
+			return "load is not a number";
 		if (!(backend->load >= 0.0 && backend->load <= 1.0))
 			return "load is not between 0 and 1";
 	}
@@ -110,7 +113,11 @@
 		return "no memory";
 	object = json_tokener_parse_ex(tokener, text, (int)size + 1);
 	if (object != NULL) {
-		error = announcement_read(object, backend);
+		size_t end = json_tokener_get_parse_end(tokener);
+
+		end += strspn(text + end, " \t\r\n");
+		error = end < size ? "text after the object"
+				   : announcement_read(object, backend);
 		json_object_put(object);
 	}
 	json_tokener_free(tokener);
--- a/src/spread_message.c
+++ b/src/spread_message.c
@@ -1,5 +1,6 @@
 #include "spread_message.h"
 
+#include "frame.h"
 #include "masticpitch.pb-c.h"
 #include "record.h"
 
@@ -207,11 +208,14 @@
 int
 spread_message_unpack(const void *data, size_t size, spread_message_t **result)
 {
-	Masticpitch__ConfigMessage *packed =
-	    masticpitch__config_message__unpack(NULL, size, data);
+	Masticpitch__ConfigMessage *packed;
 	spread_message_t *message = NULL;
+	frame_allocator_t allocator;
 	int error = MASTICPITCH_E_INVALID;
 
+	/* Many empty parts take far more memory than the bytes that they came in. */
+	frame_allocator_init(&allocator, size);
+	packed = masticpitch__config_message__unpack(&allocator.base, size, data);
 	if (packed == NULL)
 		return MASTICPITCH_E_INVALID;
 	if ((unsigned)packed->kind >= SPREAD_KIND_COUNT)
@@ -224,6 +228,6 @@
 	message = NULL;
 out:
 	spread_message_release(message);
-	masticpitch__config_message__free_unpacked(packed, NULL);
+	masticpitch__config_message__free_unpacked(packed, &allocator.base);
 	return error;
 }
--- a/test/test_announcement.cc
+++ b/test/test_announcement.cc
@@ -52,6 +52,11 @@
 	    "load is not between 0 and 1");
 	EXPECT_EQ(error_of(body_with("127.0.0.1:9001", ",\"load\":NaN")),
 	    "load is not between 0 and 1");
+	EXPECT_EQ(error_of(body_with("127.0.0.1:9001", ",\"load\":\"abc\"")),
+	    "load is not a number");
+	EXPECT_EQ(
+	    error_of(body_with("127.0.0.1:9001", "") + " x"), "text after the object");
+	EXPECT_EQ(error_of(body_with("127.0.0.1:9001", "") + "\r\n"), "");
 }
 
 } // namespace
