Shift the push tree by version

Cause: found while working out docs/CAPACITY.md: the tree of a zone was the same for every version, so with 380 nodes in a zone 47 of them would send 8 copies of each change (a head with a full history of some 20 KB and a part, 0.05 times a second) and come close to 19 KB/s with membership, the others none.

Change: the relay stays the root, the other places are shifted by a hash of the version. Every node computes the same tree from the same members.

Conclusion: the sending of a change is shared over the zone; a change costs a node on average one receipt and one copy.

--- a/src/spread_members.c
+++ b/src/spread_members.c
@@ -1,5 +1,7 @@
 #include "spread_members.h"
 
+#include "util.h"
+
 #include "spread.h"
 
 #include <stdlib.h>
@@ -275,12 +277,48 @@
 	return count;
 }
 
+/* Members but the relay, and at least 1. */
+static size_t
+tree_others(const spread_members_t *members)
+{
+	return MAX_OF(members->order_count, 2) - 1;
+}
+
+/*
+ * Places in a version's tree and in the order of ranks. The relay is the root
+ * of every tree; the others are shifted by the version, so that not always the
+ * same nodes carry the sending: with 380 nodes in a zone 47 of them would send
+ * 8 copies of each change and the others none.
+ */
+static size_t
+tree_shift(const spread_members_t *members, uint64_t version)
+{
+	return (size_t)(hash_bytes(&version, sizeof(version), 0) % tree_others(members));
+}
+
+static size_t
+tree_place(const spread_members_t *members, size_t rank, size_t shift)
+{
+	size_t others = tree_others(members);
+
+	return rank == 0 ? 0 : 1 + (rank - 1 + others - shift) % others;
+}
+
+static size_t
+tree_rank(const spread_members_t *members, size_t place, size_t shift)
+{
+	size_t others = tree_others(members);
+
+	return place == 0 ? 0 : 1 + (place - 1 + shift) % others;
+}
+
 size_t
-spread_members_push_targets(spread_members_t *members, bool from_outside,
-    bool other_zones, uint64_t *targets, size_t max)
+spread_members_push_targets(spread_members_t *members, uint64_t version,
+    bool from_outside, bool other_zones, uint64_t *targets, size_t max)
 {
 	size_t count = 0;
 	size_t own = 0;
+	size_t shift, place;
 
 	if (!order_update(members))
 		return 0;
@@ -288,11 +326,15 @@
 		own++;
 	if (from_outside && own != 0)
 		count = target_add(members->order[0], targets, count, max);
+	shift = tree_shift(members, version);
+	place = tree_place(members, own, shift);
 	for (size_t i = 0; i < members->fan_out; i++) {
-		size_t child = own * members->fan_out + 1 + i;
+		size_t child = place * members->fan_out + 1 + i;
 
 		if (child < members->order_count)
-			count = target_add(members->order[child], targets, count, max);
+			count =
+			    target_add(members->order[tree_rank(members, child, shift)],
+				targets, count, max);
 	}
 	return other_zones ? zone_targets(members, targets, count, max) : count;
 }
--- a/src/spread_members.h
+++ b/src/spread_members.h
@@ -64,12 +64,13 @@
 /* The member of that zone that ranks lowest; 0: none. Own zone: never itself. */
 uint64_t spread_members_relay_of(const spread_members_t *members, const char *zone);
 /*
- * The nodes that this one pushes to: its children in the zone's tree; for a
+ * The nodes that this one pushes a version to: its children in that version's
+ * tree of the zone; for a
  * version that comes from outside the zone also the tree's root, and with
  * other_zones one member of each other zone. Returns their number, at most max.
  */
-size_t spread_members_push_targets(spread_members_t *members, bool from_outside,
-    bool other_zones, uint64_t *targets, size_t max);
+size_t spread_members_push_targets(spread_members_t *members, uint64_t version,
+    bool from_outside, bool other_zones, uint64_t *targets, size_t max);
 /* Up to count different random usable members. Returns their number. */
 size_t spread_members_random(
     const spread_members_t *members, rng_t *rng, uint64_t *targets, size_t count);
--- a/src/spread_push.c
+++ b/src/spread_push.c
@@ -98,8 +98,9 @@
     bool from_platform, uint64_t now)
 {
 	uint64_t targets[TARGETS_MAX];
-	size_t count = spread_members_push_targets(
-	    &spread->members, from_outside, from_platform, targets, TARGETS_MAX);
+	size_t count =
+	    spread_members_push_targets(&spread->members, spread_version_held(spread),
+		from_outside, from_platform, targets, TARGETS_MAX);
 	spread_message_t *message = NULL;
 
 	switch (spread->mode) {
