Log by the macros in the entry and the gate

Cause: two places built their log fields by hand, from the time when the log macro could not be analysed. Change: LOG_EVENT and log_warning; the lines logged are the same. Conclusion: one way to log.

--- a/src/entry.c
+++ b/src/entry.c
@@ -17,15 +17,9 @@
 	int error =
 	    balance_member_update(entry->balance, member, kernel_now(entry->kernel));
 
-	if (error != MASTICPITCH_OK) {
-		const log_field_t fields[] = {
-		    {LOG_KIND_TEXT, "reason", masticpitch_strerror(error), 0},
-		    {LOG_KIND_END, NULL, NULL, 0},
-		};
-
-		log_write(kernel_log(entry->kernel), LOG_LEVEL_WARNING,
-		    "instance not used", fields);
-	}
+	if (error != MASTICPITCH_OK)
+		log_warning(kernel_log(entry->kernel), "instance not used",
+		    LOG_TEXT("reason", masticpitch_strerror(error)));
 }
 
 /* The local gate's own word on its instance. */
--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -19,14 +19,9 @@
 static void
 backend_log(gate_t *gate, log_level_t level, const char *message, const char *detail)
 {
-	const log_field_t fields[] = {
-	    {LOG_KIND_TEXT, "service", gate->backend.service, 0},
-	    {LOG_KIND_TEXT, "instance", gate->backend.instance, 0},
-	    {LOG_KIND_TEXT, "detail", detail, 0},
-	    {LOG_KIND_END, NULL, NULL, 0},
-	};
-
-	log_write(kernel_log(gate->kernel), level, message, fields);
+	LOG_EVENT(kernel_log(gate->kernel), level, message,
+	    LOG_TEXT("service", gate->backend.service),
+	    LOG_TEXT("instance", gate->backend.instance), LOG_TEXT("detail", detail));
 }
 
 void
