--- a/src/announcement.c
+++ b/src/announcement.c
@@ -115,7 +115,9 @@
 	if (object != NULL) {
 		size_t end = json_tokener_get_parse_end(tokener);
 
-		end += strspn(text + end, " \t\r\n");
+		/* The tokener may have read the NUL after the text too. */
+		if (end < size)
+			end += strspn(text + end, " \t\r\n");
 		error = end < size ? "text after the object"
 				   : announcement_read(object, backend);
 		json_object_put(object);
