--- a/src/announcement.c
+++ b/src/announcement.c
@@ -125,3 +125,23 @@
 	json_tokener_free(tokener);
 	return error;
 }
+
+announcement_verdict_t
+announcement_judge(const gate_backend_t *known, const gate_backend_t *announced)
+{
+	bool same_instance = strcmp(known->instance, announced->instance) == 0;
+	bool dated = known->started_ms != 0 && announced->started_ms != 0;
+
+	if (known->instance[0] == '\0')
+		return ANNOUNCEMENT_SAME;
+	if (dated && announced->started_ms < known->started_ms)
+		return ANNOUNCEMENT_STALE;
+	if (!same_instance && !dated && known->live)
+		return ANNOUNCEMENT_FOREIGN;
+	if (!same_instance ||
+	    (known->boot[0] != '\0' && strcmp(known->boot, announced->boot) != 0))
+		return ANNOUNCEMENT_RESTARTED;
+	if (announced->sequence != 0 && announced->sequence <= known->sequence)
+		return ANNOUNCEMENT_STALE;
+	return ANNOUNCEMENT_SAME;
+}
--- a/src/balance_record.c
+++ b/src/balance_record.c
@@ -232,23 +232,6 @@
 	}
 }
 
-/* Whether the gate or its backend server refused because of its load. */
-static bool
-reason_is_overload(reason_t reason)
-{
-	switch (reason) {
-	case REASON_QUEUE_FULL:
-	case REASON_QUEUE_SHED:
-	case REASON_DEADLINE_TOO_SHORT:
-	case REASON_DEADLINE_PASSED:
-	case REASON_BACKEND_SHED:
-	case REASON_STREAM_LIMIT:
-		return true;
-	default:
-		return false;
-	}
-}
-
 void
 balance_attempt_refused(balance_t *balance, balance_attempt_t *attempt, reason_t reason,
     const load_report_t *load, uint64_t now)
--- a/src/config.c
+++ b/src/config.c
@@ -4,6 +4,7 @@
 #include "json_text.h"
 #include "os.h"
 #include "platform.h"
+#include "platform/hosted.h"
 #include "spread.h"
 
 #include <inttypes.h>
@@ -29,6 +30,8 @@
 	bool joining; /* the list of relays is due or under way */
 	list_t calls;
 	spread_status_t reported; /* what metrics and log have seen */
+	chunk_t *document;	  /* the operator's, as last read; may be NULL */
+	buffer_t document_head;	  /* the head made of it */
 };
 
 /* One call on the platform on behalf of spread. */
@@ -63,13 +66,58 @@
 	free(call);
 }
 
+/* Keeps a document as it was read and makes the head of its record. */
+static int
+document_keep(config_t *config, const char *text, size_t size)
+{
+	char reason[MASTICPITCH_MESSAGE_MAX] = "";
+	chunk_t *document;
+	uint64_t version;
+	int error;
+
+	if (config->document != NULL && config->document->size == size &&
+	    memcmp(config->document->data, text, size) == 0)
+		return MASTICPITCH_OK;
+	error = hosted_version_read(text, size, &version, reason, sizeof(reason));
+	if (error != MASTICPITCH_OK) {
+		log_warning(kernel_log(config->kernel), "configuration document refused",
+		    LOG_TEXT("reason", reason));
+		return error;
+	}
+	document = chunk_copy(text, size);
+	if (document == NULL)
+		return MASTICPITCH_E_NOMEM;
+	chunk_release(config->document);
+	config->document = document;
+	buffer_consume(&config->document_head, config->document_head.size);
+	return record_document_head(version, document, &config->document_head);
+}
+
+/* Gives spread a head where the platform holds a document. */
+static void
+document_translate(config_t *config, spread_call_t kind, platform_answer_t *answer)
+{
+	if (config->settings->dialect != DIALECT_HOSTED ||
+	    (kind != SPREAD_CALL_GET_HEAD && kind != SPREAD_CALL_WATCH_HEAD) ||
+	    answer->outcome != PLATFORM_OK)
+		return;
+	if (document_keep(config, answer->value, answer->size) != MASTICPITCH_OK) {
+		answer->outcome = PLATFORM_UNKNOWN;
+		return;
+	}
+	answer->value = (const char *)config->document_head.data;
+	answer->size = config->document_head.size;
+}
+
 static void
-call_done(void *state, const platform_answer_t *answer)
+call_done(void *state, const platform_answer_t *read)
 {
 	config_call_t *call = state;
 	config_t *config = call->config;
+	platform_answer_t answer = *read;
 
-	spread_platform_answer(config->spread, call->kind, &call->digest, answer,
+	document_translate(config, call->kind, &answer);
+	spread_platform_answer(config->spread, call->kind, &call->digest, &answer,
 	    kernel_now(config->kernel));
 	call_free(call);
 	config_run(config);
@@ -128,13 +176,38 @@
 	return MASTICPITCH_E_INVALID;
 }
 
+/* The document is the only part that the platform has, and it is at hand. */
+static void
+document_answer(config_t *config, const spread_action_t *action)
+{
+	platform_answer_t answer = {.outcome = PLATFORM_NOT_FOUND};
+	digest_t digest;
+
+	if (config->document != NULL) {
+		digest_compute(config->document->data, config->document->size, &digest);
+		if (digest_equal(&digest, &action->digest)) {
+			answer.outcome = PLATFORM_OK;
+			answer.value = (const char *)config->document->data;
+			answer.size = config->document->size;
+		}
+	}
+	spread_platform_answer(config->spread, action->call, &action->digest, &answer,
+	    kernel_now(config->kernel));
+}
+
 /* A call that cannot be started counts as not sent. */
 static void
 call_perform(config_t *config, const spread_action_t *action)
 {
 	const platform_answer_t not_sent = {.outcome = PLATFORM_NOT_SENT};
-	config_call_t *call = calloc(1, sizeof(*call));
+	config_call_t *call;
 
+	if (config->settings->dialect == DIALECT_HOSTED &&
+	    action->call == SPREAD_CALL_GET_PART) {
+		document_answer(config, action);
+		return;
+	}
+	call = calloc(1, sizeof(*call));
 	if (call != NULL) {
 		call->config = config;
 		call->kind = action->call;
@@ -180,7 +253,7 @@
 static void
 snapshot_post(config_t *config, snapshot_t *snapshot)
 {
-	static const char *const names[] = {"entry", "gate", "operators"};
+	static const char *const names[] = {"entry", "gate", "operators", "readiness"};
 	message_t *message = message_create(MESSAGE_VERSION, 0, 0);
 
 	for (size_t i = 0; i < ARRAY_LENGTH(names); i++) {
@@ -491,6 +564,7 @@
 	kernel_t *kernel = config->kernel;
 	platform_options_t platform = {.loop = kernel_loop(kernel),
 	    .metrics = kernel_metrics(kernel),
+	    .dialect = settings->dialect,
 	    .url = settings->platform_url,
 	    .prefix = settings->platform_prefix};
 	spread_options_t spread = {.node = address_to_node_id(&settings->peers),
@@ -499,6 +573,7 @@
 	    .boot = kernel_boot_id(kernel),
 	    .mode = settings->spread,
 	    .source = settings->config_source,
+	    .dialect = settings->dialect,
 	    .seed = rng_next(kernel_rng(kernel)) ^ kernel_boot_id(kernel)};
 	int error =
 	    http_client_create(kernel_loop(kernel), CONNECTIONS_MAX, &config->http);
@@ -523,6 +598,7 @@
 	config->kernel = kernel;
 	config->settings = settings;
 	list_init(&config->calls);
+	buffer_init(&config->document_head, RECORD_HEAD_MAX);
 	list_init(&config->service.link);
 	config->service.name = "config";
 	config->service.state = config;
@@ -556,5 +632,7 @@
 	LIST_FOREACH_SAFE (node, &config->calls)
 		call_free(LIST_ENTRY(node, config_call_t, link));
 	spread_destroy(config->spread);
+	chunk_release(config->document);
+	buffer_free(&config->document_head);
 	free(config);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -64,6 +64,20 @@
 	entry_attempt_receive(LIST_ENTRY(found, entry_request_t, stream), message);
 }
 
+static void
+entry_leave(entry_t *entry)
+{
+	uint64_t now = kernel_now(entry->kernel);
+
+	if (entry->leaving)
+		return;
+	entry->leaving = true;
+	entry->accept_deadline = now + entry->settings->shutdown_accept_ms * NS_PER_MS;
+	entry->leave_deadline =
+	    now + MIN_OF(ENTRY_LEAVE_IDLE_NS,
+		      entry->settings->shutdown_grace_ms * NS_PER_MS / 2);
+}
+
 static void
 entry_receive(void *state, message_t *message)
 {
@@ -87,8 +101,17 @@
 			balance_member_remove(entry->balance, message->u.member.node);
 		break;
 	case MESSAGE_INSTANCE:
+		if (message->u.instance.service[0] != '\0')
+			memcpy(entry->caller_service, message->u.instance.service,
+			    NAME_BYTES);
 		local_instance_update(entry, &message->u.instance);
 		break;
+	case MESSAGE_RUN:
+		if (message->u.run.started)
+			run_set_add(&entry->running, message->u.run.request);
+		else
+			run_set_remove(&entry->running, message->u.run.request);
+		break;
 	case MESSAGE_CRASH_REPORT:
 		crash_report_receive(entry, message);
 		break;
@@ -101,10 +124,7 @@
 		entry_report(entry, message);
 		break;
 	case MESSAGE_LEAVE:
-		if (!entry->leaving)
-			entry->leave_deadline =
-			    kernel_now(entry->kernel) + ENTRY_LEAVE_IDLE_NS;
-		entry->leaving = true;
+		entry_leave(entry);
 		break;
 	case MESSAGE_STOP_LISTENING:
 		entry_http_stop_listening(entry);
@@ -119,7 +139,8 @@
 {
 	const entry_t *entry = state;
 
-	if (!list_is_empty(&entry->requests))
+	if (!list_is_empty(&entry->requests) ||
+	    kernel_now(entry->kernel) < entry->accept_deadline)
 		return false;
 	return !entry->leaving || kernel_now(entry->kernel) >= entry->leave_deadline ||
 	       entry_connections(entry) == 0;
@@ -155,11 +176,15 @@
 	entry->settings = settings;
 	entry->node = address_to_node_id(&settings->peers);
 	entry->naive = settings->routing_policy == ROUTING_NAIVE;
+	entry->names = dialect_headers(settings->dialect);
+	memcpy(entry->caller_service, settings->backend.service, NAME_BYTES);
 	entry->service.name = "entry";
 	entry->service.state = entry;
 	entry->service.receive = entry_receive;
 	entry->service.is_idle = entry_is_idle;
 	entry->hangup_fd = -1;
+	deadline_profile_init(&entry->deadlines);
+	run_set_init(&entry->running);
 	list_init(&entry->service.link);
 	list_init(&entry->requests);
 	error = stream_table_init(&entry->streams);
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -62,13 +62,12 @@
 	if (entry->naive)
 		excluded = 0;
 	if (balance_choose_for_class(entry->balance, request->preset_service,
-		request->route->route_class, request->tried, excluded, rng, now,
+		request->head->route_class, request->tried, excluded, rng, now,
 		node) == MASTICPITCH_OK)
 		return true;
 	return excluded > 0 && failure_is_brief(request->last_reason) &&
 	       balance_choose_for_class(entry->balance, request->preset_service,
-		   request->route->route_class, NULL, 0, rng, now,
-		   node) == MASTICPITCH_OK;
+		   request->head->route_class, NULL, 0, rng, now, node) == MASTICPITCH_OK;
 }
 
 static bool
@@ -121,10 +120,11 @@
 	if (request->attempts < PRESET_ATTEMPTS_MAX)
 		request->tried[request->attempts] = node;
 	request->attempts++;
+	request->runs++;
 	request->window = STREAM_WINDOW;
 	request->end_sent = !request->head->has_body;
 	balance_attempt_start(
-	    entry->balance, node, request->route->route_class, now, &request->attempt);
+	    entry->balance, node, request->head->route_class, now, &request->attempt);
 	metrics_add(kernel_metrics(entry->kernel), METRIC_ATTEMPTS, 1);
 	entry_attempt_pump(request);
 }
@@ -183,6 +183,13 @@
 	return true;
 }
 
+/* The gate refused the call without having sent it to its backend server. */
+static bool
+gate_kept_it(const refusal_t *refusal)
+{
+	return refusal->run == RUN_NO && refusal->reason != REASON_BACKEND_SHED;
+}
+
 /* Decides on another attempt after one has failed. */
 static void
 attempt_failed(entry_request_t *request, const refusal_t *refusal)
@@ -194,15 +201,20 @@
 	    .idempotent = request->head->idempotent,
 	    .body_kept = request->body_kept,
 	    .answer_started = request->answer != NULL,
-	    .attempts_made = request->attempts,
+	    .attempts_made = request->runs,
 	    .attempts_max = request->ticket_bound ? 1 : route->attempts,
 	    .min_attempt_ms = route->min_attempt_ms,
 	    .deadline = request->head->deadline,
-	    .route_class = route->route_class,
+	    .route_class = request->head->route_class,
 	};
 	retry_failure_t failure = {.reason = refusal->reason, .final = refusal->final};
 	retry_decision_t decision;
 
+	if (gate_kept_it(refusal)) {
+		facts.attempts_made--;
+		request->runs--;
+		facts.unsent = request->attempts < PRESET_ATTEMPTS_MAX;
+	}
 	request->run = MAX_OF(request->run, refusal->run);
 	failure.run = request->run;
 	request->last_reason = refusal->reason;
--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -10,8 +10,10 @@
 
 /* What is collected from the header fields. */
 typedef struct head_fields {
+	const header_names_t *names;
 	call_head_t *head;
 	size_t bytes;
+	size_t bytes_max;
 	size_t count;
 	size_t length_count;
 	size_t encoding_count;
@@ -51,27 +53,39 @@
 		fields->reason = REASON_BAD_FRAMING;
 }
 
+/* True if that is the name of a field of the dialect. */
+static bool
+name_is(const char *name, const char *own)
+{
+	return own != NULL && strcasecmp(name, own) == 0;
+}
+
 /* True if the field has a meaning here and is not passed on as it is. */
 static bool
 field_is_own(head_fields_t *fields, const char *name, const char *value)
 {
+	const header_names_t *names = fields->names;
+
 	if (strcasecmp(name, "Content-Length") == 0)
 		length_read(fields, value);
 	else if (strcasecmp(name, "Transfer-Encoding") == 0)
 		encoding_read(fields, value);
-	else if (strcasecmp(name, HEADER_DEADLINE) == 0)
+	else if (name_is(name, names->deadline))
 		number_parse(fields, value, UINT32_MAX, &fields->deadline_ms);
-	else if (strcasecmp(name, HEADER_DEPTH) == 0)
+	else if (name_is(name, names->depth))
 		number_parse(fields, value, UINT32_MAX, &fields->depth);
-	else if (strcasecmp(name, HEADER_REQUEST_ID) == 0)
+	else if (name_is(name, names->request_id))
 		fields->request_id = value;
-	else if (strcasecmp(name, HEADER_TRACE) == 0)
+	else if (name_is(name, names->trace))
 		fields->trace = value;
-	else if (strcasecmp(name, HEADER_TICKET) == 0) {
+	else if (name_is(name, names->ticket)) {
 		fields->ticket = value;
 		fields->ticket_count++;
 	} else
-		return strcasecmp(name, "Expect") == 0;
+		/* The node sets these itself, whatever was sent. */
+		return strcasecmp(name, "Expect") == 0 ||
+		       name_is(name, names->caller_service) ||
+		       name_is(name, names->expect_instance);
 	return true;
 }
 
@@ -82,8 +96,7 @@
 	head_fields_t *fields = state;
 
 	fields->bytes += name_size + value_size;
-	if (++fields->count > HEADERS_COUNT_MAX ||
-	    fields->bytes > ENTRY_HEADER_BYTES_MAX) {
+	if (++fields->count > HEADERS_COUNT_MAX || fields->bytes > fields->bytes_max) {
 		fields->reason = REASON_HEADERS_TOO_LARGE;
 		return MHD_NO;
 	}
@@ -164,25 +177,32 @@
 	       strspn(trace + 53, digits) == 2;
 }
 
-static void
+/* A dialect with signed answers knows requests by the id that callers give. */
+static reason_t
 identity_set(entry_request_t *request, const head_fields_t *fields)
 {
 	rng_t *rng = kernel_rng(request->entry->kernel);
 	call_head_t *head = request->head;
 
+	if (fields->names->signature != NULL &&
+	    (fields->request_id == NULL || !id_is_valid(fields->request_id)))
+		return REASON_BAD_REQUEST;
 	if (fields->request_id != NULL && id_is_valid(fields->request_id))
 		string_copy(head->request_id, REQUEST_ID_BYTES, fields->request_id);
 	else
 		hex_random(rng, head->request_id, 32);
 	if (fields->trace != NULL && trace_is_valid(fields->trace)) {
 		string_copy(head->trace, TRACE_BYTES, fields->trace);
-		return;
+		return REASON_NONE;
 	}
+	if (fields->names->trace == NULL)
+		return REASON_NONE;
 	memcpy(head->trace, "00-", 3);
 	hex_random(rng, head->trace + 3, 32);
 	head->trace[35] = '-';
 	hex_random(rng, head->trace + 36, 16);
 	memcpy(head->trace + 52, "-00", 4);
+	return REASON_NONE;
 }
 
 /* The path that the request asks a ticket for, or its own path. */
@@ -206,10 +226,12 @@
 			return REASON_BAD_REQUEST;
 		request->asks_ticket = true;
 	}
-	request->route = preset_route_find(preset, method, path);
+	request->route = preset_route_find_host(
+	    preset, headers_find(&request->head->headers, "Host"), method, path);
 	if (request->route == NULL)
 		return REASON_NO_ROUTE;
-	request->preset_service = &preset->services[request->route->service];
+	request->preset_service = preset_route_draw(
+	    preset, request->route, rng_unit(kernel_rng(request->entry->kernel)));
 	return REASON_NONE;
 }
 
@@ -232,6 +254,35 @@
 	return REASON_NONE;
 }
 
+/* A call of a request that this host's backend server runs, or one with a depth. */
+static bool
+request_is_nested(const entry_request_t *request, const head_fields_t *fields)
+{
+	return fields->depth > 0 ||
+	       run_set_has_parent(&request->entry->running, request->head->request_id);
+}
+
+/*
+ * The time by which an answer is worth most, counted from the caller's first
+ * try. A nested call has no target of its own: the call that waits for it has.
+ */
+static void
+target_set(entry_request_t *request, const head_fields_t *fields)
+{
+	entry_t *entry = request->entry;
+	const preset_route_t *route = request->route;
+	uint64_t waited_ms;
+
+	if (route->target_ms == 0 || request->nested)
+		return;
+	waited_ms = deadline_profile_record(
+	    &entry->deadlines, hash_string(route->name), (uint32_t)fields->deadline_ms);
+	request->head->target =
+	    waited_ms >= route->target_ms
+		? request->accepted
+		: request->accepted + (route->target_ms - waited_ms) * NS_PER_MS;
+}
+
 static reason_t
 route_apply(entry_request_t *request, const head_fields_t *fields)
 {
@@ -239,7 +290,10 @@
 	call_head_t *head = request->head;
 
 	string_copy(head->service, NAME_BYTES, request->preset_service->name);
-	head->route_class = route->route_class;
+	memcpy(head->caller_service, request->entry->caller_service, NAME_BYTES);
+	request->nested = request_is_nested(request, fields);
+	head->route_class = preset_route_class(route, request->nested);
+	target_set(request, fields);
 	head->idempotent = route->idempotent || request->asks_ticket;
 	head->depth = (uint32_t)fields->depth;
 	head->deadline =
@@ -255,11 +309,25 @@
 	return REASON_NONE;
 }
 
+/* The configuration's bound, if it is the stricter one. */
+static size_t
+entry_header_bytes_max(const entry_t *entry)
+{
+	size_t limit =
+	    entry->snapshot == NULL ? 0 : entry->snapshot->preset->limits.header_bytes;
+
+	return limit != 0 ? MIN_OF(limit, (size_t)ENTRY_HEADER_BYTES_MAX)
+			  : ENTRY_HEADER_BYTES_MAX;
+}
+
 reason_t
 entry_head_read(entry_request_t *request, const char *method, const char *version)
 {
 	entry_t *entry = request->entry;
-	head_fields_t fields = {.head = request->head, .deadline_ms = UINT32_MAX};
+	head_fields_t fields = {.names = entry->names,
+	    .head = request->head,
+	    .bytes_max = entry_header_bytes_max(entry),
+	    .deadline_ms = UINT32_MAX};
 	reason_t reason;
 
 	request->http_1_0 = strcmp(version, "HTTP/1.1") != 0;
@@ -274,14 +342,16 @@
 		reason = framing_check(request, &fields);
 	/* Where the body ends is not known, or not worth finding out. */
 	request->close = reason != REASON_NONE;
-	identity_set(request, &fields);
+	if (reason == REASON_NONE)
+		reason = identity_set(request, &fields);
 	if (reason == REASON_NONE)
 		reason = path_check(request->head->path);
 	if (reason != REASON_NONE)
 		return reason;
 	headers_strip(&request->head->headers);
 	/* Calls of running work continue while the node leaves. */
-	if (entry->leaving && fields.depth == 0)
+	if (entry->leaving && fields.depth == 0 &&
+	    request->accepted >= entry->accept_deadline)
 		return REASON_SHUTDOWN;
 	if (entry->snapshot == NULL)
 		return REASON_NO_CONFIGURATION;
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -90,6 +90,18 @@
 	return info == NULL ? NULL : info->socket_context;
 }
 
+/* The configuration's idle timeout holds from the connection's next request on. */
+static void
+idle_timeout_set(const entry_t *entry, struct MHD_Connection *mhd)
+{
+	uint32_t idle_ms =
+	    entry->snapshot == NULL ? 0 : entry->snapshot->preset->limits.idle_timeout_ms;
+
+	if (idle_ms != 0)
+		MHD_set_connection_option(mhd, MHD_CONNECTION_OPTION_TIMEOUT,
+		    (unsigned)(idle_ms / 1000 + ENTRY_IDLE_MARGIN_S));
+}
+
 /* Runs for each request line; the result becomes the request's state. */
 static void *
 uri_callback(void *state, const char *uri, struct MHD_Connection *mhd)
@@ -103,6 +115,7 @@
 	if (request != NULL) {
 		request->connection = connection;
 		connection->request = request;
+		idle_timeout_set(state, mhd);
 	}
 	return request;
 }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -11,11 +11,13 @@
 
 #include "balance.h"
 #include "chunk_queue.h"
+#include "deadline_profile.h"
 #include "entry.h"
 #include "limit.h"
 #include "mhd_loop.h"
 #include "quarantine.h"
 #include "retry.h"
+#include "run_set.h"
 #include "snapshot.h"
 #include "stream_table.h"
 #include "ticket.h"
@@ -25,7 +27,7 @@
 /* Path with query, bytes. */
 #define ENTRY_PATH_MAX 8192
 /* Memory of libmicrohttpd for one connection; larger heads get its own 431. */
-#define ENTRY_CONNECTION_MEMORY (32 * 1024)
+#define ENTRY_CONNECTION_MEMORY (20 * 1024)
 /* Body bytes held that cannot be sent yet; then the caller is not read further. */
 #define ENTRY_BODY_HELD_MAX (64 * 1024)
 /* Refused bodies up to this size are read and dropped, so the refusal arrives. */
@@ -36,6 +38,14 @@
 #define ENTRY_CREDIT_BYTES (STREAM_WINDOW / 4)
 /* A connection without progress is closed; uploads over weak links pause for long. */
 #define ENTRY_IDLE_S 120
+/* Added to the configuration's idle timeout, so that the caller's own ends first, s. */
+#define ENTRY_IDLE_MARGIN_S 1
+/*
+ * Open connections above which an answer also ends its connection. Under
+ * overload callers open a new one for each further try and leave the old ones
+ * idle, which took 100 MB for 3,000 of them.
+ */
+#define ENTRY_CONNECTIONS_KEPT_MAX 256
 /* Connections besides those with a request in flight. */
 #define ENTRY_SPARE_CONNECTIONS 1024
 /* The gate's own, more exact refusal at the deadline comes before the entry's, ms. */
@@ -48,6 +58,12 @@
  * while a request is on its way leaves the caller with an unknown outcome.
  */
 #define ENTRY_LEAVE_IDLE_NS (5 * NS_PER_S)
+/*
+ * A caller that is refused for load comes back after a random time in this
+ * range, ms; callers take at most a third of the time that they have left.
+ */
+#define ENTRY_RETRY_AFTER_MIN_MS 100
+#define ENTRY_RETRY_AFTER_MAX_MS 500
 /*
  * A request whose attempts lost this many backend servers is not sent again: the
  * third attempt of a crashing lookup would take down a third one before any
@@ -80,9 +96,14 @@
 	retry_t *retry;
 	limit_entry_t *limit;
 	quarantine_t *quarantine;
+	deadline_profile_t deadlines;
+	run_set_t running; /* on this host's backend server */
 	bool naive;
 	bool leaving;
-	uint64_t leave_deadline; /* of waiting for idle connections */
+	uint64_t leave_deadline;  /* of waiting for idle connections */
+	uint64_t accept_deadline; /* a leaving entry takes new requests until then */
+	const header_names_t *names;
+	char caller_service[NAME_BYTES]; /* of this host; may be empty */
 	bool stopping;
 };
 
@@ -112,6 +133,7 @@
 	limit_permit_t permit;
 	call_head_t *head; /* kept for further attempts */
 	ev_timer deadline;
+	bool nested; /* a call of work that runs already */
 	bool asks_ticket;
 	bool ticket_bound;
 	uint64_t ticket_node;
@@ -129,7 +151,8 @@
 	stream_entry_t stream;
 	bool stream_open;
 	balance_attempt_t attempt;
-	uint32_t attempts;
+	uint32_t attempts; /* at gates */
+	uint32_t runs;	   /* of these, may have reached a backend server */
 	uint64_t tried[PRESET_ATTEMPTS_MAX];
 	uint32_t window; /* body bytes that may be sent */
 	bool end_sent;
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -97,8 +97,16 @@
 entry_request_refuse(
     entry_request_t *request, reason_t reason, run_state_t run, bool final)
 {
-	metrics_refusal_add(kernel_metrics(request->entry->kernel), reason);
+	entry_t *entry = request->entry;
+
+	metrics_refusal_add(kernel_metrics(entry->kernel), reason);
 	entry_attempt_cancel(request);
+	if (run == RUN_NO && request->refusal.retry_after_ms == 0 &&
+	    reason_is_overload(reason))
+		request->refusal.retry_after_ms =
+		    ENTRY_RETRY_AFTER_MIN_MS +
+		    (uint32_t)rng_below(kernel_rng(entry->kernel),
+			ENTRY_RETRY_AFTER_MAX_MS - ENTRY_RETRY_AFTER_MIN_MS);
 	request->refusal.reason = reason;
 	request->refusal.run = run;
 	request->refusal.final = final;
@@ -115,7 +123,7 @@
 
 	if (reason == REASON_NONE)
 		reason = limit_entry_acquire(entry->limit, request->preset_service,
-		    request->route->route_class, &request->permit);
+		    request->head->route_class, &request->permit);
 	if (reason == REASON_NONE)
 		left = (double)(request->head->deadline - request->accepted) / 1e9 +
 		       (double)ENTRY_DEADLINE_GRACE_MS / 1000.0;
@@ -259,9 +267,35 @@
 	       (request->answer_end || !answer_is_bodiless(request));
 }
 
+/* Adds a field of the dialect, if it has that one. */
+static void
+response_add(struct MHD_Response *response, const char *name, const char *value)
+{
+	if (name != NULL)
+		MHD_add_response_header(response, name, value);
+}
+
+/*
+ * In the hosted dialect the status itself says whether the request was run: 503
+ * promises that it was not and never will be, 502 and 504 promise nothing.
+ */
+static int
+refusal_status(const entry_request_t *request)
+{
+	const refusal_t *refusal = &request->refusal;
+	int status = reason_status(refusal->reason);
+
+	if (request->entry->names->run != NULL || (status >= 400 && status < 429))
+		return status;
+	if (refusal->run == RUN_NO)
+		return status == 429 ? status : 503;
+	return status == 504 ? status : 502;
+}
+
 static struct MHD_Response *
 refusal_response(entry_request_t *request)
 {
+	const header_names_t *names = request->entry->names;
 	const refusal_t *refusal = &request->refusal;
 	char text[REFUSAL_TEXT_MAX];
 	char seconds[16];
@@ -276,14 +310,20 @@
 	if (response == NULL)
 		return NULL;
 	MHD_add_response_header(response, "Content-Type", "application/json");
-	MHD_add_response_header(response, HEADER_REASON, reason_text(refusal->reason));
-	MHD_add_response_header(response, HEADER_RUN, run_state_text(refusal->run));
-	MHD_add_response_header(response, HEADER_REQUEST_ID, request->head->request_id);
+	response_add(response, names->reason, reason_text(refusal->reason));
+	response_add(response, names->run, run_state_text(refusal->run));
+	response_add(response, names->request_id, request->head->request_id);
 	if (refusal->final)
-		MHD_add_response_header(response, HEADER_FINAL, "1");
+		response_add(response, names->final, "1");
 	if (refusal->retry_after_ms > 0) {
-		snprintf(seconds, sizeof(seconds), "%u",
-		    (refusal->retry_after_ms + 999) / 1000);
+		/* The hosted dialect takes fractions of a second. */
+		if (names->run == NULL)
+			snprintf(seconds, sizeof(seconds), "%u.%03u",
+			    refusal->retry_after_ms / 1000,
+			    refusal->retry_after_ms % 1000);
+		else
+			snprintf(seconds, sizeof(seconds), "%u",
+			    (refusal->retry_after_ms + 999) / 1000);
 		MHD_add_response_header(response, "Retry-After", seconds);
 	}
 	return response;
@@ -393,12 +433,23 @@
 	return response;
 }
 
+/*
+ * Callers try again on a new connection after a refusal, so the old one would
+ * only lie idle. The native interface promises to keep it.
+ */
+static bool
+entry_connection_is_spare(const entry_t *entry, bool refused)
+{
+	if (entry->settings->dialect != DIALECT_HOSTED)
+		return false;
+	return refused || entry_connections(entry) > ENTRY_CONNECTIONS_KEPT_MAX;
+}
+
 enum MHD_Result
 entry_request_answer(entry_request_t *request)
 {
 	bool refused = request->refusal.reason != REASON_NONE;
-	int status =
-	    refused ? reason_status(request->refusal.reason) : request->answer->status;
+	int status = refused ? refusal_status(request) : request->answer->status;
 	struct MHD_Response *response =
 	    refused ? refusal_response(request) : answer_response(request);
 	enum MHD_Result result;
@@ -406,7 +457,8 @@
 	if (response == NULL)
 		return MHD_NO;
 	request->state = REQUEST_ANSWERING;
-	if (request->close || request->entry->leaving)
+	if (request->close || request->entry->leaving ||
+	    entry_connection_is_spare(request->entry, refused))
 		MHD_add_response_header(response, "Connection", "close");
 	result = MHD_queue_response(request->mhd, (unsigned)status, response);
 	MHD_destroy_response(response);
--- a/src/frame.c
+++ b/src/frame.c
@@ -60,6 +60,25 @@
 	return &scratch->load;
 }
 
+static int32_t
+target_to_frame(uint64_t target, uint64_t now)
+{
+	if (target == 0)
+		return 0;
+	if (target <= now)
+		return -1;
+	return (int32_t)MIN_OF((target - now) / NS_PER_MS + 1, (uint64_t)INT32_MAX);
+}
+
+/* One that has passed is any time before now. */
+static uint64_t
+target_from_frame(int32_t target_ms, uint64_t now)
+{
+	if (target_ms == 0)
+		return 0;
+	return target_ms < 0 ? 1 : now + (uint64_t)target_ms * NS_PER_MS;
+}
+
 static int
 call_open_from_message(
     const call_head_t *call, uint64_t stream, uint64_t now, frame_scratch_t *scratch)
@@ -90,6 +109,8 @@
 	open->trace = (char *)call->trace;
 	open->ticket = (char *)call->ticket;
 	open->fingerprint = call->fingerprint;
+	open->caller_service = (char *)call->caller_service;
+	open->target_ms = target_to_frame(call->target, now);
 	scratch->frame.body_case = MASTICPITCH__FRAME__BODY_CALL_OPEN;
 	scratch->frame.call_open = open;
 	return MASTICPITCH_OK;
@@ -242,6 +263,8 @@
 		0 ||
 	    string_copy(call->trace, sizeof(call->trace), open->trace) != 0 ||
 	    string_copy(call->ticket, sizeof(call->ticket), open->ticket) != 0 ||
+	    string_copy(call->caller_service, sizeof(call->caller_service),
+		open->caller_service) != 0 ||
 	    open->route_class >= ROUTE_CLASS_COUNT || open->body_length < -1 ||
 	    open->remaining_ms > FRAME_REMAINING_MS_MAX || open->remaining_us >= 1000)
 		goto fail;
@@ -253,6 +276,7 @@
 	call->route_class = (route_class_t)open->route_class;
 	call->idempotent = open->idempotent;
 	call->deadline = now + remaining + open->remaining_us * NS_PER_US;
+	call->target = target_from_frame(open->target_ms, now);
 	call->depth = open->depth;
 	call->attempt = open->attempt;
 	call->fingerprint = open->fingerprint;
--- a/src/gate.c
+++ b/src/gate.c
@@ -281,6 +281,7 @@
 		gate->snapshot = message->u.snapshot;
 		message->u.snapshot = NULL;
 		gate_limits_set(gate);
+		gate_connections_set(gate);
 		break;
 	case MESSAGE_LEAVE:
 		gate_leave(gate);
@@ -311,6 +312,8 @@
 		return MASTICPITCH_E_NOMEM;
 	gate->kernel = kernel;
 	gate->settings = settings;
+	gate->idle_s = GATE_IDLE_S;
+	gate->names = dialect_headers(settings->dialect);
 	gate->service.name = "gate";
 	gate->service.state = gate;
 	gate->service.receive = gate_receive;
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -30,6 +30,23 @@
 	metrics_set(kernel_metrics(gate->kernel), METRIC_GATE_LIMIT, gate_limit(gate));
 }
 
+void
+gate_connections_set(gate_t *gate)
+{
+	const preset_service_t *service = NULL;
+	uint32_t connections = gate->backend.connections;
+
+	if (gate->snapshot != NULL)
+		service =
+		    preset_service_find(gate->snapshot->preset, gate->backend.service);
+	if (service != NULL && service->connections_max != 0)
+		connections = MIN_OF(connections, service->connections_max);
+	/* More than one a slot would only wait at the backend server. */
+	if (!gate->naive)
+		connections = MIN_OF(connections, gate->backend.slots);
+	curl_loop_set_connections(gate->curl, MAX_OF(connections, 1));
+}
+
 /* Why the gate takes no call now, or REASON_NONE. */
 static reason_t
 gate_closed(const gate_t *gate, const call_head_t *head)
@@ -54,6 +71,24 @@
 	metrics_set(metrics, METRIC_GATE_QUEUED, queue_length(&gate->queue));
 }
 
+/*
+ * Tells the entry which requests this host's backend server runs: its calls of
+ * its own come there.
+ */
+static void
+run_post(const gate_call_t *call, bool started)
+{
+	gate_t *gate = call->gate;
+	message_t *message = message_create(MESSAGE_RUN, 0, 0);
+
+	if (message != NULL) {
+		message->u.run.request = hash_string(call->head->request_id);
+		message->u.run.started = started;
+	}
+	kernel_message_post(gate->kernel, &gate->service,
+	    kernel_service_find(gate->kernel, "entry"), message);
+}
+
 static void
 call_run(gate_call_t *call)
 {
@@ -64,6 +99,7 @@
 	gate->running++;
 	limit_gate_start(&gate->limit, call->head->route_class, call->started);
 	call->running_at_start = limit_gate_others(&gate->limit);
+	run_post(call, true);
 	gate_crash_start(call);
 	if (gate_exchange_start(call) != MASTICPITCH_OK) {
 		gate_call_refuse(call, REASON_BACKEND_CONNECT, RUN_NO, false);
@@ -79,7 +115,7 @@
 {
 	const gate_t *gate = call->gate;
 	route_class_t route_class = call->head->route_class;
-	uint32_t waiting = queue_length(&gate->queue);
+	uint32_t waiting = gate->queue.count;
 
 	if (!gate->naive)
 		waiting = route_class == ROUTE_UPLOAD
@@ -100,6 +136,7 @@
 
 	call->item.route_class = call->head->route_class;
 	call->item.deadline = call->head->deadline;
+	call->item.target = call->head->target;
 	reason = queue_push(&gate->queue, &call->item, places, now, &shed);
 	if (reason != REASON_NONE)
 		return reason;
@@ -150,6 +187,7 @@
 	queue_remove(&gate->queue, &call->item);
 	if (call->state == GATE_CALL_RUNNING) {
 		gate->running--;
+		run_post(call, false);
 		limit_gate_end(&gate->limit, call->head->route_class, call->started,
 		    kernel_now(gate->kernel));
 	}
--- a/src/gate_exchange.c
+++ b/src/gate_exchange.c
@@ -143,6 +143,16 @@
 		gate_call_refuse(call, REASON_BACKEND_LOST, RUN_UNKNOWN, false);
 }
 
+/* The instance that was announced is gone. */
+static void
+exchange_misdirected(gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+
+	gate_call_refuse(call, REASON_INSTANCE_GONE, RUN_NO, false);
+	gate_backend_died(gate, "the address belongs to another instance");
+}
+
 /* Teaches admission from an exchange that ended with an answer. */
 static void
 exchange_record(gate_call_t *call, uint64_t now)
@@ -152,7 +162,8 @@
 
 	metrics_observe(kernel_metrics(gate->kernel), HISTOGRAM_BACKEND, duration);
 	if (call->shed) {
-		limit_gate_overload(&gate->limit, now);
+		if (!call->misdirected)
+			limit_gate_overload(&gate->limit, now);
 		return;
 	}
 	if (!call->answered)
@@ -174,7 +185,9 @@
 	metrics_add(kernel_metrics(call->gate->kernel), METRIC_BACKEND_CONNECTIONS,
 	    (uint64_t)MAX_OF(connects, 0));
 	exchange_record(call, kernel_now(call->gate->kernel));
-	if (call->shed)
+	if (call->misdirected)
+		exchange_misdirected(call);
+	else if (call->shed)
 		gate_call_refuse(call, REASON_BACKEND_SHED, RUN_NO, call->shed_final);
 	else if (result == CURLE_OK && call->answered)
 		answer_end(call);
@@ -244,6 +257,9 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->lines);
+	/* A connection that is about to be closed would leave the outcome unknown. */
+	curl_easy_setopt(
+	    easy, CURLOPT_MAXAGE_CONN, (long)MAX_OF(call->gate->idle_s, 2) - 1);
 	return curl_easy_setopt(easy, CURLOPT_URL, url) == CURLE_OK &&
 	       curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, head->path) == CURLE_OK &&
 	       curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, head->method) == CURLE_OK;
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -13,12 +13,76 @@
 	return header_is_hop_by_hop(name) || strcasecmp(name, "Content-Length") == 0;
 }
 
+/* The field's value, or NULL if it is absent or not in the dialect. */
+static const char *
+answer_field(const gate_call_t *call, const char *name)
+{
+	return name == NULL ? NULL : headers_find(&call->answer->headers, name);
+}
+
 static bool
-answer_run_is_no(const answer_head_t *answer)
+answer_run_is_no(const gate_call_t *call)
+{
+	const header_names_t *names = call->gate->names;
+	const char *run = answer_field(call, names->run);
+
+	if (answer_field(call, names->not_executed) != NULL)
+		return true;
+	/* Another instance has the address now; it runs only what is meant for it. */
+	if (names->expect_instance != NULL && call->answer->status == 421)
+		return true;
+	return call->answer->status == 503 && run != NULL && strcasecmp(run, "no") == 0;
+}
+
+/* Statuses that would tell the caller that the request was not run. */
+static bool
+status_denies_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/*
+ * True if the answer is the backend server's own answer to this call: a late
+ * answer to another request names that one, and a success is signed.
+ */
+static bool
+answer_is_genuine(const gate_call_t *call)
+{
+	const header_names_t *names = call->gate->names;
+	const answer_head_t *answer = call->answer;
+	const char *id;
+
+	if (names->signature == NULL)
+		return true;
+	id = answer_field(call, names->request_id);
+	if (id != NULL && strcmp(id, call->head->request_id) != 0)
+		return false;
+	if (answer->status < 300 && answer_field(call, names->signature) == NULL)
+		return false;
+	return answer_field(call, "Content-Encoding") == NULL &&
+	       !status_denies_run(answer->status);
+}
+
+/* How long the backend server keeps an idle connection. */
+static void
+keep_alive_read(gate_call_t *call)
 {
-	const char *run = headers_find(&answer->headers, HEADER_RUN);
+	const char *value = answer_field(call, "Keep-Alive");
+	const char *timeout = value == NULL ? NULL : strstr(value, "timeout=");
+	uint64_t seconds;
+	char digits[8];
+	size_t length;
 
-	return answer->status == 503 && run != NULL && strcasecmp(run, "no") == 0;
+	if (timeout == NULL)
+		return;
+	timeout += strlen("timeout=");
+	length = strspn(timeout, "0123456789");
+	if (length == 0 || length >= sizeof(digits))
+		return;
+	memcpy(digits, timeout, length);
+	digits[length] = '\0';
+	if (string_parse_uint(digits, GATE_IDLE_S_MAX, &seconds) == MASTICPITCH_OK)
+		call->gate->idle_s = (uint32_t)seconds;
 }
 
 /* The head is whole: posts it, or notes that the call was shed unrun. */
@@ -26,18 +90,25 @@
 answer_head_post(gate_call_t *call)
 {
 	answer_head_t *answer = call->answer;
+	const char *final_name = call->gate->names->final;
 	const char *type;
 	message_t *message;
-	bool final = headers_find(&answer->headers, HEADER_FINAL) != NULL;
+	bool final = answer_field(call, final_name) != NULL;
 
 	call->shed_final = final;
-	if (answer_run_is_no(answer)) {
+	if (answer_run_is_no(call)) {
 		call->shed = true;
+		call->misdirected = answer->status == 421;
+		return;
+	}
+	if (!answer_is_genuine(call)) {
+		call->foreign_answer = true;
 		return;
 	}
+	keep_alive_read(call);
 	headers_strip(&answer->headers);
 	if (final)
-		headers_add(&answer->headers, HEADER_FINAL, "1");
+		headers_add(&answer->headers, final_name, "1");
 	gate_load(call->gate, &answer->load);
 	message = gate_call_message(call, MESSAGE_ANSWER_HEAD);
 	if (message == NULL)
@@ -79,7 +150,8 @@
 	if (strcasecmp(line, "Content-Length") == 0 &&
 	    string_parse_uint(value, INT64_MAX, &length) == MASTICPITCH_OK)
 		call->answer->body_length = (int64_t)length;
-	if (answer_field_is_own(line) && strcasecmp(line, "Connection") != 0)
+	if (answer_field_is_own(line) && strcasecmp(line, "Connection") != 0 &&
+	    strcasecmp(line, "Keep-Alive") != 0)
 		return true;
 	return headers_add(&call->answer->headers, line, value) == MASTICPITCH_OK;
 }
@@ -96,7 +168,7 @@
 		return answer_field_add(call, line);
 	if (call->answer->status >= 200)
 		answer_head_post(call);
-	return true;
+	return !call->foreign_answer;
 }
 
 bool
@@ -157,23 +229,30 @@
 	return true;
 }
 
+/* Adds a field of the dialect; nothing if the dialect has none or it is empty. */
+static bool
+line_add_own(gate_call_t *call, const char *name, const char *value)
+{
+	return name == NULL || value[0] == '\0' || line_add(call, name, value);
+}
+
 static bool
 lines_add_own(gate_call_t *call, uint64_t now)
 {
+	const header_names_t *names = call->gate->names;
 	const call_head_t *head = call->head;
 	uint64_t left_ms = (head->deadline - MIN_OF(now, head->deadline)) / NS_PER_MS;
-	char number[24];
+	char left[24], depth[24];
 
-	snprintf(number, sizeof(number), "%" PRIu64, left_ms);
-	if (!line_add(call, HEADER_DEADLINE, number))
-		return false;
-	snprintf(number, sizeof(number), "%u", head->depth + 1);
-	if (!line_add(call, HEADER_DEPTH, number) ||
-	    !line_add(call, HEADER_REQUEST_ID, head->request_id))
-		return false;
-	if (head->trace[0] != '\0' && !line_add(call, HEADER_TRACE, head->trace))
-		return false;
-	return head->ticket[0] == '\0' || line_add(call, HEADER_TICKET, head->ticket);
+	snprintf(left, sizeof(left), "%" PRIu64, left_ms);
+	snprintf(depth, sizeof(depth), "%u", head->depth + 1);
+	return line_add_own(call, names->deadline, left) &&
+	       line_add_own(call, names->depth, depth) &&
+	       line_add_own(call, names->request_id, head->request_id) &&
+	       line_add_own(call, names->trace, head->trace) &&
+	       line_add_own(call, names->ticket, head->ticket) &&
+	       line_add_own(call, names->caller_service, head->caller_service) &&
+	       line_add_own(call, names->expect_instance, call->gate->backend.instance);
 }
 
 bool
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -26,6 +26,16 @@
 #define GATE_RENEW_MS 1000
 /* Without an announcement for this long it is dropped. */
 #define GATE_SILENT_MS 3000
+/* At least this many must be missed; one may be late by some of them. */
+#define GATE_SILENT_ANNOUNCEMENTS 6
+/* Part of the time allowed that is kept for work on its way to a leaving one. */
+#define GATE_DRAIN_MARGIN 4
+/*
+ * Idle time after which a connection to the backend server is not used again
+ * unless it says how long it keeps one, and the longest that it may say, s.
+ */
+#define GATE_IDLE_S 5
+#define GATE_IDLE_S_MAX 3600
 /* Handles of libcurl kept for reuse; creating one costs more than a short call. */
 #define GATE_HANDLES_MAX 64
 /* Request body bytes taken before credit goes back: a quarter of the window. */
@@ -67,6 +77,9 @@
 	uint32_t sequence;
 	bool leaving;
 	ev_timer silence;
+	ev_timer drain; /* of a leaving backend server's queue */
+	const header_names_t *names;
+	uint32_t idle_s; /* idle connections are used again for less than this */
 
 	/* Looks whether the backend server still listens. */
 	int probe_fd; /* -1: no probe runs */
@@ -112,7 +125,9 @@
 	struct curl_slist *lines;
 	bool sent; /* the request may have reached the backend server */
 	bool resend_blocked;
-	bool shed; /* the backend server refused it unrun */
+	bool shed;	     /* the backend server refused it unrun */
+	bool misdirected;    /* the address belongs to another instance now */
+	bool foreign_answer; /* not an answer of the backend server to this call */
 	bool shed_final;
 	int status;	       /* of the answer that was posted */
 	answer_head_t *answer; /* until it is posted */
@@ -141,6 +156,8 @@
 /* gate_admit.c */
 /* Takes over slots and settings after an announcement or a new configuration. */
 void gate_limits_set(gate_t *gate);
+/* Connections to the backend server, by announcement and configuration. */
+void gate_connections_set(gate_t *gate);
 /* Runs, queues or refuses a call that has just arrived. */
 void gate_call_admit(gate_call_t *call);
 /* Starts queued calls while there are places. */
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -1260,7 +1260,7 @@
   (ProtobufCMessageInit) masticpitch__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[17] =
+static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[19] =
 {
   {
     "stream",
@@ -1466,10 +1466,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "caller_service",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__CallOpen, caller_service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__CallOpen, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__call_open__field_indices_by_name[] = {
   11,   /* field[11] = attempt */
   4,   /* field[4] = body_length */
+  17,   /* field[17] = caller_service */
   10,   /* field[10] = depth */
   15,   /* field[15] = fingerprint */
   5,   /* field[5] = has_body */
@@ -1483,13 +1508,14 @@
   7,   /* field[7] = route_class */
   6,   /* field[6] = service */
   0,   /* field[0] = stream */
+  18,   /* field[18] = target_ms */
   14,   /* field[14] = ticket */
   13,   /* field[13] = trace */
 };
 static const ProtobufCIntRange masticpitch__call_open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor masticpitch__call_open__descriptor =
 {
@@ -1499,7 +1525,7 @@
   "Masticpitch__CallOpen",
   "masticpitch",
   sizeof(Masticpitch__CallOpen),
-  17,
+  19,
   masticpitch__call_open__field_descriptors,
   masticpitch__call_open__field_indices_by_name,
   1,  masticpitch__call_open__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -152,10 +152,15 @@
    * below one millisecond, added to remaining_ms
    */
   uint32_t remaining_us;
+  char *caller_service;
+  /*
+   * remaining; 0: no target, below 0: it has passed
+   */
+  int32_t target_ms;
 };
 #define MASTICPITCH__CALL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__call_open__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Masticpitch__CallData
--- a/src/message.c
+++ b/src/message.c
@@ -122,6 +122,7 @@
 	case MESSAGE_MEMBER:
 	case MESSAGE_MEMBER_REMOVED:
 	case MESSAGE_INSTANCE:
+	case MESSAGE_RUN:
 	case MESSAGE_CRASH_REPORT:
 	case MESSAGE_VERSION:
 	case MESSAGE_VERSION_HEARD:
--- a/src/message.h
+++ b/src/message.h
@@ -42,6 +42,7 @@
 	MESSAGE_MEMBER,		/* from membership: a member is new or changed */
 	MESSAGE_MEMBER_REMOVED, /* from membership: forgotten */
 	MESSAGE_INSTANCE,	/* from gate to membership: the local instance */
+	MESSAGE_RUN,		/* from gate to entry: a request starts or ends running */
 	MESSAGE_CRASH_REPORT,	/* about a fingerprint, see quarantine.h */
 	MESSAGE_VERSION,	/* config to membership: version now in force */
 	MESSAGE_VERSION_HEARD,	/* membership to config: a member's version */
@@ -75,12 +76,14 @@
 	route_class_t route_class;
 	bool idempotent;
 	uint64_t deadline; /* monotonic, ns */
+	uint64_t target;   /* an answer by then is worth most; 0: no target */
 	uint32_t depth;	   /* 0 for a call from outside the mesh */
 	uint32_t attempt;  /* 1 for the first */
 	char request_id[REQUEST_ID_BYTES];
 	char trace[TRACE_BYTES];
-	char ticket[TICKET_BYTES]; /* empty: none */
-	uint64_t fingerprint;	   /* 0: none */
+	char ticket[TICKET_BYTES];	 /* empty: none */
+	uint64_t fingerprint;		 /* 0: none */
+	char caller_service[NAME_BYTES]; /* of the host it comes from; may be empty */
 } call_head_t;
 
 /* What a gate says of its load; rides on every answer head and refusal. */
@@ -148,6 +151,10 @@
 		} control;	     /* CONTROL; to peer: node is the target */
 		member_t member;     /* MEMBER; MEMBER_REMOVED: node only */
 		instance_t instance; /* INSTANCE */
+		struct {
+			uint64_t request; /* hash of its id */
+			bool started;
+		} run; /* RUN */
 		struct {
 			uint64_t fingerprint;
 			uint64_t death; /* id of the backend server's death */
--- a/src/node.c
+++ b/src/node.c
@@ -12,11 +12,13 @@
 #include "os.h"
 #include "peer.h"
 #include "preset.h"
+#include "readiness.h"
 #include "settings.h"
 
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* How often a leaving node looks whether its work is done. */
 #define SHUTDOWN_POLL_S 0.02
@@ -34,6 +36,7 @@
 
 struct masticpitch_node {
 	settings_t settings;
+	char *path; /* of the settings file */
 	kernel_t *kernel;
 	membership_t *membership;
 	peer_t *peer;
@@ -41,6 +44,8 @@
 	entry_t *entry;
 	config_t *config;
 	operators_t *operators;
+	readiness_t *readiness;
+	ev_signal reload;
 	ev_async stop;
 	ev_signal signals[2];
 	ev_timer shutdown_poll;
@@ -51,7 +56,7 @@
 };
 
 static const char *const service_names[] = {
-    "entry", "gate", "peer", "membership", "config", "operators"};
+    "entry", "gate", "peer", "membership", "config", "operators", "readiness"};
 
 static void
 node_begin_leaving(masticpitch_node_t *node)
@@ -110,6 +115,29 @@
 	node_begin_leaving(watcher->data);
 }
 
+/*
+ * Reads the settings file again. What a running node can take over is taken
+ * over: the log level. Addresses stay as they were bound, and a file with a
+ * fault changes nothing.
+ */
+static void
+reload_callback(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	masticpitch_node_t *node = watcher->data;
+	log_t *log = kernel_log(node->kernel);
+	char message[MASTICPITCH_MESSAGE_MAX];
+	settings_t settings;
+
+	if (settings_load(node->path, &settings, message, sizeof(message)) !=
+	    MASTICPITCH_OK) {
+		log_error(log, "reload refused", LOG_TEXT("reason", message));
+		return;
+	}
+	log->level = settings.log_level;
+	node->settings.log_level = settings.log_level;
+	log_info(log, "settings reloaded", LOG_TEXT("file", node->path));
+}
+
 static void
 node_start_watchers(masticpitch_node_t *node)
 {
@@ -124,6 +152,9 @@
 		node->signals[i].data = node;
 		ev_signal_start(loop, &node->signals[i]);
 	}
+	ev_signal_init(&node->reload, reload_callback, SIGHUP);
+	node->reload.data = node;
+	ev_signal_start(loop, &node->reload);
 	ev_timer_init(&node->shutdown_poll, shutdown_poll_callback, SHUTDOWN_POLL_S,
 	    SHUTDOWN_POLL_S);
 	node->shutdown_poll.data = node;
@@ -136,6 +167,7 @@
 
 	ev_async_stop(loop, &node->stop);
 	ev_timer_stop(loop, &node->shutdown_poll);
+	ev_signal_stop(loop, &node->reload);
 	for (size_t i = 0; i < ARRAY_LENGTH(node->signals); i++)
 		ev_signal_stop(loop, &node->signals[i]);
 }
@@ -163,6 +195,11 @@
 	*what = "listen.backend_servers";
 	*address = &settings->backend_servers;
 	error = gate_create(node->kernel, settings, &node->gate);
+	if (error != MASTICPITCH_OK)
+		return error;
+	*what = "listen.readiness";
+	*address = &settings->readiness;
+	error = readiness_create(node->kernel, settings, &node->readiness);
 	if (error != MASTICPITCH_OK)
 		return error;
 	*what = "listen.callers";
@@ -187,6 +224,11 @@
 
 	if (node == NULL)
 		return MASTICPITCH_E_NOMEM;
+	node->path = strdup(settings_path);
+	if (node->path == NULL) {
+		error = MASTICPITCH_E_NOMEM;
+		goto fail;
+	}
 	error = settings_load(settings_path, &node->settings, message, size);
 	if (error != MASTICPITCH_OK)
 		goto fail;
@@ -242,6 +284,7 @@
 	if (node == NULL)
 		return;
 	config_destroy(node->config);
+	readiness_destroy(node->readiness);
 	entry_destroy(node->entry);
 	gate_destroy(node->gate);
 	membership_destroy(node->membership);
@@ -250,6 +293,7 @@
 	if (node->kernel != NULL)
 		node_stop_watchers(node);
 	kernel_destroy(node->kernel);
+	free(node->path);
 	free(node);
 }
 
--- a/src/platform.h
+++ b/src/platform.h
@@ -6,6 +6,7 @@
 #ifndef MASTICPITCH_PLATFORM_H
 #define MASTICPITCH_PLATFORM_H
 
+#include "dialect.h"
 #include "http_client.h"
 #include "metrics.h"
 
@@ -72,6 +73,7 @@
 	metrics_t *metrics;  /* NULL: nothing is counted */
 	const char *url;     /* "http://IP:PORT" */
 	const char *prefix;  /* of every key */
+	dialect_t dialect;
 } platform_options_t;
 
 /* Errors: MASTICPITCH_E_NOMEM, MASTICPITCH_E_LIMIT. */
--- a/src/preset.c
+++ b/src/preset.c
@@ -13,7 +13,6 @@
 #define BODY_LIMIT_UPLOAD_DEFAULT (UINT64_C(1) << 30)
 #define DEADLINE_MS_DEFAULT 10000
 #define DEADLINE_UPLOAD_MS_DEFAULT (60 * 60 * 1000)
-#define MIN_ATTEMPT_MS_DEFAULT 5
 #define ATTEMPTS_DEFAULT 3
 
 static const char *const class_names[ROUTE_CLASS_COUNT] = {
@@ -248,7 +247,7 @@
 	route->body_limit_bytes = upload ? BODY_LIMIT_UPLOAD_DEFAULT : BODY_LIMIT_DEFAULT;
 	json_read_uint32(report, place, object, "deadline_ms", 1, PRESET_DEADLINE_MS_MAX,
 	    &route->deadline_ms);
-	route->min_attempt_ms = MIN_OF(MIN_ATTEMPT_MS_DEFAULT, route->deadline_ms);
+	route->min_attempt_ms = MIN_OF(PRESET_MIN_ATTEMPT_MS, route->deadline_ms);
 	json_read_uint32(report, place, object, "min_attempt_ms", 0, route->deadline_ms,
 	    &route->min_attempt_ms);
 	json_read_uint32(
@@ -346,7 +345,7 @@
 
 /* Hands the preset over if there was no fault, else destroys it. */
 static int
-preset_finish(json_report_t *report, preset_t *preset, preset_t **result)
+preset_hand_over(json_report_t *report, preset_t *preset, preset_t **result)
 {
 	if (report->error == MASTICPITCH_OK)
 		preset_index_build(preset, report);
@@ -386,7 +385,7 @@
 		routes_read(&report, "", routes, preset);
 out:
 	json_object_put(object);
-	return preset_finish(&report, preset, result);
+	return preset_hand_over(&report, preset, result);
 }
 
 static int
@@ -431,7 +430,46 @@
 		services_finish(&report, preset);
 	if (report.error == MASTICPITCH_OK)
 		part_read(&report, 0, &parts[0], "routes", preset, routes_read);
-	return preset_finish(&report, preset, result);
+	return preset_hand_over(&report, preset, result);
+}
+
+int
+preset_create(size_t services, size_t routes, preset_t **result)
+{
+	preset_t *preset;
+
+	if (services > PRESET_SERVICES_MAX || routes > PRESET_ROUTES_MAX)
+		return MASTICPITCH_E_LIMIT;
+	preset = calloc(1, sizeof(*preset));
+	if (preset == NULL)
+		return MASTICPITCH_E_NOMEM;
+	preset->references = 1;
+	preset->services = calloc(MAX_OF(services, 1), sizeof(preset_service_t));
+	preset->routes = calloc(MAX_OF(routes, 1), sizeof(preset_route_t));
+	if (preset->services == NULL || preset->routes == NULL) {
+		preset_destroy(preset);
+		return MASTICPITCH_E_NOMEM;
+	}
+	*result = preset;
+	return MASTICPITCH_OK;
+}
+
+int
+preset_services_finish(preset_t *preset, char *message, size_t message_size)
+{
+	json_report_t report;
+
+	json_report_init(&report, message, message_size);
+	return services_finish(&report, preset);
+}
+
+int
+preset_finish(preset_t *preset, preset_t **result, char *message, size_t message_size)
+{
+	json_report_t report;
+
+	json_report_init(&report, message, message_size);
+	return preset_hand_over(&report, preset, result);
 }
 
 preset_t *
--- a/src/preset.h
+++ b/src/preset.h
@@ -20,8 +20,14 @@
 #define PRESET_SERVICES_MAX 1024
 #define PRESET_ROUTES_MAX 4096
 #define PRESET_PREFIX_BYTES 257 /* 256 characters and a terminator */
+#define PRESET_HOST_BYTES 129
+/* Ranked routes up to this priority go before the others. */
+#define PRESET_PRIORITY_URGENT 1
+#define PRESET_SPLITS_MAX 8
 #define PRESET_METHODS_MAX 8
 #define PRESET_ATTEMPTS_MAX 5
+/* No attempt of a route starts with less time left, unless it says so, ms. */
+#define PRESET_MIN_ATTEMPT_MS 5
 #define PRESET_DEADLINE_MS_MAX (24 * 60 * 60 * 1000)
 /* Longest text of a preset file or of one part, bytes. */
 #define PRESET_TEXT_MAX (1024 * 1024)
@@ -48,14 +54,35 @@
 	uint32_t retry_percent;	  /* retries as a share of requests, 0 to 100 */
 	uint32_t spill_percent;	  /* utilisation of the own zone that spills over */
 	uint32_t slow_start_ms;	  /* ramp of a new instance */
+	uint32_t connections_max; /* to one backend server; 0: as it announces */
 } preset_service_t;
 
+/* A share of a route's requests. */
+typedef struct preset_split {
+	uint32_t service; /* index into services */
+	uint32_t weight;
+} preset_split_t;
+
+/* Bounds on what callers send; 0: the node's own bound holds. */
+typedef struct preset_limits {
+	uint32_t header_bytes;
+	uint64_t body_bytes;
+	uint32_t header_timeout_ms;
+	uint32_t idle_timeout_ms; /* of a connection without a request */
+} preset_limits_t;
+
 typedef struct preset_route {
 	char name[NAME_BYTES];
 	char methods[PRESET_METHODS_MAX][16]; /* none: every method */
 	size_t method_count;
+	char host[PRESET_HOST_BYTES]; /* lower case, no port; empty: any */
 	char prefix[PRESET_PREFIX_BYTES];
-	uint32_t service; /* index into services */
+	uint32_t service; /* index into services; of the first split if there are */
+	preset_split_t splits[PRESET_SPLITS_MAX];
+	size_t split_count; /* 0: everything goes to service */
+	bool ranked;	    /* its priority orders it, in place of its class */
+	uint32_t priority;  /* of a ranked route; 0 is the most urgent */
+	uint32_t target_ms; /* answers within this time are worth most; 0: not given */
 	route_class_t route_class;
 	bool idempotent;
 	uint32_t deadline_ms;	 /* the route's longest time for a request */
@@ -72,6 +99,8 @@
 	size_t route_count;
 	uint32_t *index;     /* hash table: prefix to its first route; private */
 	uint32_t index_mask; /* slots - 1; private */
+	bool has_hosts;	     /* some route is for one host only; private */
+	preset_limits_t limits;
 	uint64_t lengths[(PRESET_PREFIX_BYTES + 63) / 64]; /* prefix lengths in use */
 } preset_t;
 
@@ -99,6 +128,19 @@
 /* Drops one reference; NULL is allowed. */
 void preset_destroy(preset_t *preset);
 
+/*
+ * For codecs of other formats: a preset with room for that many services and
+ * routes, to be filled and finished. Services are filled first, up to
+ * service_count, and finished; routes then refer to them by
+ * preset_service_find(). preset_finish() checks the whole; on failure it
+ * destroys the preset. Errors: MASTICPITCH_E_NOMEM, MASTICPITCH_E_LIMIT,
+ * MASTICPITCH_E_INVALID.
+ */
+int preset_create(size_t services, size_t routes, preset_t **preset);
+int preset_services_finish(preset_t *preset, char *message, size_t message_size);
+int preset_finish(
+    preset_t *preset, preset_t **result, char *message, size_t message_size);
+
 /* A service with every setting at its default. */
 void preset_service_init(preset_service_t *service);
 
@@ -109,6 +151,20 @@
  */
 const preset_route_t *preset_route_find(
     const preset_t *preset, const char *method, const char *path);
+/*
+ * The same among the routes for that host, or else among those for any host.
+ * host is a Host field's value, or NULL: only routes for any host.
+ */
+const preset_route_t *preset_route_find_host(
+    const preset_t *preset, const char *host, const char *method, const char *path);
+/*
+ * The class in which a request of the route competes for places. nested: it is a
+ * call of work that runs already, and goes before new work.
+ */
+route_class_t preset_route_class(const preset_route_t *route, bool nested);
+/* The service that a request of the route goes to; draw is in [0, 1). */
+const preset_service_t *preset_route_draw(
+    const preset_t *preset, const preset_route_t *route, double draw);
 /* Errors: none; NULL if there is no such service. */
 const preset_service_t *preset_service_find(const preset_t *preset, const char *name);
 
--- a/src/preset_index.c
+++ b/src/preset_index.c
@@ -2,8 +2,10 @@
 
 #include "util.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 static int
 route_compare(const void *a, const void *b)
@@ -17,6 +19,8 @@
 	if (first_length != second_length)
 		return first_length > second_length ? -1 : 1;
 	order = strcmp(first->prefix, second->prefix);
+	if (order == 0)
+		order = strcmp(first->host, second->host);
 	return order != 0 ? order : strcmp(first->name, second->name);
 }
 
@@ -61,7 +65,16 @@
 	return false;
 }
 
-/* Routes with one prefix, [first, end) of the sorted routes, must not overlap. */
+static bool
+places_are_same(const preset_route_t *a, const preset_route_t *b)
+{
+	return strcmp(a->prefix, b->prefix) == 0 && strcmp(a->host, b->host) == 0;
+}
+
+/*
+ * Routes with one host and prefix, [first, end) of the sorted routes, must not
+ * overlap.
+ */
 static int
 group_check(json_report_t *report, const preset_t *preset, size_t first, size_t end)
 {
@@ -100,11 +113,30 @@
 	return (uint32_t)(hash ^ (hash >> 29)) & preset->index_mask;
 }
 
+/* A Host field's value up to its port, in lower case. */
 static uint64_t
-prefix_hash(const char *prefix)
+host_hash(const char *host)
 {
 	uint64_t hash = PREFIX_HASH_START;
 
+	for (; *host != '\0' && *host != ':'; host++)
+		hash = prefix_hash_step(hash, (char)tolower((unsigned char)*host));
+	return hash;
+}
+
+static bool
+host_matches(const char *route_host, const char *host)
+{
+	size_t length = strcspn(host, ":");
+
+	return strncasecmp(route_host, host, length) == 0 && route_host[length] == '\0';
+}
+
+static uint64_t
+prefix_hash(const char *host, const char *prefix)
+{
+	uint64_t hash = host_hash(host);
+
 	for (; *prefix != '\0'; prefix++)
 		hash = prefix_hash_step(hash, *prefix);
 	return hash;
@@ -114,12 +146,14 @@
 index_add(preset_t *preset, size_t first)
 {
 	const char *prefix = preset->routes[first].prefix;
-	uint32_t slot = prefix_slot(preset, prefix_hash(prefix));
+	const char *host = preset->routes[first].host;
+	uint32_t slot = prefix_slot(preset, prefix_hash(host, prefix));
 	size_t length = strlen(prefix);
 
 	while (preset->index[slot] != 0)
 		slot = (slot + 1) & preset->index_mask;
 	preset->index[slot] = (uint32_t)first + 1;
+	preset->has_hosts |= host[0] != '\0';
 	preset->lengths[length / 64] |= UINT64_C(1) << (length % 64);
 }
 
@@ -140,9 +174,8 @@
 	qsort(preset->routes, preset->route_count, sizeof(preset_route_t), route_compare);
 	for (size_t first = 0; first < preset->route_count; first = end) {
 		end = first + 1;
-		while (
-		    end < preset->route_count &&
-		    strcmp(preset->routes[end].prefix, preset->routes[first].prefix) == 0)
+		while (end < preset->route_count &&
+		       places_are_same(&preset->routes[end], &preset->routes[first]))
 			end++;
 		if (group_check(report, preset, first, end) != MASTICPITCH_OK)
 			return report->error;
@@ -183,19 +216,20 @@
 
 /* The route for the method among those whose prefix is path[0..length). */
 static const preset_route_t *
-prefix_find(const preset_t *preset, const char *method, const char *path, size_t length,
-    uint64_t hash)
+prefix_find(const preset_t *preset, const char *host, const char *method,
+    const char *path, size_t length, uint64_t hash)
 {
 	uint32_t slot = prefix_slot(preset, hash);
 
 	for (; preset->index[slot] != 0; slot = (slot + 1) & preset->index_mask) {
 		size_t first = preset->index[slot] - 1;
-		const char *prefix = preset->routes[first].prefix;
+		const preset_route_t *place = &preset->routes[first];
 
-		if (strncmp(prefix, path, length) != 0 || prefix[length] != '\0')
+		if (strncmp(place->prefix, path, length) != 0 ||
+		    place->prefix[length] != '\0' || !host_matches(place->host, host))
 			continue;
 		for (size_t i = first; i < preset->route_count &&
-				       strcmp(preset->routes[i].prefix, prefix) == 0;
+				       places_are_same(&preset->routes[i], place);
 		     i++) {
 			if (route_takes_method(&preset->routes[i], method))
 				return &preset->routes[i];
@@ -205,11 +239,11 @@
 	return NULL;
 }
 
-const preset_route_t *
-preset_route_find(const preset_t *preset, const char *method, const char *path)
+static const preset_route_t *
+route_find(const preset_t *preset, const char *host, const char *method, const char *path)
 {
 	const preset_route_t *found = NULL;
-	uint64_t hash = PREFIX_HASH_START;
+	uint64_t hash = host_hash(host);
 
 	for (size_t i = 0;
 	     path[i] != '\0' && path[i] != '?' && i + 1 < PRESET_PREFIX_BYTES; i++) {
@@ -219,9 +253,57 @@
 		hash = prefix_hash_step(hash, path[i]);
 		if ((preset->lengths[length / 64] >> (length % 64) & 1) == 0)
 			continue;
-		route = prefix_find(preset, method, path, length, hash);
+		route = prefix_find(preset, host, method, path, length, hash);
 		if (route != NULL)
 			found = route;
 	}
 	return found;
 }
+
+const preset_route_t *
+preset_route_find(const preset_t *preset, const char *method, const char *path)
+{
+	return route_find(preset, "", method, path);
+}
+
+const preset_route_t *
+preset_route_find_host(
+    const preset_t *preset, const char *host, const char *method, const char *path)
+{
+	const preset_route_t *route = NULL;
+
+	if (preset->has_hosts && host != NULL && host[0] != '\0')
+		route = route_find(preset, host, method, path);
+	return route != NULL ? route : route_find(preset, "", method, path);
+}
+
+route_class_t
+preset_route_class(const preset_route_t *route, bool nested)
+{
+	if (!route->ranked)
+		return route->route_class;
+	if (nested)
+		return ROUTE_INTERNAL;
+	return route->priority <= PRESET_PRIORITY_URGENT ? ROUTE_CALL : ROUTE_LOOKUP;
+}
+
+const preset_service_t *
+preset_route_draw(const preset_t *preset, const preset_route_t *route, double draw)
+{
+	uint64_t total = 0;
+	uint64_t position;
+
+	for (size_t i = 0; i < route->split_count; i++)
+		total += route->splits[i].weight;
+	if (total == 0)
+		return &preset->services[route->service];
+	position = (uint64_t)(draw * (double)total);
+	for (size_t i = 0; i < route->split_count; i++) {
+		const preset_split_t *split = &route->splits[i];
+
+		if (position < split->weight)
+			return &preset->services[split->service];
+		position -= split->weight;
+	}
+	return &preset->services[route->splits[route->split_count - 1].service];
+}
--- a/src/queue.c
+++ b/src/queue.c
@@ -22,6 +22,7 @@
 	*queue = (queue_t){.ordered = ordered};
 	for (int i = 0; i < ROUTE_CLASS_COUNT; i++)
 		list_init(&queue->classes[i].items);
+	list_init(&queue->late);
 	queue_limit_set(queue, limit, slots);
 }
 
@@ -31,6 +32,7 @@
 	uint64_t places = limit != 0 ? limit : (uint64_t)QUEUE_LIMIT_PER_SLOT * slots;
 
 	queue->limit = (uint32_t)MIN_OF(places, QUEUE_LIMIT_MAX);
+	queue->late_limit = QUEUE_LATE_PER_SLOT * slots;
 }
 
 static queue_item_t *
@@ -58,6 +60,10 @@
 		return;
 	list_remove(&item->link);
 	item->queued = false;
+	if (item->late) {
+		queue->late_count--;
+		return;
+	}
 	class->count--;
 	queue->count--;
 	if (class->count == 0)
@@ -66,11 +72,11 @@
 
 /* Inserted from the back, since deadlines mostly grow with arrival. */
 static void
-class_insert(queue_class_t *class, queue_item_t *item)
+items_insert(list_t *items, queue_item_t *item)
 {
-	list_t *position = class->items.prev;
+	list_t *position = items->prev;
 
-	while (position != &class->items &&
+	while (position != items &&
 	       LIST_ENTRY(position, queue_item_t, link)->deadline > item->deadline)
 		position = position->prev;
 	list_insert_before(position->next, &item->link);
@@ -84,7 +90,7 @@
 	item->queued_at = now;
 	item->queued = true;
 	if (queue->ordered)
-		class_insert(class, item);
+		items_insert(&class->items, item);
 	else
 		list_append(&class->items, &item->link);
 	class->count++;
@@ -166,6 +172,24 @@
 	return (uint64_t)class_service_time(&queue->classes[item->route_class], now);
 }
 
+/* True if the answer can only come after the item's target. */
+static bool
+item_is_late(const queue_item_t *item, uint64_t needed, uint64_t now)
+{
+	return item->target != 0 && now + needed > item->target;
+}
+
+static void
+late_insert(queue_t *queue, queue_item_t *item, uint64_t now)
+{
+	item->queued_at = now;
+	item->queued = true;
+	item->late = true;
+	item->give_up = now + (item->deadline - now) / 100 * QUEUE_LATE_WAIT_PERCENT;
+	items_insert(&queue->late, item);
+	queue->late_count++;
+}
+
 /*
  * The item that ranks last: the one with the latest deadline of the lowest
  * class that holds more than its share. The share keeps a flood of a high
@@ -198,6 +222,7 @@
 
 	*shed = NULL;
 	item->queued = false;
+	item->late = false;
 	if (!queue->ordered) {
 		if (queue->count >= queue->limit)
 			return REASON_QUEUE_FULL;
@@ -211,6 +236,12 @@
 	    item_run_expected(queue, item, now);
 	if (needed > item->deadline - now)
 		return REASON_DEADLINE_TOO_SHORT;
+	if (item_is_late(item, needed, now)) {
+		if (queue->late_count >= queue->late_limit)
+			return REASON_TARGET_MISSED;
+		late_insert(queue, item, now);
+		return REASON_NONE;
+	}
 	queue_insert(queue, item, now);
 	if (queue->count <= queue->limit)
 		return REASON_NONE;
@@ -256,6 +287,36 @@
 	return oldest;
 }
 
+/* The first late item that may start, or NULL. */
+static queue_item_t *
+late_pop(queue_t *queue, bool uploads, bool others)
+{
+	LIST_FOREACH (node, &queue->late) {
+		queue_item_t *item = LIST_ENTRY(node, queue_item_t, link);
+
+		if (!(item->route_class == ROUTE_UPLOAD ? uploads : others))
+			continue;
+		queue_remove(queue, item);
+		return item;
+	}
+	return NULL;
+}
+
+/* Moves the items that have become late while they waited. */
+static void
+late_sort_out(queue_t *queue, uint64_t now)
+{
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		queue_item_t *item;
+
+		while ((item = class_first(&queue->classes[i])) != NULL &&
+		       item_is_late(item, item_run_expected(queue, item, now), now)) {
+			queue_remove(queue, item);
+			late_insert(queue, item, now);
+		}
+	}
+}
+
 queue_item_t *
 queue_pop(queue_t *queue, bool uploads, bool others, uint64_t now)
 {
@@ -269,9 +330,10 @@
 			queue_remove(queue, item);
 		return item;
 	}
+	late_sort_out(queue, now);
 	turn = queue_turn(queue, uploads, others);
 	if (turn == NULL)
-		return NULL;
+		return late_pop(queue, uploads, others);
 	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
 		queue_class_t *class = &queue->classes[ranking[i]];
 
@@ -285,6 +347,23 @@
 	return item;
 }
 
+/* The late item with the earliest deadline that has waited long enough, or NULL. */
+static queue_item_t *
+late_expire(queue_t *queue, uint64_t now, reason_t *reason)
+{
+	LIST_FOREACH (node, &queue->late) {
+		queue_item_t *item = LIST_ENTRY(node, queue_item_t, link);
+
+		if (now < item->give_up)
+			continue;
+		*reason =
+		    item->deadline <= now ? REASON_DEADLINE_PASSED : REASON_TARGET_MISSED;
+		queue_remove(queue, item);
+		return item;
+	}
+	return NULL;
+}
+
 queue_item_t *
 queue_expire(queue_t *queue, uint64_t now, reason_t *reason)
 {
@@ -302,7 +381,7 @@
 		queue_remove(queue, item);
 		return item;
 	}
-	return NULL;
+	return late_expire(queue, now, reason);
 }
 
 uint64_t
@@ -319,6 +398,9 @@
 				break;
 		}
 	}
+	LIST_FOREACH (node, &queue->late)
+		earliest =
+		    MIN_OF(earliest, LIST_ENTRY(node, queue_item_t, link)->deadline);
 	return earliest;
 }
 
@@ -333,13 +415,13 @@
 		queue_remove(queue, item);
 		return item;
 	}
-	return NULL;
+	return late_pop(queue, true, true);
 }
 
 uint32_t
 queue_length(const queue_t *queue)
 {
-	return queue->count;
+	return queue->count + queue->late_count;
 }
 
 uint32_t
--- a/src/queue.h
+++ b/src/queue.h
@@ -1,6 +1,8 @@
 /*
  * The bounded queue of a gate: calls that wait for a place at the backend
  * server, in order of class (internal, call, lookup, upload), then deadline.
+ * Calls whose answer can only come after its latency target wait apart and run
+ * when nothing else waits: under overload they would else make every call late.
  * Items are intrusive; nothing is allocated. Times are monotonic, ns. One
  * thread; reads no clock.
  */
@@ -24,11 +26,19 @@
 /* A class at or below this share of the queue is not shed for others. */
 #define QUEUE_SHARE_PERCENT 12
 
+/* Late calls that may wait, for each slot. */
+#define QUEUE_LATE_PER_SLOT 1
+/* Longest wait of a late call, share of the time to its deadline. */
+#define QUEUE_LATE_WAIT_PERCENT 25
+
 /* Embedded in the waiting call. */
 typedef struct queue_item {
 	list_t link;
 	route_class_t route_class;
 	uint64_t deadline;
+	uint64_t target;    /* an answer by then is worth most; 0: no target */
+	uint64_t give_up;   /* of a late item: refused if it has not started by then */
+	bool late;	    /* waits apart */
 	uint64_t queued_at; /* set by queue_push() */
 	bool queued;	    /* set by queue_push(), cleared when it leaves */
 } queue_item_t;
@@ -44,7 +54,10 @@
 /* Embedded by the gate. */
 typedef struct queue {
 	queue_class_t classes[ROUTE_CLASS_COUNT];
-	uint32_t count;
+	list_t late; /* by deadline */
+	uint32_t late_count;
+	uint32_t late_limit;
+	uint32_t count; /* without the late ones */
 	uint32_t limit;
 	bool ordered; /* false: first come, first served, no shedding (naive) */
 } queue_t;
@@ -66,7 +79,8 @@
  * out in its favour and is to be refused as not run with REASON_QUEUE_SHED.
  * Else the item is not queued and is refused as not run:
  * REASON_DEADLINE_PASSED; REASON_DEADLINE_TOO_SHORT: the expected wait and run
- * do not fit before its deadline; REASON_QUEUE_FULL: full, and it ranks last.
+ * do not fit before its deadline; REASON_QUEUE_FULL: full, and it ranks last;
+ * REASON_TARGET_MISSED: it would be late, and enough late ones wait.
  */
 reason_t queue_push(queue_t *queue, queue_item_t *item, queue_places_t places,
     uint64_t now, queue_item_t **shed);
@@ -78,7 +92,8 @@
 queue_item_t *queue_pop(queue_t *queue, bool uploads, bool others, uint64_t now);
 /*
  * Takes out one item that cannot finish before its deadline, or NULL; it is to
- * be refused as not run with *reason (DEADLINE_PASSED or DEADLINE_TOO_SHORT).
+ * be refused as not run with *reason (DEADLINE_PASSED, DEADLINE_TOO_SHORT or
+ * TARGET_MISSED).
  */
 queue_item_t *queue_expire(queue_t *queue, uint64_t now, reason_t *reason);
 /* The earliest deadline of an item, or TIME_NEVER. */
--- a/src/reason.c
+++ b/src/reason.c
@@ -49,3 +49,20 @@
 		return "unknown";
 	}
 }
+
+bool
+reason_is_overload(reason_t reason)
+{
+	switch (reason) {
+	case REASON_QUEUE_FULL:
+	case REASON_QUEUE_SHED:
+	case REASON_TARGET_MISSED:
+	case REASON_DEADLINE_TOO_SHORT:
+	case REASON_DEADLINE_PASSED:
+	case REASON_BACKEND_SHED:
+	case REASON_STREAM_LIMIT:
+		return true;
+	default:
+		return false;
+	}
+}
--- a/src/reason.h
+++ b/src/reason.h
@@ -5,6 +5,8 @@
 #ifndef MASTICPITCH_REASON_H
 #define MASTICPITCH_REASON_H
 
+#include <stdbool.h>
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -29,6 +31,8 @@
 int reason_status(reason_t reason);
 /* One line for people. */
 const char *reason_meaning(reason_t reason);
+/* Whether a gate or its backend server refused because of its load. */
+bool reason_is_overload(reason_t reason);
 /* "no", "unknown" or "yes", for the Masticpitch-Run header. */
 const char *run_state_text(run_state_t run);
 
--- a/src/record.h
+++ b/src/record.h
@@ -7,6 +7,7 @@
 #define MASTICPITCH_RECORD_H
 
 #include "buffer.h"
+#include "dialect.h"
 #include "preset.h"
 #include "util.h"
 
@@ -147,11 +148,12 @@
 #define RECORD_CACHE_MAX (2 * RECORD_PRESETS_MAX)
 
 typedef struct record_cache {
+	dialect_t dialect; /* of the parts */
 	record_cache_item_t items[RECORD_CACHE_MAX];
 	size_t count;
 } record_cache_t;
 
-void record_cache_init(record_cache_t *cache);
+void record_cache_init(record_cache_t *cache, dialect_t dialect);
 /* Forgets what head, which may be NULL, does not name. */
 void record_cache_retain(record_cache_t *cache, const record_head_t *head);
 
@@ -165,6 +167,14 @@
 int record_check(const record_head_t *head, record_cache_t *cache,
     const record_parts_t *parts, preset_t **in_force, char *message, size_t message_size);
 
+/*
+ * Where the platform's operator keeps the whole configuration in one document,
+ * the document is the only part of the only preset of a record. Writes the head
+ * of that record; the same document gives the same head on every node. Errors:
+ * as buffer_append().
+ */
+int record_document_head(uint64_t version, const chunk_t *document, buffer_t *text);
+
 /* A stored part as the platform lists it. */
 typedef struct record_stored {
 	digest_t digest;
--- a/src/record_cache.c
+++ b/src/record_cache.c
@@ -1,10 +1,14 @@
 #include "record.h"
 
+#include "platform/hosted.h"
+
+#include <stdio.h>
 #include <string.h>
 
 void
-record_cache_init(record_cache_t *cache)
+record_cache_init(record_cache_t *cache, dialect_t dialect)
 {
+	cache->dialect = dialect;
 	cache->count = 0;
 }
 
@@ -61,6 +65,21 @@
 	cache->count = kept;
 }
 
+static int
+document_parse(const record_preset_t *key, const record_parts_t *parts, preset_t **result,
+    char *message, size_t message_size)
+{
+	const chunk_t *content =
+	    key->part_count == 1 ? record_parts_find(parts, &key->parts[0]) : NULL;
+
+	if (content == NULL) {
+		snprintf(message, message_size, "the document is absent");
+		return MASTICPITCH_E_NOT_FOUND;
+	}
+	return hosted_preset_parse(
+	    (const char *)content->data, content->size, result, message, message_size);
+}
+
 /* One reference to the parsed preset. */
 static int
 preset_obtain(const record_preset_t *key, record_cache_t *cache,
@@ -73,7 +92,15 @@
 		*result = preset_hold(preset);
 		return MASTICPITCH_OK;
 	}
-	error = record_preset_parse(key, parts, result, message, message_size);
+	switch (cache->dialect) {
+	case DIALECT_HOSTED:
+		error = document_parse(key, parts, result, message, message_size);
+		break;
+	case DIALECT_NATIVE:
+	default:
+		error = record_preset_parse(key, parts, result, message, message_size);
+		break;
+	}
 	if (error == MASTICPITCH_OK)
 		cache_add(cache, key, *result);
 	return error;
--- a/src/retry.c
+++ b/src/retry.c
@@ -204,6 +204,8 @@
 		return RETRY_STOP_ATTEMPTS;
 	if (!retry_time_suffices(request->deadline, request->min_attempt_ms, at))
 		return RETRY_STOP_DEADLINE;
+	if (request->unsent)
+		return RETRY_STOP_NONE;
 	if (budget->tokens <
 	    (request->route_class == ROUTE_INTERNAL ? 1 : 1 + RETRY_TOKENS_INTERNAL))
 		return RETRY_STOP_BUDGET;
@@ -222,7 +224,7 @@
 		return stop;
 	if (service->retry_percent == 0)
 		return RETRY_STOP_BUDGET;
-	*at = now + backoff_draw(request->attempts_made, rng);
+	*at = request->unsent ? now : now + backoff_draw(request->attempts_made, rng);
 	/* A backoff that does not fit is dropped if the attempt itself still fits. */
 	if (!retry_time_suffices(request->deadline, request->min_attempt_ms, *at))
 		*at = now;
--- a/src/retry.h
+++ b/src/retry.h
@@ -51,6 +51,11 @@
 	 */
 	run_state_t run_before;
 	route_class_t route_class;
+	/*
+	 * The attempt never reached a backend server, and others may be asked: it
+	 * costs them nothing, so neither budget nor backoff apply.
+	 */
+	bool unsent;
 } retry_request_t;
 
 /* Why and how the attempt failed. */
--- /dev/null
+++ b/src/run_set.c
@@ -0,0 +1,50 @@
+#include "run_set.h"
+
+#include "message.h"
+#include "util.h"
+
+#include <string.h>
+
+void
+run_set_init(run_set_t *set)
+{
+	set->count = 0;
+}
+
+void
+run_set_add(run_set_t *set, uint64_t request)
+{
+	if (set->count < RUN_SET_MAX)
+		set->items[set->count++] = request;
+}
+
+void
+run_set_remove(run_set_t *set, uint64_t request)
+{
+	for (size_t i = 0; i < set->count; i++) {
+		if (set->items[i] != request)
+			continue;
+		set->items[i] = set->items[--set->count];
+		return;
+	}
+}
+
+bool
+run_set_has_parent(const run_set_t *set, const char *request_id)
+{
+	const char *dot = strrchr(request_id, '.');
+	char parent[REQUEST_ID_BYTES];
+	size_t length = dot == NULL ? 0 : (size_t)(dot - request_id);
+	uint64_t hash;
+
+	if (length == 0 || length >= sizeof(parent))
+		return false;
+	memcpy(parent, request_id, length);
+	parent[length] = '\0';
+	hash = hash_string(parent);
+	for (size_t i = 0; i < set->count; i++) {
+		if (set->items[i] == hash)
+			return true;
+	}
+	return false;
+}
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include "json_text.h"
+#include "platform/hosted.h"
 #include "util.h"
 
 #include <json-c/json.h>
@@ -27,8 +28,10 @@
 
 static const choice_t spread_choices[] = {
     {"fast", SPREAD_FAST}, {"frugal", SPREAD_FRUGAL}, {NULL, 0}};
-static const choice_t source_choices[] = {
-    {"relay", CONFIG_SOURCE_RELAY}, {"watch", CONFIG_SOURCE_WATCH}, {NULL, 0}};
+static const choice_t source_choices[] = {{"relay", CONFIG_SOURCE_RELAY},
+    {"watch", CONFIG_SOURCE_WATCH}, {"mixed", CONFIG_SOURCE_MIXED}, {NULL, 0}};
+static const choice_t dialect_choices[] = {
+    {"native", DIALECT_NATIVE}, {"hosted", DIALECT_HOSTED}, {NULL, 0}};
 static const choice_t policy_choices[] = {
     {"adaptive", ROUTING_ADAPTIVE}, {"naive", ROUTING_NAIVE}, {NULL, 0}};
 
@@ -107,10 +110,10 @@
 }
 
 static void
-read_address(
-    reader_t *reader, struct json_object *root, const char *key, address_t *target)
+read_address(reader_t *reader, struct json_object *root, const char *key, bool required,
+    address_t *target)
 {
-	const char *text = read_text(reader, root, key, true);
+	const char *text = read_text(reader, root, key, required);
 
 	if (text != NULL && address_parse(text, target) != MASTICPITCH_OK)
 		reader_fail(reader, MASTICPITCH_E_INVALID,
@@ -281,7 +284,8 @@
 	    &settings->peers, &settings->operators};
 
 	for (size_t i = 0; i < ARRAY_LENGTH(keys); i++)
-		read_address(reader, root, keys[i], targets[i]);
+		read_address(reader, root, keys[i], true, targets[i]);
+	read_address(reader, root, "listen.readiness", false, &settings->readiness);
 	if (reader->error != MASTICPITCH_OK)
 		return;
 	if (settings->peers.ip == 0)
@@ -321,6 +325,45 @@
 		    "blanks");
 	read_number(reader, root, "platform.timeout_ms", 10, 60000,
 	    &settings->platform_timeout_ms);
+	settings->dialect = (dialect_t)read_choice(
+	    reader, root, "platform.dialect", dialect_choices, DIALECT_NATIVE);
+}
+
+static void
+read_backend(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	const char *service = read_text(reader, root, "backend_server.service", false);
+
+	if (service != NULL && !json_name_is_valid(service, strlen(service)))
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "backend_server.service: must have 1 to 64 characters of a-z, A-Z, "
+		    "0-9, '-', '_' and '.'");
+	else if (service != NULL)
+		string_copy(settings->backend.service, NAME_BYTES, service);
+	read_address(reader, root, "backend_server.address", service != NULL,
+	    &settings->backend.address);
+	read_number(reader, root, "backend_server.announce_ms", 10, 3600000,
+	    &settings->backend.announce_ms);
+}
+
+/* Bounds are given by name, or as the list that the hosted platform renders. */
+static void
+read_bounds(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	settings_bounds_t *bounds = &settings->bounds;
+	struct json_object *list = settings_lookup(root, "platform.bounds");
+	char reason[MASTICPITCH_MESSAGE_MAX];
+
+	if (list != NULL &&
+	    hosted_bounds_read(list, bounds, reason, sizeof(reason)) != MASTICPITCH_OK) {
+		reader_fail(reader, MASTICPITCH_E_INVALID, "platform.bounds: %s", reason);
+		return;
+	}
+	read_number(reader, root, "bounds.drain_ms", 0, 3600000, &bounds->drain_ms);
+	read_number(reader, root, "bounds.retry_percent", 0, 100, &bounds->retry_percent);
+	read_number(reader, root, "bounds.retry_window_ms", 100, 3600000,
+	    &bounds->retry_window_ms);
+	read_number(reader, root, "bounds.retry_extra", 0, 1000000, &bounds->retry_extra);
 }
 
 static void
@@ -356,10 +399,15 @@
 	settings->requests_max = 4096;
 	settings->streams_per_peer_max = 1024;
 	settings->shutdown_grace_ms = 600 * 1000;
+	settings->backend.announce_ms = 1000;
+	settings->bounds = (settings_bounds_t){.drain_ms = 2000,
+	    .retry_percent = 10,
+	    .retry_window_ms = 10000,
+	    .retry_extra = 0};
 	settings->log_level = LOG_LEVEL_INFO;
 }
 
-#define SECTION_KEYS_MAX 11
+#define SECTION_KEYS_MAX 16
 
 /* The keys of each section; "" is the top level. */
 static const struct section {
@@ -367,15 +415,18 @@
 	const char *keys[SECTION_KEYS_MAX + 1];
 } sections[] = {
     {"", {"availability_zone", "region", "listen", "platform", "mesh", "operators",
-	     "configuration", "routing", "limits", "shutdown", "log", NULL}},
-    {"listen", {"callers", "backend_servers", "peers", "operators", NULL}},
-    {"platform", {"url", "prefix", "timeout_ms", NULL}},
+	     "configuration", "routing", "limits", "shutdown", "log", "backend_server",
+	     "bounds", NULL}},
+    {"listen", {"callers", "backend_servers", "peers", "operators", "readiness", NULL}},
+    {"platform", {"url", "prefix", "timeout_ms", "dialect", "bounds", NULL}},
+    {"backend_server", {"service", "address", "announce_ms", NULL}},
+    {"bounds", {"drain_ms", "retry_percent", "retry_window_ms", "retry_extra", NULL}},
     {"mesh", {"seeds", "keys", NULL}},
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", NULL}},
     {"routing", {"policy", NULL}},
     {"limits", {"requests", "streams_per_peer", NULL}},
-    {"shutdown", {"grace_ms", NULL}},
+    {"shutdown", {"grace_ms", "accept_ms", NULL}},
     {"log", {"level", NULL}},
 };
 
@@ -390,6 +441,8 @@
 	read_label(reader, root, "region", settings->region);
 	read_listen(reader, root, settings);
 	read_platform(reader, root, settings);
+	read_backend(reader, root, settings);
+	read_bounds(reader, root, settings);
 	read_seeds(reader, root, settings);
 	read_keys(reader, root, settings);
 	read_token(reader, root, settings);
@@ -404,6 +457,8 @@
 	    &settings->streams_per_peer_max);
 	read_number(
 	    reader, root, "shutdown.grace_ms", 0, 86400000, &settings->shutdown_grace_ms);
+	read_number(reader, root, "shutdown.accept_ms", 0, 86400000,
+	    &settings->shutdown_accept_ms);
 	read_log_level(reader, root, settings);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -5,6 +5,7 @@
 #ifndef MASTICPITCH_SETTINGS_H
 #define MASTICPITCH_SETTINGS_H
 
+#include "dialect.h"
 #include "log.h"
 #include "member_types.h"
 
@@ -24,7 +25,11 @@
 #define SETTINGS_TEXT_MAX (64 * 1024)
 
 typedef enum spread_mode { SPREAD_FAST, SPREAD_FRUGAL } spread_mode_t;
-typedef enum config_source { CONFIG_SOURCE_RELAY, CONFIG_SOURCE_WATCH } config_source_t;
+typedef enum config_source {
+	CONFIG_SOURCE_RELAY, /* one node of each availability zone watches */
+	CONFIG_SOURCE_WATCH, /* every node watches, none tells another: baseline */
+	CONFIG_SOURCE_MIXED  /* every node watches, and tells the others its version */
+} config_source_t;
 typedef enum routing_policy { ROUTING_ADAPTIVE, ROUTING_NAIVE } routing_policy_t;
 
 typedef struct mesh_key {
@@ -32,6 +37,21 @@
 	uint8_t secret[SETTINGS_KEY_BYTES];
 } mesh_key_t;
 
+/* What the platform's operator promises to callers and backend servers. */
+typedef struct settings_bounds {
+	uint32_t drain_ms;	  /* new work to a leaving instance ends by then */
+	uint32_t retry_percent;	  /* further attempts, share of a service's requests */
+	uint32_t retry_window_ms; /* over which the share holds */
+	uint32_t retry_extra;	  /* attempts in a window besides, of all nodes */
+} settings_bounds_t;
+
+/* The backend server of this host, where the settings name it. */
+typedef struct settings_backend {
+	char service[NAME_BYTES]; /* empty: only announcements tell */
+	address_t address;
+	uint32_t announce_ms; /* pause between announcements */
+} settings_backend_t;
+
 typedef struct settings {
 	char zone[ZONE_BYTES];
 	char region[ZONE_BYTES];
@@ -39,6 +59,10 @@
 	address_t backend_servers;
 	address_t peers;
 	address_t operators;
+	address_t readiness; /* port 0: no such listener */
+	dialect_t dialect;
+	settings_backend_t backend;
+	settings_bounds_t bounds;
 	char platform_url[SETTINGS_URL_BYTES];
 	char platform_prefix[SETTINGS_PREFIX_BYTES];
 	uint32_t platform_timeout_ms;
@@ -53,6 +77,7 @@
 	uint32_t requests_max;
 	uint32_t streams_per_peer_max;
 	uint32_t shutdown_grace_ms;
+	uint32_t shutdown_accept_ms; /* callers' new requests are taken so long */
 	log_level_t log_level;
 } settings_t;
 
--- a/src/spread.c
+++ b/src/spread.c
@@ -14,13 +14,16 @@
 	address_format(&options->address, spread->address);
 	spread->boot = options->boot;
 	spread->mode = options->mode;
-	spread->variant.kind = options->source;
+	spread->everyone_watches = options->source == CONFIG_SOURCE_MIXED;
+	spread->variant.kind = options->source == CONFIG_SOURCE_WATCH
+				   ? CONFIG_SOURCE_WATCH
+				   : CONFIG_SOURCE_RELAY;
 	rng_init(&spread->rng, options->seed);
 	list_init(&spread->actions);
 	spread_members_init(&spread->members, options->node, options->zone,
 	    options->fan_out != 0 ? options->fan_out : SPREAD_FAN_OUT);
 	record_parts_init(&spread->parts);
-	record_cache_init(&spread->cache);
+	record_cache_init(&spread->cache, options->dialect);
 	for (size_t i = 0; i < SPREAD_ASSEMBLIES; i++)
 		buffer_init(&spread->assemblies[i].content, RECORD_PART_MAX);
 	spread->reader.need_get = true;
@@ -30,7 +33,7 @@
 	spread->start.next_read = now + rng_below(&spread->rng, SPREAD_START_JITTER_NS);
 	spread->start.backoff = SPREAD_FLOOR_WAIT_NS;
 	spread->start.token = rng_next(&spread->rng);
-	if (options->source == CONFIG_SOURCE_RELAY) {
+	if (spread->variant.kind == CONFIG_SOURCE_RELAY) {
 		spread->variant.u.relay.backoff = SPREAD_BACKOFF_MIN_NS;
 		/* Members become known first, so that not every node takes the lease. */
 		spread->variant.u.relay.next_at = spread->start.next_read;
@@ -160,6 +163,7 @@
 		spread_pull_run(spread, now);
 		break;
 	case CONFIG_SOURCE_WATCH:
+	case CONFIG_SOURCE_MIXED:
 		break;
 	}
 	spread_return_run(spread, now);
@@ -198,7 +202,9 @@
 	if (version > spread_version_held(spread) && version >= spread->floor &&
 	    spread->variant.kind == CONFIG_SOURCE_RELAY)
 		spread_pull_schedule(spread, node, version,
-		    jitter > 0 ? rng_below(&spread->rng, jitter) : 0, now);
+		    spread_pull_pause(spread) +
+			(jitter > 0 ? rng_below(&spread->rng, jitter) : 0),
+		    now);
 }
 
 static uint64_t
@@ -306,6 +312,7 @@
 		message_dispatch(spread, node, message, now);
 		break;
 	case CONFIG_SOURCE_WATCH:
+	case CONFIG_SOURCE_MIXED:
 		/* Nodes tell each other their floors and nothing else. */
 		if (message->kind == SPREAD_ASK_VERSION ||
 		    message->kind == SPREAD_VERSION)
--- a/src/spread.h
+++ b/src/spread.h
@@ -52,6 +52,11 @@
 /* A pull or a part that is not answered by then is asked for elsewhere. */
 #define SPREAD_PULL_TIMEOUT_NS (500 * NS_PER_MS)
 #define SPREAD_PULL_ATTEMPTS 6
+/*
+ * Where every node watches, its own watch brings a version about as soon as it
+ * is heard of; a pull is for nodes that the platform turns away.
+ */
+#define SPREAD_PULL_DELAY_MIXED_NS (400 * NS_PER_MS)
 /* Bound of the random wait before a heard version is pulled. */
 #define SPREAD_PULL_JITTER_FAST_NS (100 * NS_PER_MS)
 #define SPREAD_PULL_JITTER_FRUGAL_NS (500 * NS_PER_MS)
@@ -86,7 +91,8 @@
 	spread_mode_t mode;
 	config_source_t source;
 	uint64_t seed;
-	unsigned fan_out; /* 0: SPREAD_FAN_OUT */
+	dialect_t dialect; /* of the parts */
+	unsigned fan_out;  /* 0: SPREAD_FAN_OUT */
 } spread_options_t;
 
 /* Calls on the platform; the answer names the kind again. */
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -108,6 +108,7 @@
 	char address[ADDRESS_TEXT_BYTES];
 	uint64_t boot;
 	spread_mode_t mode;
+	bool everyone_watches; /* CONFIG_SOURCE_MIXED */
 	rng_t rng;
 	list_t actions;
 	uint64_t wake;
@@ -195,6 +196,8 @@
     bool from_platform, uint64_t now);
 void spread_pull_schedule(
     spread_t *spread, uint64_t node, uint64_t version, uint64_t delay, uint64_t now);
+/* Wait for the own watch before a heard version is pulled. */
+uint64_t spread_pull_pause(const spread_t *spread);
 void spread_pull_newer(spread_t *spread, uint64_t now);
 void spread_pull_run(spread_t *spread, uint64_t now);
 void spread_pull_failed(spread_t *spread, uint64_t now);
--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -11,8 +11,9 @@
 {
 	switch (spread->variant.kind) {
 	case CONFIG_SOURCE_RELAY:
-		return spread->variant.u.relay.active;
+		return spread->everyone_watches || spread->variant.u.relay.active;
 	case CONFIG_SOURCE_WATCH:
+	case CONFIG_SOURCE_MIXED:
 		return true;
 	}
 	return false;
@@ -53,8 +54,8 @@
 {
 	spread_reader_t *reader = &spread->reader;
 
-	bool relay =
-	    spread->variant.kind == CONFIG_SOURCE_RELAY && spread->variant.u.relay.active;
+	bool relay = spread->variant.kind == CONFIG_SOURCE_RELAY &&
+		     (spread->everyone_watches || spread->variant.u.relay.active);
 
 	reader->need_get = true;
 	reader->next_at =
@@ -143,7 +144,10 @@
 		    spread_version_held(spread) != 0 || spread->floor != 0;
 		break;
 	case PLATFORM_UNCHANGED:
-		reader->need_get = true;
+		/* A platform that names its revision has not been set back. */
+		reader->need_get = answer->store_revision == 0;
+		reader->revision = MAX_OF(reader->revision, answer->store_revision);
+		reader->backoff = SPREAD_BACKOFF_MIN_NS;
 		break;
 	case PLATFORM_CONFLICT:
 	case PLATFORM_REFUSED:
--- a/src/spread_push.c
+++ b/src/spread_push.c
@@ -155,6 +155,12 @@
 	spread_wake_at(spread, pull->due);
 }
 
+uint64_t
+spread_pull_pause(const spread_t *spread)
+{
+	return spread->everyone_watches ? SPREAD_PULL_DELAY_MIXED_NS : 0;
+}
+
 void
 spread_pull_newer(spread_t *spread, uint64_t now)
 {
@@ -165,7 +171,9 @@
 
 	if (member != NULL)
 		spread_pull_schedule(spread, source, member->version,
-		    rng_below(&spread->rng, SPREAD_PULL_JITTER_FAST_NS), now);
+		    spread_pull_pause(spread) +
+			rng_below(&spread->rng, SPREAD_PULL_JITTER_FAST_NS),
+		    now);
 }
 
 void
