Throttle work whose calls find no room; announced slots as the limit

The adaptive limit of a gate followed latencies that were those of the called service, and throttled both.

Ruled out: capacity.

--- a/src/entry.c
+++ b/src/entry.c
@@ -1,6 +1,7 @@
 #include "entry_internal.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 void
 entry_stream_post(entry_request_t *request, message_t *message)
@@ -11,6 +12,26 @@
 	    entry->kernel, &entry->service, request->stream.service, message);
 }
 
+void
+entry_nested_report(
+    entry_request_t *request, const load_report_t *load, bool refused, bool failed)
+{
+	entry_t *entry = request->entry;
+	message_t *message;
+
+	if (!request->nested)
+		return;
+	message = message_create(MESSAGE_NESTED, 0, 0);
+	if (message != NULL) {
+		message->u.nested.parent = run_set_parent(request->head->request_id);
+		message->u.nested.pressure = load == NULL ? 0 : load->pressure;
+		message->u.nested.refused = refused;
+		message->u.nested.failed = failed;
+	}
+	kernel_message_post(entry->kernel, &entry->service,
+	    kernel_service_find(entry->kernel, "gate"), message);
+}
+
 static void
 member_update(entry_t *entry, const member_t *member)
 {
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -218,6 +218,7 @@
 	request->run = MAX_OF(request->run, refusal->run);
 	failure.run = request->run;
 	request->last_reason = refusal->reason;
+	request->last_load = refusal->load;
 	if (refusal->reason == REASON_BACKEND_LOST &&
 	    ++request->backends_lost >= ENTRY_BACKENDS_LOST_MAX)
 		failure.final = true;
@@ -315,6 +316,7 @@
 	    &answer->load, kernel_now(entry->kernel));
 	request->body_kept = false;
 	buffer_free(&request->kept);
+	entry_nested_report(request, &answer->load, false, answer->status >= 500);
 	if (request->state == REQUEST_WAITING)
 		entry_request_resume(request);
 }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -158,6 +158,7 @@
 	bool end_sent;
 	run_state_t run; /* of all attempts so far */
 	reason_t last_reason;
+	load_report_t last_load; /* of the gate that refused last */
 	uint32_t backends_lost; /* attempts that ended as REASON_BACKEND_LOST */
 	ev_timer backoff;
 
@@ -213,6 +214,10 @@
 /* Queues answer or refusal. */
 enum MHD_Result entry_request_answer(entry_request_t *request);
 
+/* Tells the gate of this host how a call of its running work has ended. */
+void entry_nested_report(
+    entry_request_t *request, const load_report_t *load, bool refused, bool failed);
+
 /* entry_attempt.c */
 void entry_attempt_start(entry_request_t *request);
 /* Sends body while there is credit. */
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -101,6 +101,8 @@
 
 	metrics_refusal_add(kernel_metrics(entry->kernel), reason);
 	entry_attempt_cancel(request);
+	entry_nested_report(request, &request->last_load,
+	    run == RUN_NO && reason_is_overload(reason), true);
 	if (run == RUN_NO && request->refusal.retry_after_ms == 0 &&
 	    reason_is_overload(reason))
 		request->refusal.retry_after_ms =
--- a/src/frame.c
+++ b/src/frame.c
@@ -57,6 +57,7 @@
 	scratch->load.limit = load->limit;
 	scratch->load.slots = load->slots;
 	scratch->load.latency_us = load->latency_us;
+	scratch->load.pressure = load->pressure;
 	return &scratch->load;
 }
 
@@ -128,6 +129,7 @@
 	head->n_headers = headers_to_frame(&answer->headers, scratch);
 	head->headers = scratch->header_pointers;
 	head->body_length = answer->body_length;
+	head->nested_failed = answer->nested_failed;
 	head->load = load_to_frame(&answer->load, scratch);
 	scratch->frame.body_case = MASTICPITCH__FRAME__BODY_ANSWER_HEAD;
 	scratch->frame.answer_head = head;
@@ -226,6 +228,7 @@
 	report->limit = load->limit;
 	report->slots = load->slots;
 	report->latency_us = load->latency_us;
+	report->pressure = MIN_OF(load->pressure, 100U);
 }
 
 static int
@@ -307,6 +310,7 @@
 		goto fail;
 	answer->status = (int)head->status;
 	answer->body_length = head->body_length;
+	answer->nested_failed = head->nested_failed;
 	load_from_frame(head->load, &answer->load);
 	(*message)->u.answer = answer;
 	return MASTICPITCH_OK;
--- a/src/gate.c
+++ b/src/gate.c
@@ -11,6 +11,7 @@
 	load->queued = queue_length(&gate->queue);
 	load->latency_us = limit_gate_latency_us(&gate->limit);
 	load->limit = gate_limit(gate);
+	load->pressure = pressure_percent(&gate->pressure, kernel_now(gate->kernel));
 	load->slots = gate->backend.live ? gate->backend.slots : 0;
 }
 
@@ -221,11 +222,15 @@
 	buffer_printf(&text,
 	    "{\"gate\":{\"state\":\"%s\",\"service\":\"%s\",\"instance\":\"%s\","
 	    "\"slots\":%u,\"connections\":%u,\"limit\":%u,\"running\":%u,"
-	    "\"queued\":%u,\"announced_load\":%.3f,\"leaving\":%s}}",
+	    "\"queued\":%u,\"announced_load\":%.3f,\"pressure\":%u,"
+	    "\"share_call\":%u,\"share_lookup\":%u,\"leaving\":%s}}",
 	    gate->backend.live ? states[gate->backend.state] : "none",
 	    gate->backend.service, gate->backend.instance, gate->backend.slots,
 	    gate->backend.connections, gate_limit(gate), gate->running,
 	    queue_length(&gate->queue), gate->backend.load,
+	    pressure_percent(&gate->pressure, kernel_now(gate->kernel)),
+	    throttle_percent(&gate->throttle, ROUTE_CALL),
+	    throttle_percent(&gate->throttle, ROUTE_LOOKUP),
 	    gate->leaving ? "true" : "false");
 	if (message != NULL)
 		message->u.report = chunk_copy(text.data, text.size);
@@ -258,6 +263,24 @@
 	}
 }
 
+/* A call of work that runs here has ended; the work may be over already. */
+static void
+nested_receive(gate_t *gate, const message_t *message)
+{
+	LIST_FOREACH (node, &gate->calls) {
+		gate_call_t *call = LIST_ENTRY(node, gate_call_t, link);
+
+		if (call->state != GATE_CALL_RUNNING ||
+		    hash_string(call->head->request_id) != message->u.nested.parent)
+			continue;
+		call->nested_failed |= message->u.nested.failed;
+		throttle_call_record(&gate->throttle, call->head->route_class,
+		    message->u.nested.pressure, message->u.nested.refused,
+		    kernel_now(gate->kernel));
+		return;
+	}
+}
+
 static void
 gate_receive(void *state, message_t *message)
 {
@@ -273,6 +296,9 @@
 	case MESSAGE_STREAM_LOST:
 		gate_call_receive(gate, message);
 		break;
+	case MESSAGE_NESTED:
+		nested_receive(gate, message);
+		break;
 	case MESSAGE_CRASH_REPORT:
 		gate_crash_receive(gate, message);
 		break;
@@ -322,7 +348,9 @@
 	list_init(&gate->service.link);
 	gate->naive = settings->routing_policy == ROUTING_NAIVE;
 	queue_init(&gate->queue, 0, 1, !gate->naive);
-	limit_gate_init(&gate->limit, 1, !gate->naive, kernel_now(kernel));
+	limit_gate_init(&gate->limit, 1, !gate->naive && settings->adaptive_limit,
+	    kernel_now(kernel));
+	throttle_init(&gate->throttle);
 	gate_death_init(gate);
 	error = stream_table_init(&gate->streams);
 	if (error == MASTICPITCH_OK)
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -148,6 +148,14 @@
 	return REASON_NONE;
 }
 
+/* Only urgent new work counts: what ranks below it is meant to give way. */
+static void
+pressure_note(const gate_call_t *call, bool refused, uint64_t now)
+{
+	if (call->head->route_class == ROUTE_CALL)
+		pressure_record(&call->gate->pressure, refused, now);
+}
+
 void
 gate_call_admit(gate_call_t *call)
 {
@@ -170,11 +178,18 @@
 	}
 	if (gate_ticket_issue(call))
 		return;
+	/* Every gate of the service would refuse for that reason alike. */
+	if (!gate->naive && !throttle_admit(&gate->throttle, call->head->route_class, now)) {
+		gate_call_refuse(call, REASON_DEPENDENCY, RUN_NO, true);
+		return;
+	}
 	if (call_may_run(call)) {
+		pressure_note(call, false, now);
 		call_run(call);
 		return;
 	}
 	reason = call_queue(call, now);
+	pressure_note(call, reason != REASON_NONE, now);
 	if (reason != REASON_NONE)
 		gate_call_refuse(call, reason, RUN_NO, false);
 }
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -110,6 +110,7 @@
 	if (final)
 		headers_add(&answer->headers, final_name, "1");
 	gate_load(call->gate, &answer->load);
+	answer->nested_failed = call->nested_failed;
 	message = gate_call_message(call, MESSAGE_ANSWER_HEAD);
 	if (message == NULL)
 		return;
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -20,6 +20,7 @@
 #include "queue.h"
 #include "snapshot.h"
 #include "stream_table.h"
+#include "throttle.h"
 #include "ticket.h"
 
 /* A backend server announces itself this often. */
@@ -67,6 +68,8 @@
 	list_t calls;  /* every call, by arrival */
 	queue_t queue; /* the waiting ones */
 	limit_gate_t limit;
+	throttle_t throttle;
+	pressure_t pressure;
 	bool naive;
 	bool in_queue_run;
 	ticket_table_t *tickets;
@@ -127,6 +130,7 @@
 	bool resend_blocked;
 	bool shed;	     /* the backend server refused it unrun */
 	bool misdirected;    /* the address belongs to another instance now */
+	bool nested_failed;  /* a call that it made has failed */
 	bool foreign_answer; /* not an answer of the backend server to this call */
 	bool shed_final;
 	int status;	       /* of the answer that was posted */
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -1003,7 +1003,7 @@
   (ProtobufCMessageInit) masticpitch__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[6] =
 {
   {
     "running",
@@ -1065,10 +1065,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, pressure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__load__field_indices_by_name[] = {
   4,   /* field[4] = latency_us */
   2,   /* field[2] = limit */
+  5,   /* field[5] = pressure */
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
   3,   /* field[3] = slots */
@@ -1076,7 +1089,7 @@
 static const ProtobufCIntRange masticpitch__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor masticpitch__load__descriptor =
 {
@@ -1086,7 +1099,7 @@
   "Masticpitch__Load",
   "masticpitch",
   sizeof(Masticpitch__Load),
-  5,
+  6,
   masticpitch__load__field_descriptors,
   masticpitch__load__field_indices_by_name,
   1,  masticpitch__load__number_ranges,
@@ -1634,7 +1647,7 @@
   (ProtobufCMessageInit) masticpitch__call_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__answer_head__field_descriptors[5] =
+static const ProtobufCFieldDescriptor masticpitch__answer_head__field_descriptors[6] =
 {
   {
     "stream",
@@ -1696,18 +1709,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "nested_failed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__AnswerHead, nested_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__answer_head__field_indices_by_name[] = {
   3,   /* field[3] = body_length */
   2,   /* field[2] = headers */
   4,   /* field[4] = load */
+  5,   /* field[5] = nested_failed */
   1,   /* field[1] = status */
   0,   /* field[0] = stream */
 };
 static const ProtobufCIntRange masticpitch__answer_head__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor masticpitch__answer_head__descriptor =
 {
@@ -1717,7 +1743,7 @@
   "Masticpitch__AnswerHead",
   "masticpitch",
   sizeof(Masticpitch__AnswerHead),
-  5,
+  6,
   masticpitch__answer_head__field_descriptors,
   masticpitch__answer_head__field_indices_by_name,
   1,  masticpitch__answer_head__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -94,10 +94,11 @@
   uint32_t limit;
   uint32_t slots;
   uint32_t latency_us;
+  uint32_t pressure;
 };
 #define MASTICPITCH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Masticpitch__Hello
@@ -194,10 +195,11 @@
   Masticpitch__Header **headers;
   int64_t body_length;
   Masticpitch__Load *load;
+  protobuf_c_boolean nested_failed;
 };
 #define MASTICPITCH__ANSWER_HEAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__answer_head__descriptor) \
-    , 0, 0, 0,NULL, 0, NULL }
+    , 0, 0, 0,NULL, 0, NULL, 0 }
 
 
 struct  Masticpitch__AnswerData
--- a/src/message.h
+++ b/src/message.h
@@ -43,6 +43,7 @@
 	MESSAGE_MEMBER_REMOVED, /* from membership: forgotten */
 	MESSAGE_INSTANCE,	/* from gate to membership: the local instance */
 	MESSAGE_RUN,		/* from gate to entry: a request starts or ends running */
+	MESSAGE_NESTED,		/* from entry to gate: a call of a running request ended */
 	MESSAGE_CRASH_REPORT,	/* about a fingerprint, see quarantine.h */
 	MESSAGE_VERSION,	/* config to membership: version now in force */
 	MESSAGE_VERSION_HEARD,	/* membership to config: a member's version */
@@ -93,12 +94,14 @@
 	uint32_t limit; /* adaptive limit, calls */
 	uint32_t slots;
 	uint32_t latency_us; /* smoothed backend latency */
+	uint32_t pressure;   /* share of the urgent calls refused for load, percent */
 } load_report_t;
 
 typedef struct answer_head {
 	int status;
 	headers_t headers;
 	int64_t body_length; /* bytes; -1: unknown */
+	bool nested_failed;  /* a call that the work made has failed */
 	load_report_t load;
 } answer_head_t;
 
@@ -155,6 +158,12 @@
 			uint64_t request; /* hash of its id */
 			bool started;
 		} run; /* RUN */
+		struct {
+			uint64_t parent;   /* hash of the running request's id */
+			uint32_t pressure; /* at the called service, percent */
+			bool refused;	   /* for load */
+			bool failed;	   /* for any reason */
+		} nested; /* NESTED */
 		struct {
 			uint64_t fingerprint;
 			uint64_t death; /* id of the backend server's death */
--- a/src/run_set.c
+++ b/src/run_set.c
@@ -29,21 +29,27 @@
 	}
 }
 
-bool
-run_set_has_parent(const run_set_t *set, const char *request_id)
+uint64_t
+run_set_parent(const char *request_id)
 {
 	const char *dot = strrchr(request_id, '.');
 	char parent[REQUEST_ID_BYTES];
 	size_t length = dot == NULL ? 0 : (size_t)(dot - request_id);
-	uint64_t hash;
 
 	if (length == 0 || length >= sizeof(parent))
-		return false;
+		return 0;
 	memcpy(parent, request_id, length);
 	parent[length] = '\0';
-	hash = hash_string(parent);
-	for (size_t i = 0; i < set->count; i++) {
-		if (set->items[i] == hash)
+	return hash_string(parent);
+}
+
+bool
+run_set_has_parent(const run_set_t *set, const char *request_id)
+{
+	uint64_t parent = run_set_parent(request_id);
+
+	for (size_t i = 0; parent != 0 && i < set->count; i++) {
+		if (set->items[i] == parent)
 			return true;
 	}
 	return false;
--- a/src/settings.c
+++ b/src/settings.c
@@ -143,6 +143,21 @@
 	*target = (uint32_t)number;
 }
 
+static void
+read_flag(reader_t *reader, struct json_object *root, const char *key, bool *target)
+{
+	struct json_object *value = settings_lookup(root, key);
+
+	if (value == NULL)
+		return;
+	if (!json_object_is_type(value, json_type_boolean)) {
+		reader_fail(
+		    reader, MASTICPITCH_E_INVALID, "%s: must be true or false", key);
+		return;
+	}
+	*target = json_object_get_boolean(value);
+}
+
 static int
 read_choice(reader_t *reader, struct json_object *root, const char *key,
     const choice_t *choices, int preset_value)
@@ -396,6 +411,7 @@
 	memset(settings, 0, sizeof(*settings));
 	string_copy(settings->platform_prefix, SETTINGS_PREFIX_BYTES, "masticpitch/");
 	settings->platform_timeout_ms = 2000;
+	settings->adaptive_limit = true;
 	settings->requests_max = 4096;
 	settings->streams_per_peer_max = 1024;
 	settings->shutdown_grace_ms = 600 * 1000;
@@ -425,7 +441,7 @@
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", NULL}},
     {"routing", {"policy", NULL}},
-    {"limits", {"requests", "streams_per_peer", NULL}},
+    {"limits", {"requests", "streams_per_peer", "adaptive", NULL}},
     {"shutdown", {"grace_ms", "accept_ms", NULL}},
     {"log", {"level", NULL}},
 };
@@ -452,6 +468,7 @@
 	    reader, root, "configuration.source", source_choices, CONFIG_SOURCE_RELAY);
 	settings->routing_policy = (routing_policy_t)read_choice(
 	    reader, root, "routing.policy", policy_choices, ROUTING_ADAPTIVE);
+	read_flag(reader, root, "limits.adaptive", &settings->adaptive_limit);
 	read_number(reader, root, "limits.requests", 1, 65536, &settings->requests_max);
 	read_number(reader, root, "limits.streams_per_peer", 1, 65536,
 	    &settings->streams_per_peer_max);
--- a/src/settings.h
+++ b/src/settings.h
@@ -74,6 +74,7 @@
 	spread_mode_t spread;
 	config_source_t config_source;
 	routing_policy_t routing_policy;
+	bool adaptive_limit; /* of a gate; else the announced slots hold */
 	uint32_t requests_max;
 	uint32_t streams_per_peer_max;
 	uint32_t shutdown_grace_ms;
