--- a/src/config.c
+++ b/src/config.c
@@ -29,9 +29,10 @@
 	ev_timer join_timer;
 	bool joining; /* the list of relays is due or under way */
 	list_t calls;
-	spread_status_t reported; /* what metrics and log have seen */
-	chunk_t *document;	  /* the operator's, as last read; may be NULL */
-	buffer_t document_head;	  /* the head made of it */
+	spread_status_t reported;      /* what metrics and log have seen */
+	digest_t document_digest;      /* of the operator's document, as last read */
+	buffer_t document_head;	       /* made of it; empty: none was read */
+	record_parts_t document_parts; /* that the head names */
 };
 
 /* One call on the platform on behalf of spread. */
@@ -66,31 +67,32 @@
 	free(call);
 }
 
-/* Keeps a document as it was read and makes the head of its record. */
+/* Keeps the parts of a document as it was read, and the head that names them. */
 static int
 document_keep(config_t *config, const char *text, size_t size)
 {
 	char reason[MASTICPITCH_MESSAGE_MAX] = "";
-	chunk_t *document;
-	uint64_t version;
+	hosted_document_t document;
+	digest_t digest;
 	int error;
 
-	if (config->document != NULL && config->document->size == size &&
-	    memcmp(config->document->data, text, size) == 0)
+	digest_compute(text, size, &digest);
+	if (config->document_head.size > 0 &&
+	    digest_equal(&digest, &config->document_digest))
 		return MASTICPITCH_OK;
-	error = hosted_version_read(text, size, &version, reason, sizeof(reason));
+	error = hosted_document_split(text, size, &document, reason, sizeof(reason));
 	if (error != MASTICPITCH_OK) {
 		log_warning(kernel_log(config->kernel), "configuration document refused",
 		    LOG_TEXT("reason", reason));
 		return error;
 	}
-	document = chunk_copy(text, size);
-	if (document == NULL)
-		return MASTICPITCH_E_NOMEM;
-	chunk_release(config->document);
-	config->document = document;
+	config->document_digest = digest;
+	record_parts_clear(&config->document_parts);
 	buffer_consume(&config->document_head, config->document_head.size);
-	return record_document_head(version, document, &config->document_head);
+	error = record_document_build(document.version, document.parts, document.count,
+	    &config->document_parts, &config->document_head);
+	hosted_document_free(&document);
+	return error;
 }
 
 /* Gives spread a head where the platform holds a document. */
@@ -176,20 +178,17 @@
 	return MASTICPITCH_E_INVALID;
 }
 
-/* The document is the only part that the platform has, and it is at hand. */
+/* The platform has no parts; those of the document read last are at hand. */
 static void
 document_answer(config_t *config, const spread_action_t *action)
 {
 	platform_answer_t answer = {.outcome = PLATFORM_NOT_FOUND};
-	digest_t digest;
+	const chunk_t *part = record_parts_find(&config->document_parts, &action->digest);
 
-	if (config->document != NULL) {
-		digest_compute(config->document->data, config->document->size, &digest);
-		if (digest_equal(&digest, &action->digest)) {
-			answer.outcome = PLATFORM_OK;
-			answer.value = (const char *)config->document->data;
-			answer.size = config->document->size;
-		}
+	if (part != NULL) {
+		answer.outcome = PLATFORM_OK;
+		answer.value = (const char *)part->data;
+		answer.size = part->size;
 	}
 	spread_platform_answer(config->spread, action->call, &action->digest, &answer,
 	    kernel_now(config->kernel));
@@ -573,6 +572,7 @@
 	    .boot = kernel_boot_id(kernel),
 	    .mode = settings->spread,
 	    .source = settings->config_source,
+	    .watchers = settings->config_watchers,
 	    .dialect = settings->dialect,
 	    .seed = rng_next(kernel_rng(kernel)) ^ kernel_boot_id(kernel)};
 	int error =
@@ -599,6 +599,7 @@
 	config->settings = settings;
 	list_init(&config->calls);
 	buffer_init(&config->document_head, RECORD_HEAD_MAX);
+	record_parts_init(&config->document_parts);
 	list_init(&config->service.link);
 	config->service.name = "config";
 	config->service.state = config;
@@ -632,7 +633,7 @@
 	LIST_FOREACH_SAFE (node, &config->calls)
 		call_free(LIST_ENTRY(node, config_call_t, link));
 	spread_destroy(config->spread);
-	chunk_release(config->document);
+	record_parts_clear(&config->document_parts);
 	buffer_free(&config->document_head);
 	free(config);
 }
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -159,7 +159,7 @@
 	run_state_t run; /* of all attempts so far */
 	reason_t last_reason;
 	load_report_t last_load; /* of the gate that refused last */
-	uint32_t backends_lost; /* attempts that ended as REASON_BACKEND_LOST */
+	uint32_t backends_lost;	 /* attempts that ended as REASON_BACKEND_LOST */
 	ev_timer backoff;
 
 	/* answer */
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -179,7 +179,8 @@
 	if (gate_ticket_issue(call))
 		return;
 	/* Every gate of the service would refuse for that reason alike. */
-	if (!gate->naive && !throttle_admit(&gate->throttle, call->head->route_class, now)) {
+	if (!gate->naive &&
+	    !throttle_admit(&gate->throttle, call->head->route_class, now)) {
 		gate_call_refuse(call, REASON_DEPENDENCY, RUN_NO, true);
 		return;
 	}
--- a/src/message.h
+++ b/src/message.h
@@ -43,14 +43,14 @@
 	MESSAGE_MEMBER_REMOVED, /* from membership: forgotten */
 	MESSAGE_INSTANCE,	/* from gate to membership: the local instance */
 	MESSAGE_RUN,		/* from gate to entry: a request starts or ends running */
-	MESSAGE_NESTED,		/* from entry to gate: a call of a running request ended */
-	MESSAGE_CRASH_REPORT,	/* about a fingerprint, see quarantine.h */
-	MESSAGE_VERSION,	/* config to membership: version now in force */
-	MESSAGE_VERSION_HEARD,	/* membership to config: a member's version */
-	MESSAGE_SNAPSHOT,	/* from config: the configuration now in force */
-	MESSAGE_QUERY,		/* from operators: report your state */
-	MESSAGE_REPORT,		/* JSON text in answer to a query */
-	MESSAGE_LEAVE,		/* from node: shutdown has begun */
+	MESSAGE_NESTED,	       /* from entry to gate: a call of a running request ended */
+	MESSAGE_CRASH_REPORT,  /* about a fingerprint, see quarantine.h */
+	MESSAGE_VERSION,       /* config to membership: version now in force */
+	MESSAGE_VERSION_HEARD, /* membership to config: a member's version */
+	MESSAGE_SNAPSHOT,      /* from config: the configuration now in force */
+	MESSAGE_QUERY,	       /* from operators: report your state */
+	MESSAGE_REPORT,	       /* JSON text in answer to a query */
+	MESSAGE_LEAVE,	       /* from node: shutdown has begun */
 	MESSAGE_STOP_LISTENING, /* from node: no work runs any more */
 	MESSAGE_JOIN_NEEDED,	/* membership to config: no seed answers */
 	MESSAGE_JOIN_ADDRESS	/* config to membership: one more node to join through */
@@ -163,7 +163,7 @@
 			uint32_t pressure; /* at the called service, percent */
 			bool refused;	   /* for load */
 			bool failed;	   /* for any reason */
-		} nested; /* NESTED */
+		} nested;		   /* NESTED */
 		struct {
 			uint64_t fingerprint;
 			uint64_t death; /* id of the backend server's death */
--- a/src/record.h
+++ b/src/record.h
@@ -169,11 +169,12 @@
 
 /*
  * Where the platform's operator keeps the whole configuration in one document,
- * the document is the only part of the only preset of a record. Writes the head
- * of that record; the same document gives the same head on every node. Errors:
- * as buffer_append().
+ * the document's pieces are the parts of the only preset of a record. Adds them
+ * to parts and writes the head that names them; the same document gives the
+ * same head on every node. Errors: MASTICPITCH_E_LIMIT, MASTICPITCH_E_NOMEM.
  */
-int record_document_head(uint64_t version, const chunk_t *document, buffer_t *text);
+int record_document_build(uint64_t version, const buffer_t *texts, size_t count,
+    record_parts_t *parts, buffer_t *head);
 
 /* A stored part as the platform lists it. */
 typedef struct record_stored {
--- a/src/record_cache.c
+++ b/src/record_cache.c
@@ -69,15 +69,18 @@
 document_parse(const record_preset_t *key, const record_parts_t *parts, preset_t **result,
     char *message, size_t message_size)
 {
-	const chunk_t *content =
-	    key->part_count == 1 ? record_parts_find(parts, &key->parts[0]) : NULL;
+	preset_text_t texts[RECORD_PRESET_PARTS_MAX];
 
-	if (content == NULL) {
-		snprintf(message, message_size, "the document is absent");
-		return MASTICPITCH_E_NOT_FOUND;
+	for (size_t i = 0; i < key->part_count; i++) {
+		const chunk_t *content = record_parts_find(parts, &key->parts[i]);
+
+		if (content == NULL) {
+			snprintf(message, message_size, "part %zu is absent", i);
+			return MASTICPITCH_E_NOT_FOUND;
+		}
+		texts[i] = (preset_text_t){(const char *)content->data, content->size};
 	}
-	return hosted_preset_parse(
-	    (const char *)content->data, content->size, result, message, message_size);
+	return hosted_preset_parse(texts, key->part_count, result, message, message_size);
 }
 
 /* One reference to the parsed preset. */
--- a/src/record_document.c
+++ b/src/record_document.c
@@ -6,29 +6,60 @@
 #define DOCUMENT_PRESET "platform"
 #define DOCUMENT_OPERATOR "platform"
 
+static int
+part_add(const buffer_t *text, record_preset_t *preset, record_parts_t *parts)
+{
+	chunk_t *content = chunk_copy(text->data, text->size);
+	int error;
+
+	if (content == NULL)
+		return MASTICPITCH_E_NOMEM;
+	digest_compute(
+	    content->data, content->size, &preset->parts[preset->part_count++]);
+	error = record_parts_add(parts, content);
+	chunk_release(content);
+	return error;
+}
+
+/* The head's history must have a commit; its id follows from the parts. */
+static void
+commit_add(record_head_t *head, const record_preset_t *preset)
+{
+	record_commit_t *commit = &head->history[head->history_count++];
+	digest_t operation;
+
+	digest_compute(
+	    preset->parts, preset->part_count * sizeof(preset->parts[0]), &operation);
+	digest_format(&operation, commit->operation);
+	commit->version = head->version;
+	string_copy(commit->operator_name, NAME_BYTES, DOCUMENT_OPERATOR);
+	string_copy(commit->action, sizeof(commit->action), "use");
+	string_copy(commit->preset, NAME_BYTES, DOCUMENT_PRESET);
+}
+
 int
-record_document_head(uint64_t version, const chunk_t *document, buffer_t *text)
+record_document_build(uint64_t version, const buffer_t *texts, size_t count,
+    record_parts_t *parts, buffer_t *text)
 {
-	record_head_t *head = calloc(1, sizeof(*head));
+	record_head_t *head;
 	record_preset_t *preset;
-	record_commit_t *commit;
-	int error;
+	int error = MASTICPITCH_OK;
 
+	if (count > RECORD_PRESET_PARTS_MAX)
+		return MASTICPITCH_E_LIMIT;
+	head = calloc(1, sizeof(*head));
 	if (head == NULL)
 		return MASTICPITCH_E_NOMEM;
 	head->version = version;
 	string_copy(head->in_force, NAME_BYTES, DOCUMENT_PRESET);
 	preset = &head->presets[head->preset_count++];
 	string_copy(preset->name, NAME_BYTES, DOCUMENT_PRESET);
-	digest_compute(document->data, document->size, &preset->parts[0]);
-	preset->part_count = 1;
-	commit = &head->history[head->history_count++];
-	commit->version = version;
-	digest_format(&preset->parts[0], commit->operation);
-	string_copy(commit->operator_name, NAME_BYTES, DOCUMENT_OPERATOR);
-	string_copy(commit->action, sizeof(commit->action), "use");
-	string_copy(commit->preset, NAME_BYTES, DOCUMENT_PRESET);
-	error = record_head_format(head, text);
+	for (size_t i = 0; i < count && error == MASTICPITCH_OK; i++)
+		error = part_add(&texts[i], preset, parts);
+	if (error == MASTICPITCH_OK) {
+		commit_add(head, preset);
+		error = record_head_format(head, text);
+	}
 	free(head);
 	return error;
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -28,8 +28,8 @@
 
 static const choice_t spread_choices[] = {
     {"fast", SPREAD_FAST}, {"frugal", SPREAD_FRUGAL}, {NULL, 0}};
-static const choice_t source_choices[] = {{"relay", CONFIG_SOURCE_RELAY},
-    {"watch", CONFIG_SOURCE_WATCH}, {"mixed", CONFIG_SOURCE_MIXED}, {NULL, 0}};
+static const choice_t source_choices[] = {
+    {"relay", CONFIG_SOURCE_RELAY}, {"watch", CONFIG_SOURCE_WATCH}, {NULL, 0}};
 static const choice_t dialect_choices[] = {
     {"native", DIALECT_NATIVE}, {"hosted", DIALECT_HOSTED}, {NULL, 0}};
 static const choice_t policy_choices[] = {
@@ -412,6 +412,7 @@
 	string_copy(settings->platform_prefix, SETTINGS_PREFIX_BYTES, "masticpitch/");
 	settings->platform_timeout_ms = 2000;
 	settings->adaptive_limit = true;
+	settings->config_watchers = 1;
 	settings->requests_max = 4096;
 	settings->streams_per_peer_max = 1024;
 	settings->shutdown_grace_ms = 600 * 1000;
@@ -439,7 +440,7 @@
     {"bounds", {"drain_ms", "retry_percent", "retry_window_ms", "retry_extra", NULL}},
     {"mesh", {"seeds", "keys", NULL}},
     {"operators", {"token", NULL}},
-    {"configuration", {"spread", "source", NULL}},
+    {"configuration", {"spread", "source", "watchers", NULL}},
     {"routing", {"policy", NULL}},
     {"limits", {"requests", "streams_per_peer", "adaptive", NULL}},
     {"shutdown", {"grace_ms", "accept_ms", NULL}},
@@ -466,6 +467,8 @@
 	    reader, root, "configuration.spread", spread_choices, SPREAD_FAST);
 	settings->config_source = (config_source_t)read_choice(
 	    reader, root, "configuration.source", source_choices, CONFIG_SOURCE_RELAY);
+	read_number(
+	    reader, root, "configuration.watchers", 1, 1024, &settings->config_watchers);
 	settings->routing_policy = (routing_policy_t)read_choice(
 	    reader, root, "routing.policy", policy_choices, ROUTING_ADAPTIVE);
 	read_flag(reader, root, "limits.adaptive", &settings->adaptive_limit);
--- a/src/settings.h
+++ b/src/settings.h
@@ -26,9 +26,8 @@
 
 typedef enum spread_mode { SPREAD_FAST, SPREAD_FRUGAL } spread_mode_t;
 typedef enum config_source {
-	CONFIG_SOURCE_RELAY, /* one node of each availability zone watches */
-	CONFIG_SOURCE_WATCH, /* every node watches, none tells another: baseline */
-	CONFIG_SOURCE_MIXED  /* every node watches, and tells the others its version */
+	CONFIG_SOURCE_RELAY, /* some nodes of each availability zone watch */
+	CONFIG_SOURCE_WATCH  /* every node watches, none tells another: baseline */
 } config_source_t;
 typedef enum routing_policy { ROUTING_ADAPTIVE, ROUTING_NAIVE } routing_policy_t;
 
@@ -73,6 +72,7 @@
 	char operators_token[SETTINGS_TOKEN_BYTES];
 	spread_mode_t spread;
 	config_source_t config_source;
+	uint32_t config_watchers; /* nodes of a zone that watch; 1: its relay only */
 	routing_policy_t routing_policy;
 	bool adaptive_limit; /* of a gate; else the announced slots hold */
 	uint32_t requests_max;
--- a/src/spread.c
+++ b/src/spread.c
@@ -14,10 +14,8 @@
 	address_format(&options->address, spread->address);
 	spread->boot = options->boot;
 	spread->mode = options->mode;
-	spread->everyone_watches = options->source == CONFIG_SOURCE_MIXED;
-	spread->variant.kind = options->source == CONFIG_SOURCE_WATCH
-				   ? CONFIG_SOURCE_WATCH
-				   : CONFIG_SOURCE_RELAY;
+	spread->watchers = MAX_OF(options->watchers, 1U);
+	spread->variant.kind = options->source;
 	rng_init(&spread->rng, options->seed);
 	list_init(&spread->actions);
 	spread_members_init(&spread->members, options->node, options->zone,
@@ -163,7 +161,6 @@
 		spread_pull_run(spread, now);
 		break;
 	case CONFIG_SOURCE_WATCH:
-	case CONFIG_SOURCE_MIXED:
 		break;
 	}
 	spread_return_run(spread, now);
@@ -312,7 +309,6 @@
 		message_dispatch(spread, node, message, now);
 		break;
 	case CONFIG_SOURCE_WATCH:
-	case CONFIG_SOURCE_MIXED:
 		/* Nodes tell each other their floors and nothing else. */
 		if (message->kind == SPREAD_ASK_VERSION ||
 		    message->kind == SPREAD_VERSION)
--- a/src/spread.h
+++ b/src/spread.h
@@ -53,10 +53,10 @@
 #define SPREAD_PULL_TIMEOUT_NS (500 * NS_PER_MS)
 #define SPREAD_PULL_ATTEMPTS 6
 /*
- * Where every node watches, its own watch brings a version about as soon as it
- * is heard of; a pull is for nodes that the platform turns away.
+ * A watcher's own watch brings a version about as soon as it is heard of; a
+ * pull is for those that the platform turns away.
  */
-#define SPREAD_PULL_DELAY_MIXED_NS (400 * NS_PER_MS)
+#define SPREAD_PULL_DELAY_WATCHER_NS (400 * NS_PER_MS)
 /* Bound of the random wait before a heard version is pulled. */
 #define SPREAD_PULL_JITTER_FAST_NS (100 * NS_PER_MS)
 #define SPREAD_PULL_JITTER_FRUGAL_NS (500 * NS_PER_MS)
@@ -90,6 +90,7 @@
 	uint64_t boot;
 	spread_mode_t mode;
 	config_source_t source;
+	unsigned watchers; /* of a zone; 0 or 1: only its relay watches */
 	uint64_t seed;
 	dialect_t dialect; /* of the parts */
 	unsigned fan_out;  /* 0: SPREAD_FAN_OUT */
--- a/src/spread_accept.c
+++ b/src/spread_accept.c
@@ -179,7 +179,7 @@
 	candidate->head = NULL;
 	candidate->text = NULL;
 	spread_candidate_drop(spread);
-	if (spread->variant.kind == CONFIG_SOURCE_RELAY && !spread->everyone_watches)
+	if (spread->variant.kind == CONFIG_SOURCE_RELAY)
 		spread_push_accepted(spread, older, from_outside, from_platform, now);
 	free(older);
 	/* A version already in force is followed by a newer one at once. */
@@ -298,7 +298,6 @@
 		return (confirmed && floors_are_known(spread, now)) ||
 		       peers_are_enough(spread, now);
 	case CONFIG_SOURCE_WATCH:
-	case CONFIG_SOURCE_MIXED:
 		return confirmed && floors_are_known(spread, now);
 	}
 	return false;
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -108,7 +108,7 @@
 	char address[ADDRESS_TEXT_BYTES];
 	uint64_t boot;
 	spread_mode_t mode;
-	bool everyone_watches; /* CONFIG_SOURCE_MIXED */
+	unsigned watchers; /* of a zone; at least 1 */
 	rng_t rng;
 	list_t actions;
 	uint64_t wake;
@@ -197,13 +197,13 @@
 void spread_pull_schedule(
     spread_t *spread, uint64_t node, uint64_t version, uint64_t delay, uint64_t now);
 /* Wait for the own watch before a heard version is pulled. */
-uint64_t spread_pull_pause(const spread_t *spread);
+uint64_t spread_pull_pause(spread_t *spread);
 void spread_pull_newer(spread_t *spread, uint64_t now);
 void spread_pull_run(spread_t *spread, uint64_t now);
 void spread_pull_failed(spread_t *spread, uint64_t now);
 
 /* spread_platform.c */
-bool spread_reader_is_continuous(const spread_t *spread);
+bool spread_reader_is_continuous(spread_t *spread);
 void spread_reader_run(spread_t *spread, uint64_t now);
 void spread_reader_answer(
     spread_t *spread, spread_call_t call, const platform_answer_t *answer, uint64_t now);
--- a/src/spread_members.c
+++ b/src/spread_members.c
@@ -113,7 +113,7 @@
 	member->version = update->config_version;
 	member->floor = MAX_OF(member->floor, update->config_version);
 	members->order_valid = false;
-	members->relay_valid = false;
+	members->own_rank_valid = false;
 }
 
 void
@@ -127,7 +127,7 @@
 	memmove(member, member + 1,
 	    (members->count - (size_t)(member - members->items)) * sizeof(*member));
 	members->order_valid = false;
-	members->relay_valid = false;
+	members->own_rank_valid = false;
 }
 
 bool
@@ -153,38 +153,44 @@
 	return spread_member_is_usable(member) && member->state != MEMBER_LEAVING;
 }
 
-static bool
-ranks_lowest(const spread_members_t *members)
+static size_t
+rank_count(const spread_members_t *members)
 {
 	uint64_t own = rank_of(members->self);
+	size_t lower = 0;
 
 	if (members->self_leaving)
-		return false;
+		return SPREAD_MEMBERS_MAX;
 	for (size_t i = 0; i < members->count; i++) {
 		const spread_member_t *member = &members->items[i];
 
-		if (member->rank < own && may_relay(member) &&
-		    strcmp(member->zone, members->zone) == 0)
-			return false;
+		lower += member->rank < own && may_relay(member) &&
+			 strcmp(member->zone, members->zone) == 0;
 	}
-	return true;
+	return lower;
+}
+
+size_t
+spread_members_own_rank(spread_members_t *members)
+{
+	if (!members->own_rank_valid) {
+		members->own_rank = rank_count(members);
+		members->own_rank_valid = true;
+	}
+	return members->own_rank;
 }
 
 bool
 spread_members_is_relay(spread_members_t *members)
 {
-	if (!members->relay_valid) {
-		members->relay = ranks_lowest(members);
-		members->relay_valid = true;
-	}
-	return members->relay;
+	return spread_members_own_rank(members) == 0;
 }
 
 void
 spread_members_leave(spread_members_t *members)
 {
 	members->self_leaving = true;
-	members->relay_valid = false;
+	members->own_rank_valid = false;
 }
 
 uint64_t
--- a/src/spread_members.h
+++ b/src/spread_members.h
@@ -34,8 +34,8 @@
 	size_t order_count;
 	size_t order_capacity;
 	bool order_valid;
-	bool relay; /* this node ranks lowest; valid with relay_valid */
-	bool relay_valid;
+	size_t own_rank; /* live members of the zone below this node */
+	bool own_rank_valid;
 	unsigned fan_out;
 } spread_members_t;
 
@@ -59,6 +59,8 @@
 bool spread_member_is_usable(const spread_member_t *member);
 /* Members that are usable, without this node. */
 size_t spread_members_usable_count(const spread_members_t *members);
+/* Live members of its zone that rank below this node; many once it leaves. */
+size_t spread_members_own_rank(spread_members_t *members);
 /* True if this node ranks lowest among its zone's live members. */
 bool spread_members_is_relay(spread_members_t *members);
 /* The member of that zone that ranks lowest; 0: none. Own zone: never itself. */
--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -7,13 +7,14 @@
 #include <string.h>
 
 bool
-spread_reader_is_continuous(const spread_t *spread)
+spread_reader_is_continuous(spread_t *spread)
 {
 	switch (spread->variant.kind) {
 	case CONFIG_SOURCE_RELAY:
-		return spread->everyone_watches || spread->variant.u.relay.active;
+		return spread->variant.u.relay.active ||
+		       (spread->watchers > 1 &&
+			   spread_members_own_rank(&spread->members) < spread->watchers);
 	case CONFIG_SOURCE_WATCH:
-	case CONFIG_SOURCE_MIXED:
 		return true;
 	}
 	return false;
@@ -55,7 +56,7 @@
 	spread_reader_t *reader = &spread->reader;
 
 	bool relay = spread->variant.kind == CONFIG_SOURCE_RELAY &&
-		     (spread->everyone_watches || spread->variant.u.relay.active);
+		     spread_reader_is_continuous(spread);
 
 	reader->need_get = true;
 	reader->next_at =
--- a/src/spread_push.c
+++ b/src/spread_push.c
@@ -156,9 +156,11 @@
 }
 
 uint64_t
-spread_pull_pause(const spread_t *spread)
+spread_pull_pause(spread_t *spread)
 {
-	return spread->everyone_watches ? SPREAD_PULL_DELAY_MIXED_NS : 0;
+	return spread->watchers > 1 && spread_reader_is_continuous(spread)
+		   ? SPREAD_PULL_DELAY_WATCHER_NS
+		   : 0;
 }
 
 void
--- a/src/throttle.c
+++ b/src/throttle.c
@@ -10,8 +10,8 @@
 {
 	if (now <= pressure->at)
 		return 1;
-	return exp2(-(double)(now - pressure->at) /
-		    (double)(PRESSURE_HALF_LIFE_MS * NS_PER_MS));
+	return exp2(
+	    -(double)(now - pressure->at) / (double)(PRESSURE_HALF_LIFE_MS * NS_PER_MS));
 }
 
 void
