Log each request, failed attempt and change of a member; keep live connections of members held down

Cause: on 5 Mbit/s links datagrams wait behind bodies, membership holds the node down, and every stream with it ended: 2,274 attempts ended as stream-lost in 30 s on 32 nodes, found by the new log lines.

Change: JSON lines on standard output, which never block: one a request, one a failed attempt, one a member's change. A connection that delivered in the last second is asked by a ping instead of being closed.

--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -1,5 +1,6 @@
 #include "entry_internal.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static message_t *
@@ -183,6 +184,24 @@
 	return true;
 }
 
+/* An attempt that did not give the answer, with what the gate said of its load. */
+static void
+attempt_log(const entry_request_t *request, const refusal_t *refusal)
+{
+	char node[17];
+
+	snprintf(node, sizeof(node), "%016llx",
+	    (unsigned long long)request->attempt.node);
+	log_info(kernel_log(request->entry->kernel), "attempt failed",
+	    LOG_TEXT("request", request->head->request_id),
+	    LOG_NUMBER("attempt", request->attempts), LOG_TEXT("instance_node", node),
+	    LOG_TEXT("reason", reason_text(refusal->reason)),
+	    LOG_TEXT("run", run_state_text(refusal->run)),
+	    LOG_NUMBER("running", refusal->load.running),
+	    LOG_NUMBER("queued", refusal->load.queued),
+	    LOG_NUMBER("limit", refusal->load.limit));
+}
+
 /* The gate refused the call without having sent it to its backend server. */
 static bool
 gate_kept_it(const refusal_t *refusal)
@@ -217,6 +236,7 @@
 	}
 	request->run = MAX_OF(request->run, refusal->run);
 	failure.run = request->run;
+	attempt_log(request, refusal);
 	request->last_reason = refusal->reason;
 	request->last_load = refusal->load;
 	if (refusal->reason == REASON_BACKEND_LOST &&
@@ -312,6 +332,7 @@
 	}
 	message->u.answer = NULL;
 	request->answer = answer;
+	request->first_byte = kernel_now(entry->kernel);
 	balance_attempt_answer(entry->balance, &request->attempt, answer->status,
 	    &answer->load, kernel_now(entry->kernel));
 	request->body_kept = false;
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -131,6 +131,7 @@
 		return;
 	*request_state = NULL;
 	metrics = kernel_metrics(request->entry->kernel);
+	entry_request_log(request, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 	if (request->answer_cut)
 		metrics_add(metrics, METRIC_ANSWERS_CUT, 1);
 	else if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -159,6 +159,7 @@
 	run_state_t run; /* of all attempts so far */
 	reason_t last_reason;
 	load_report_t last_load; /* of the gate that refused last */
+	uint64_t first_byte;	 /* time of the answer head; 0: none */
 	uint32_t backends_lost;	 /* attempts that ended as REASON_BACKEND_LOST */
 	ev_timer backoff;
 
@@ -209,6 +210,8 @@
 /* Ends the request with a refusal; nothing is sent before the body is read. */
 void entry_request_refuse(
     entry_request_t *request, reason_t reason, run_state_t run, bool final);
+/* One line on how the request has ended. */
+void entry_request_log(const entry_request_t *request, bool delivered);
 /* True if there is something to answer with. */
 bool entry_request_is_ready(const entry_request_t *request);
 /* Queues answer or refusal. */
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -67,7 +67,7 @@
 	}
 	list_init(&kernel->services);
 	list_init(&kernel->queue);
-	log_init(&kernel->log, STDERR_FILENO, LOG_LEVEL_INFO);
+	log_init(&kernel->log, STDOUT_FILENO, LOG_LEVEL_INFO);
 	rng_init(&kernel->rng, seed);
 	randombytes_buf(&kernel->boot_id, sizeof(kernel->boot_id));
 	kernel->boot_id |= 1;
--- a/src/log.c
+++ b/src/log.c
@@ -3,6 +3,7 @@
 #include "os.h"
 #include "util.h"
 
+#include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -26,6 +27,16 @@
 	log->level = level;
 }
 
+void
+log_set_nonblocking(log_t *log)
+{
+	int flags = fcntl(log->fd, F_GETFL);
+
+	/* A terminal is shared with the shell that started the process. */
+	if (flags >= 0 && !isatty(log->fd))
+		(void)fcntl(log->fd, F_SETFL, flags | O_NONBLOCK);
+}
+
 int
 log_level_parse(const char *name, log_level_t *level)
 {
@@ -88,7 +99,8 @@
 
 /* Returns 1 if the line may pass; *suppressed: lines dropped before it. */
 static int
-log_repeat_admit(log_t *log, const char *message, uint32_t *suppressed)
+log_repeat_admit(
+    log_t *log, log_level_t level, const char *message, uint32_t *suppressed)
 {
 	uint64_t hash = hash_string(message);
 	uint64_t second = os_clock_monotonic() / NS_PER_S;
@@ -100,7 +112,7 @@
 			*suppressed = slot->suppressed;
 		*slot = (log_repeat_t){.message_hash = hash, .second = second};
 	}
-	if (slot->passed >= LOG_REPEATS_PER_S) {
+	if (slot->passed >= (level >= LOG_LEVEL_WARNING ? LOG_WARNINGS_PER_S : LOG_REPEATS_PER_S)) {
 		slot->suppressed++;
 		log->suppressed++;
 		return 0;
@@ -117,7 +129,7 @@
 	uint32_t suppressed;
 
 	if (log == NULL || level < log->level ||
-	    !log_repeat_admit(log, message, &suppressed))
+	    !log_repeat_admit(log, level, message, &suppressed))
 		return;
 	line_append(&line, "{\"time\":");
 	line_append_time(&line);
--- a/src/log.h
+++ b/src/log.h
@@ -20,8 +20,12 @@
 	LOG_LEVEL_ERROR
 } log_level_t;
 
-/* Lines with the same message that pass in one second; the rest is counted. */
+/*
+ * Lines with the same message that pass in one second; the rest is counted.
+ * Warnings tell of single requests that failed, so more of them pass.
+ */
 #define LOG_REPEATS_PER_S 10
+#define LOG_WARNINGS_PER_S 50
 #define LOG_REPEAT_SLOTS 64
 /* Longest line, bytes; longer values are cut. */
 #define LOG_LINE_MAX 2048
@@ -56,6 +60,11 @@
 	((log_field_t){LOG_KIND_NUMBER, (key), NULL, (int64_t)(value)})
 
 void log_init(log_t *log, int fd, log_level_t level);
+/*
+ * Lets lines be dropped, and counted, while a reader of the descriptor is slow;
+ * for a process that must not wait for it.
+ */
+void log_set_nonblocking(log_t *log);
 
 /* Errors: MASTICPITCH_E_INVALID; names are debug, info, warning, error. */
 int log_level_parse(const char *name, log_level_t *level);
--- a/src/membership.c
+++ b/src/membership.c
@@ -127,6 +127,26 @@
 	}
 }
 
+/* What the node believes of another one, each time that changes. */
+static void
+member_log(membership_t *membership, const member_t *member)
+{
+	static const char *const states[] = {"alive", "suspect", "leaving", "down"};
+	static const char *const instances[] = {"none", "starting", "ready", "leaving"};
+	char address[ADDRESS_TEXT_BYTES];
+
+	address_format(&member->address, address);
+	log_info(kernel_log(membership->kernel), "member changed",
+	    LOG_TEXT("member", address), LOG_TEXT("zone", member->zone),
+	    LOG_TEXT("state", states[member->state]),
+	    LOG_TEXT("service", member->instance.service),
+	    LOG_TEXT("instance", instances[member->instance.state]),
+	    LOG_NUMBER("incarnation", member->incarnation),
+	    LOG_NUMBER("sequence", member->instance.sequence),
+	    LOG_NUMBER("version", member->config_version),
+	    LOG_TEXT("reachable", member->reachable ? "yes" : "no"));
+}
+
 static void
 action_perform(membership_t *membership, member_action_t *action)
 {
@@ -140,6 +160,7 @@
 			sync_send(membership, action);
 		break;
 	case MEMBER_ACTION_CHANGED:
+		member_log(membership, &action->u.member);
 		member_post(membership, &action->u.member);
 		break;
 	case MEMBER_ACTION_REMOVED:
--- a/src/node.c
+++ b/src/node.c
@@ -239,6 +239,7 @@
 		goto fail;
 	}
 	kernel_log(node->kernel)->level = node->settings.log_level;
+	log_set_nonblocking(kernel_log(node->kernel));
 	address_format(&node->settings.peers, kernel_log(node->kernel)->node);
 	error = node_create_services(node, &what, &address);
 	if (error != MASTICPITCH_OK) {
--- a/src/peer_connection.c
+++ b/src/peer_connection.c
@@ -453,7 +453,11 @@
 			ev_io_start(
 			    kernel_loop(connection->peer->kernel), &connection->reader);
 	}
-	if (connection->state == PEER_READY)
+	if (connection->state == PEER_READY && connection->remote != NULL &&
+	    connection->remote->down &&
+	    now > connection->received + PEER_DOWN_SILENCE_MS * NS_PER_MS)
+		peer_connection_fail(connection);
+	else if (connection->state == PEER_READY)
 		ready_tick(connection, now);
 	else if (now > connection->opened + PEER_CONNECT_TIMEOUT_MS * NS_PER_MS)
 		peer_connection_fail(connection);
--- a/src/peer_internal.h
+++ b/src/peer_internal.h
@@ -17,6 +17,8 @@
 /* A connection with streams that is silent this long is asked, then given up. */
 #define PEER_PING_AFTER_MS 1000
 #define PEER_SILENCE_MAX_MS 4000
+/* The same for a connection with a node that membership holds down. */
+#define PEER_DOWN_SILENCE_MS 1000
 /*
  * The initiator closes an idle connection. Neither side starts new work on it
  * in the last seconds before, so that no call crosses the close.
--- a/src/peer_remote.c
+++ b/src/peer_remote.c
@@ -58,7 +58,31 @@
 	remote->control_bytes = 0;
 }
 
-/* A host that is down sends no reset; its streams must not wait for one. */
+/*
+ * A host that is down sends no reset; its streams must not wait for one. Datagrams
+ * of a host whose link is full are late or lost while its connections still
+ * deliver, so one that does is asked first.
+ */
+static void
+remote_went_down(peer_t *peer, peer_remote_t *remote)
+{
+	uint64_t now = kernel_now(peer->kernel);
+
+	LIST_FOREACH (node, &remote->connections) {
+		peer_connection_t *connection =
+		    LIST_ENTRY(node, peer_connection_t, remote_link);
+
+		if (connection->state != PEER_READY ||
+		    now > connection->received + PEER_DOWN_SILENCE_MS * NS_PER_MS) {
+			peer_connection_fail(connection);
+			continue;
+		}
+		connection->ping_due = true;
+		peer_connection_dirty(connection);
+	}
+	remote_refuse_waiting(peer, remote);
+}
+
 static void
 remote_disconnect(peer_t *peer, peer_remote_t *remote)
 {
@@ -82,7 +106,7 @@
 	remote->address = member->address;
 	remote->down = member->state == MEMBER_DOWN;
 	if (remote->down && !was_down)
-		remote_disconnect(peer, remote);
+		remote_went_down(peer, remote);
 	if (was_down && !remote->down) {
 		remote->failures = 0;
 		remote->retry_at = 0;
