--- a/src/member.h
+++ b/src/member.h
@@ -146,6 +146,12 @@
     member_table_t *table, uint64_t version, uint64_t now, list_t *actions);
 void member_leave(member_table_t *table, uint64_t now, list_t *actions);
 void member_add_join_address(member_table_t *table, const address_t *address);
+/*
+ * A connection with the node delivers: a sign of life as good as a datagram, and
+ * the only one while its link is too full for datagrams.
+ */
+void member_heard_on_connection(
+    member_table_t *table, uint64_t node, uint64_t now, list_t *actions);
 /* A report of this node's gate. */
 void member_report_crash(member_table_t *table, const member_crash_report_t *report,
     uint64_t now, list_t *actions);
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -87,6 +87,21 @@
 		member_clear_suspicion(table, entry, actions);
 }
 
+void
+member_heard_on_connection(
+    member_table_t *table, uint64_t node, uint64_t now, list_t *actions)
+{
+	member_entry_t *entry = member_entry_find(table, node);
+
+	if (entry == NULL)
+		return;
+	if (member_is_down(entry))
+		member_ask_record(
+		    table, entry, &entry->member.address, node, now, actions);
+	else
+		member_heard(table, entry, now, actions);
+}
+
 /* Position of the first ring entry with an id above node's. */
 static size_t
 ring_after(const member_table_t *table, uint64_t node)
--- a/src/membership.c
+++ b/src/membership.c
@@ -341,6 +341,10 @@
 	case MESSAGE_JOIN_ADDRESS:
 		member_add_join_address(table, &message->u.address);
 		break;
+	case MESSAGE_HEARD:
+		member_heard_on_connection(membership->table, message->node,
+		    kernel_now(membership->kernel), &actions);
+		break;
 	case MESSAGE_CONTROL:
 		payload = message->u.control.payload;
 		if (payload != NULL)
--- a/src/message.c
+++ b/src/message.c
@@ -123,6 +123,7 @@
 	case MESSAGE_MEMBER_REMOVED:
 	case MESSAGE_INSTANCE:
 	case MESSAGE_RUN:
+	case MESSAGE_HEARD:
 	case MESSAGE_NESTED:
 	case MESSAGE_CRASH_REPORT:
 	case MESSAGE_VERSION:
--- a/src/peer_connection.c
+++ b/src/peer_connection.c
@@ -167,6 +167,19 @@
 	}
 }
 
+static void
+heard_post(peer_connection_t *connection)
+{
+	peer_remote_t *remote = connection->remote;
+
+	if (remote == NULL ||
+	    connection->received < remote->heard_posted + PEER_HEARD_MS * NS_PER_MS)
+		return;
+	remote->heard_posted = connection->received;
+	peer_post(connection->peer, "membership",
+	    message_create(MESSAGE_HEARD, remote->node, 0));
+}
+
 /* Checks, decodes and handles one frame without its prefix. */
 static int
 frame_accept(peer_connection_t *connection, const uint8_t *data, size_t size)
@@ -192,6 +205,8 @@
 	else
 		error = peer_handshake_receive(connection, frame, data, body);
 	frame_free(frame);
+	if (error == MASTICPITCH_OK && connection->state == PEER_READY)
+		heard_post(connection);
 	return error;
 }
 
--- a/src/peer_internal.h
+++ b/src/peer_internal.h
@@ -19,6 +19,8 @@
 #define PEER_SILENCE_MAX_MS 4000
 /* The same for a connection with a node that membership holds down. */
 #define PEER_DOWN_SILENCE_MS 1000
+/* How often membership is told that a node's connections deliver. */
+#define PEER_HEARD_MS 200
 /*
  * The initiator closes an idle connection. Neither side starts new work on it
  * in the last seconds before, so that no call crosses the close.
@@ -62,6 +64,7 @@
 	size_t control_count;
 	size_t control_bytes;
 	size_t stream_count; /* outgoing, waiting ones too */
+	uint64_t heard_posted; /* membership was last told that it delivers */
 	uint32_t failures;
 	uint64_t retry_at; /* ns; no connect before */
 } peer_remote_t;
