Share the retry budget among entries; safe requests go on after a backend server's own error

Cause: each entry could save up 20 retries a service, 87 of them 1,740, where the platform allows 214 besides a fifth of the requests; and a backend server that fails part of its requests with good health failed safe requests that another one would have served.

Change: an entry's cap is its share of 0.6 of the allowed extra attempts; an idempotent request answered 5xx goes to another instance within the budget, unless a call of its own had failed.

--- a/src/entry.c
+++ b/src/entry.c
@@ -32,12 +32,27 @@
 	    kernel_service_find(entry->kernel, "gate"), message);
 }
 
+/* Each entry has its share of what all together may try again. */
+static void
+retry_share_set(entry_t *entry)
+{
+	uint32_t extra = entry->settings->bounds.retry_extra;
+	size_t nodes = balance_instance_count(entry->balance);
+
+	if (extra == 0 || nodes == entry->retry_nodes)
+		return;
+	entry->retry_nodes = nodes;
+	retry_tokens_max_set(entry->retry,
+	    1 + ENTRY_RETRY_EXTRA_USED * extra / (double)MAX_OF(nodes, (size_t)1));
+}
+
 static void
 member_update(entry_t *entry, const member_t *member)
 {
 	int error =
 	    balance_member_update(entry->balance, member, kernel_now(entry->kernel));
 
+	retry_share_set(entry);
 	if (error != MASTICPITCH_OK)
 		log_warning(kernel_log(entry->kernel), "instance not used",
 		    LOG_TEXT("reason", masticpitch_strerror(error)));
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -209,14 +209,13 @@
 	return refusal->run == RUN_NO && refusal->reason != REASON_BACKEND_SHED;
 }
 
-/* Decides on another attempt after one has failed. */
-static void
-attempt_failed(entry_request_t *request, const refusal_t *refusal)
+/* What the decision on another attempt depends on. */
+static retry_request_t
+attempt_facts(const entry_request_t *request)
 {
-	entry_t *entry = request->entry;
-	uint64_t now = kernel_now(entry->kernel);
 	const preset_route_t *route = request->route;
-	retry_request_t facts = {
+
+	return (retry_request_t){
 	    .idempotent = request->head->idempotent,
 	    .body_kept = request->body_kept,
 	    .answer_started = request->answer != NULL,
@@ -226,6 +225,15 @@
 	    .deadline = request->head->deadline,
 	    .route_class = request->head->route_class,
 	};
+}
+
+/* Decides on another attempt after one has failed. */
+static void
+attempt_failed(entry_request_t *request, const refusal_t *refusal)
+{
+	entry_t *entry = request->entry;
+	uint64_t now = kernel_now(entry->kernel);
+	retry_request_t facts = attempt_facts(request);
 	retry_failure_t failure = {.reason = refusal->reason, .final = refusal->final};
 	retry_decision_t decision;
 
@@ -320,6 +328,44 @@
 		attempt_failed(request, &refusal);
 }
 
+/*
+ * A backend server that fails by itself, while its health looks good, may be
+ * alone in that: an idempotent request goes to another one if the budget allows.
+ * One that failed since its own calls did would fail there as well.
+ */
+static bool
+error_is_repeated(entry_request_t *request, const answer_head_t *answer)
+{
+	entry_t *entry = request->entry;
+	uint64_t now = kernel_now(entry->kernel);
+	retry_request_t facts = attempt_facts(request);
+	const retry_failure_t failure = {
+	    .reason = REASON_BACKEND_ERROR, .run = RUN_UNKNOWN};
+	const refusal_t refusal = {
+	    .reason = REASON_BACKEND_ERROR, .run = RUN_UNKNOWN, .load = answer->load};
+
+	if (entry->settings->dialect != DIALECT_HOSTED || entry->naive ||
+	    answer->status < 500 || answer->nested_failed || !facts.idempotent)
+		return false;
+	if (retry_decide(entry->retry, request->preset_service, &facts, &failure,
+		kernel_rng(entry->kernel), now)
+		.stop != RETRY_STOP_NONE)
+		return false;
+	attempt_log(request, &refusal);
+	balance_attempt_answer(
+	    entry->balance, &request->attempt, answer->status, &answer->load, now);
+	entry_attempt_cancel(request);
+	request->run = RUN_UNKNOWN;
+	request->last_reason = REASON_BACKEND_ERROR;
+	if (!body_rewind(request)) {
+		attempt_give_up(request, REASON_ENTRY_LIMIT);
+		return true;
+	}
+	metrics_retry_add(kernel_metrics(entry->kernel), REASON_BACKEND_ERROR);
+	entry_attempt_start(request);
+	return true;
+}
+
 static void
 head_receive(entry_request_t *request, message_t *message)
 {
@@ -330,6 +376,8 @@
 		stream_violated(request);
 		return;
 	}
+	if (error_is_repeated(request, answer))
+		return;
 	message->u.answer = NULL;
 	request->answer = answer;
 	request->first_byte = kernel_now(entry->kernel);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -58,6 +58,11 @@
  * while a request is on its way leaves the caller with an unknown outcome.
  */
 #define ENTRY_LEAVE_IDLE_NS (5 * NS_PER_S)
+/*
+ * Part of the extra attempts that the platform allows all nodes in a window, kept
+ * for what entries do not know of each other.
+ */
+#define ENTRY_RETRY_EXTRA_USED 0.6
 /*
  * A caller that is refused for load comes back after a random time in this
  * range, ms; callers take at most a third of the time that they have left.
@@ -94,6 +99,7 @@
 	snapshot_t *snapshot; /* NULL: none yet */
 	balance_t *balance;
 	retry_t *retry;
+	size_t retry_nodes; /* that share the budget, when it was last divided */
 	limit_entry_t *limit;
 	quarantine_t *quarantine;
 	deadline_profile_t deadlines;
--- a/src/retry.c
+++ b/src/retry.c
@@ -15,6 +15,7 @@
 struct retry {
 	retry_kind_t kind;
 	uint64_t requests;
+	double tokens_max;
 	size_t count;
 	budget_t budgets[BUDGET_SLOTS];
 };
@@ -27,6 +28,7 @@
 	if (retry == NULL)
 		return MASTICPITCH_E_NOMEM;
 	retry->kind = kind;
+	retry->tokens_max = RETRY_TOKENS_MAX;
 	*result = retry;
 	return MASTICPITCH_OK;
 }
@@ -37,6 +39,15 @@
 	free(retry);
 }
 
+void
+retry_tokens_max_set(retry_t *retry, double tokens)
+{
+	retry->tokens_max = MIN_OF(tokens, RETRY_TOKENS_MAX);
+	for (size_t i = 0; i < BUDGET_SLOTS; i++)
+		retry->budgets[i].tokens =
+		    MIN_OF(retry->budgets[i].tokens, retry->tokens_max);
+}
+
 /* The service's slot, or the free one where it would go. */
 static size_t
 budget_slot(const retry_t *retry, const char *service)
@@ -96,7 +107,8 @@
 			slot = budget_slot(retry, service);
 		}
 		string_copy(retry->budgets[slot].service, NAME_BYTES, service);
-		retry->budgets[slot].tokens = RETRY_TOKENS_START;
+		retry->budgets[slot].tokens =
+		    MIN_OF(RETRY_TOKENS_START, retry->tokens_max);
 		retry->count++;
 	}
 	retry->budgets[slot].used = retry->requests;
@@ -113,7 +125,7 @@
 	retry->requests++;
 	budget = budget_get(retry, service->name);
 	budget->tokens =
-	    MIN_OF(budget->tokens + service->retry_percent / 100.0, RETRY_TOKENS_MAX);
+	    MIN_OF(budget->tokens + service->retry_percent / 100.0, retry->tokens_max);
 }
 
 double
@@ -122,7 +134,7 @@
 	size_t slot = budget_slot(retry, service);
 
 	if (retry->budgets[slot].service[0] == '\0')
-		return RETRY_TOKENS_START;
+		return MIN_OF(RETRY_TOKENS_START, retry->tokens_max);
 	return retry->budgets[slot].tokens;
 }
 
@@ -193,9 +205,12 @@
 }
 
 static retry_stop_t
-stop_for_cost(budget_t *budget, const retry_request_t *request,
+stop_for_cost(const retry_t *retry, budget_t *budget, const retry_request_t *request,
     const retry_failure_t *failure, uint64_t at)
 {
+	double kept =
+	    MIN_OF(RETRY_TOKENS_INTERNAL, RETRY_INTERNAL_PART * retry->tokens_max);
+
 	if (failure->final)
 		return RETRY_STOP_FINAL;
 	if (reason_is_permanent(failure->reason))
@@ -206,8 +221,7 @@
 		return RETRY_STOP_DEADLINE;
 	if (request->unsent)
 		return RETRY_STOP_NONE;
-	if (budget->tokens <
-	    (request->route_class == ROUTE_INTERNAL ? 1 : 1 + RETRY_TOKENS_INTERNAL))
+	if (budget->tokens < (request->route_class == ROUTE_INTERNAL ? 1 : 1 + kept))
 		return RETRY_STOP_BUDGET;
 	budget->tokens--;
 	return RETRY_STOP_NONE;
@@ -228,7 +242,8 @@
 	/* A backoff that does not fit is dropped if the attempt itself still fits. */
 	if (!retry_time_suffices(request->deadline, request->min_attempt_ms, *at))
 		*at = now;
-	return stop_for_cost(budget_get(retry, service->name), request, failure, *at);
+	return stop_for_cost(
+	    retry, budget_get(retry, service->name), request, failure, *at);
 }
 
 static retry_stop_t
--- a/src/retry.h
+++ b/src/retry.h
@@ -24,6 +24,8 @@
  * lookups would use up every token, and a slow internal call stalls all others.
  */
 #define RETRY_TOKENS_INTERNAL 5
+/* But at most this part of what may be saved up. */
+#define RETRY_INTERNAL_PART 0.25
 /* Longest wait before the second attempt, ms; doubled for each further one. */
 #define RETRY_BACKOFF_MS 4
 #define RETRY_BACKOFF_MS_MAX 100
@@ -90,6 +92,11 @@
 int retry_create(retry_kind_t kind, retry_t **retry);
 /* NULL is allowed. */
 void retry_destroy(retry_t *retry);
+/*
+ * Caps what a service may save up at this entry, where a bound holds over all
+ * entries together; RETRY_TOKENS_MAX is the most.
+ */
+void retry_tokens_max_set(retry_t *retry, double tokens);
 
 /*
  * Counts a caller's request (not an attempt) towards the service's budget.
--- a/test/test_retry.cc
+++ b/test/test_retry.cc
@@ -203,6 +203,24 @@
 	EXPECT_EQ(retry_budget(retry, "pamigay"), RETRY_TOKENS_MAX);
 }
 
+// Guards: many entries that save up retries each and together exceed what the
+// platform allows all of them; and a small share that lets no lookup be repeated.
+TEST_F(Retry, TheBudgetCanBeSharedAmongEntries)
+{
+	retry_tokens_max_set(retry, 3);
+	failure.run = RUN_UNKNOWN;
+	request.idempotent = true;
+	for (int i = 0; i < 1000; i++)
+		retry_request_record(retry, &service);
+	EXPECT_EQ(retry_budget(retry, "pamigay"), 3);
+	EXPECT_EQ(decide().stop, RETRY_STOP_NONE);
+	EXPECT_EQ(decide().stop, RETRY_STOP_NONE);
+	EXPECT_EQ(decide().stop, RETRY_STOP_BUDGET);
+	request.unsent = true;
+	EXPECT_EQ(decide().stop, RETRY_STOP_NONE);
+	EXPECT_EQ(retry_budget(retry, "pamigay"), 1);
+}
+
 // Guards: entries that retry in step, and waits beyond the stated bound.
 TEST_F(Retry, TheBackoffIsJitteredAndBounded)
 {
