Refuse a configuration document without routes

Cause: the fuzz target of the document read a table that was not there; the fault of a missing table was reported, but only the version's own fault was looked at. Ruled out: the pieces' reader, which checks each.

Conclusion: mended.

--- a/test/test_hosted_config.cc
+++ b/test/test_hosted_config.cc
@@ -145,6 +145,7 @@
 		 changed("\"weight\":90", "\"weight\":-1"), changed("\"safe\"", "7"),
 		 changed("\"timeoutMs\":800", "\"timeoutMs\":\"800\""),
 		 changed("\"services\"", "\"servicez\""),
+		 changed("\"routes\"", "\"route\""), changed("\"version\"", "\"v\""),
 		 changed("\"routes\":{", "\"routes\":{\"z\":[],")}) {
 		EXPECT_NE(parse(text), MASTICPITCH_OK) << text;
 		EXPECT_STRNE(message, "");
