No ticket table in a dialect without tickets

Cause: the memory of a node at rest was 9 MB, 4.9 of them the table of 32,768 tickets, whose rows are linked at the start; the hosted dialect has no tickets.

--- a/src/gate.c
+++ b/src/gate.c
@@ -328,6 +328,13 @@
 	return list_is_empty(&gate->calls);
 }
 
+/* A dialect without tickets needs no table of 5 MB for them. */
+static size_t
+gate_ticket_capacity(const gate_t *gate)
+{
+	return gate->names->ticket != NULL ? TICKET_TABLE_MAX : GATE_TICKETS_UNUSED;
+}
+
 int
 gate_create(kernel_t *kernel, const settings_t *settings, gate_t **result)
 {
@@ -357,7 +364,7 @@
 		error = quarantine_create(&gate->quarantine);
 	if (error == MASTICPITCH_OK)
 		error = ticket_table_create(address_to_node_id(&settings->peers),
-		    kernel_boot_id(kernel), TICKET_TABLE_MAX, &gate->tickets);
+		    kernel_boot_id(kernel), gate_ticket_capacity(gate), &gate->tickets);
 	if (error == MASTICPITCH_OK)
 		error = gate_exchange_open(gate);
 	if (error == MASTICPITCH_OK)
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -53,6 +53,8 @@
  */
 #define GATE_PROBES 3
 #define GATE_PROBE_PAUSE_MS 60
+/* Room in the ticket table where the dialect has no tickets. */
+#define GATE_TICKETS_UNUSED 16
 /* Broken exchanges whose cause, death or not, is being looked for. */
 #define GATE_LOST_MAX 64
 
--- a/src/node.c
+++ b/src/node.c
@@ -15,6 +15,8 @@
 #include "readiness.h"
 #include "settings.h"
 
+#include <curl/curl.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,6 +36,11 @@
  */
 #define SHUTDOWN_CLOSE_NS (100 * NS_PER_MS)
 
+/* Blocks from this size on are mapped one by one; half of a document's size. */
+#define MEMORY_MMAP_BYTES (32 * 1024)
+/* Free bytes at the end of the heap that are kept. */
+#define MEMORY_TRIM_BYTES (64 * 1024)
+
 struct masticpitch_node {
 	settings_t settings;
 	char *path; /* of the settings file */
@@ -211,6 +218,18 @@
 	return config_create(node->kernel, settings, &node->config);
 }
 
+/*
+ * Hosts are small: blocks of a configuration's size go back to the system when
+ * they are freed, and libcurl does not set up TLS, which no call here uses.
+ */
+static void
+memory_tune(void)
+{
+	mallopt(M_MMAP_THRESHOLD, MEMORY_MMAP_BYTES);
+	mallopt(M_TRIM_THRESHOLD, MEMORY_TRIM_BYTES);
+	(void)curl_global_init(CURL_GLOBAL_NOTHING);
+}
+
 int
 masticpitch_node_create(
     const char *settings_path, masticpitch_node_t **result, char *message, size_t size)
@@ -224,6 +243,7 @@
 
 	if (node == NULL)
 		return MASTICPITCH_E_NOMEM;
+	memory_tune();
 	node->path = strdup(settings_path);
 	if (node->path == NULL) {
 		error = MASTICPITCH_E_NOMEM;
