Name the setting of a fixed limit so that its absence keeps the adaptive one

Cause: test_gate fills settings by hand and got a fixed limit, so that uploads took every slot (RunningUploadsLeavePlacesForLookups).

--- a/src/gate.c
+++ b/src/gate.c
@@ -355,8 +355,8 @@
 	list_init(&gate->service.link);
 	gate->naive = settings->routing_policy == ROUTING_NAIVE;
 	queue_init(&gate->queue, 0, 1, !gate->naive);
-	limit_gate_init(&gate->limit, 1, !gate->naive && settings->adaptive_limit,
-	    kernel_now(kernel));
+	limit_gate_init(
+	    &gate->limit, 1, !gate->naive && !settings->fixed_limit, kernel_now(kernel));
 	throttle_init(&gate->throttle);
 	gate_death_init(gate);
 	error = stream_table_init(&gate->streams);
--- a/src/settings.c
+++ b/src/settings.c
@@ -411,7 +411,6 @@
 	memset(settings, 0, sizeof(*settings));
 	string_copy(settings->platform_prefix, SETTINGS_PREFIX_BYTES, "masticpitch/");
 	settings->platform_timeout_ms = 2000;
-	settings->adaptive_limit = true;
 	settings->config_watchers = 1;
 	settings->requests_max = 4096;
 	settings->streams_per_peer_max = 1024;
@@ -442,7 +441,7 @@
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", "watchers", NULL}},
     {"routing", {"policy", NULL}},
-    {"limits", {"requests", "streams_per_peer", "adaptive", NULL}},
+    {"limits", {"requests", "streams_per_peer", "fixed", NULL}},
     {"shutdown", {"grace_ms", "accept_ms", NULL}},
     {"log", {"level", NULL}},
 };
@@ -471,7 +470,7 @@
 	    reader, root, "configuration.watchers", 1, 1024, &settings->config_watchers);
 	settings->routing_policy = (routing_policy_t)read_choice(
 	    reader, root, "routing.policy", policy_choices, ROUTING_ADAPTIVE);
-	read_flag(reader, root, "limits.adaptive", &settings->adaptive_limit);
+	read_flag(reader, root, "limits.fixed", &settings->fixed_limit);
 	read_number(reader, root, "limits.requests", 1, 65536, &settings->requests_max);
 	read_number(reader, root, "limits.streams_per_peer", 1, 65536,
 	    &settings->streams_per_peer_max);
--- a/src/settings.h
+++ b/src/settings.h
@@ -74,7 +74,7 @@
 	config_source_t config_source;
 	uint32_t config_watchers; /* nodes of a zone that watch; 1: its relay only */
 	routing_policy_t routing_policy;
-	bool adaptive_limit; /* of a gate; else the announced slots hold */
+	bool fixed_limit; /* of a gate: the announced slots, not an adaptive one */
 	uint32_t requests_max;
 	uint32_t streams_per_peer_max;
 	uint32_t shutdown_grace_ms;
