--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -342,8 +342,9 @@
 		reason = framing_check(request, &fields);
 	/* Where the body ends is not known, or not worth finding out. */
 	request->close = reason != REASON_NONE;
-	if (reason == REASON_NONE)
-		reason = identity_set(request, &fields);
+	/* A refused request has an id as well. */
+	if (identity_set(request, &fields) != REASON_NONE && reason == REASON_NONE)
+		reason = REASON_BAD_REQUEST;
 	if (reason == REASON_NONE)
 		reason = path_check(request->head->path);
 	if (reason != REASON_NONE)
