Ask a node that is held down again and again; new calls go elsewhere

Cause: the connection of a node that membership holds down was asked once, and cut a second later although the node had answered; and new calls still went to it. Both found by test_peer: LostConnectionTells- BothOwnersWithTrueRunStates, whose node was alive when it was declared down.

--- a/src/peer.h
+++ b/src/peer.h
@@ -11,6 +11,9 @@
 extern "C" {
 #endif
 
+/* A connection with a node that membership holds down is given up after this, ms. */
+#define PEER_DOWN_SILENCE_MS 1000
+
 typedef struct peer peer_t;
 
 /*
--- a/src/peer_connection.c
+++ b/src/peer_connection.c
@@ -455,6 +455,21 @@
 		peer_connection_fail(connection);
 }
 
+/* Asks a node that is held down again and again; each answer keeps its streams. */
+static void
+down_tick(peer_connection_t *connection, uint64_t now)
+{
+	uint64_t asked = MAX_OF(connection->received, connection->pinged);
+
+	if (now > connection->received + PEER_DOWN_SILENCE_MS * NS_PER_MS) {
+		peer_connection_fail(connection);
+	} else if (now > asked + PEER_DOWN_PING_MS * NS_PER_MS) {
+		connection->ping_due = true;
+		connection->pinged = now;
+		peer_connection_dirty(connection);
+	}
+}
+
 void
 peer_connection_tick(peer_connection_t *connection, uint64_t now)
 {
@@ -468,9 +483,8 @@
 			ev_io_start(
 			    kernel_loop(connection->peer->kernel), &connection->reader);
 	}
-	if (connection->state == PEER_READY && connection->remote->down &&
-	    now > connection->received + PEER_DOWN_SILENCE_MS * NS_PER_MS)
-		peer_connection_fail(connection);
+	if (connection->state == PEER_READY && connection->remote->down)
+		down_tick(connection, now);
 	else if (connection->state == PEER_READY)
 		ready_tick(connection, now);
 	else if (now > connection->opened + PEER_CONNECT_TIMEOUT_MS * NS_PER_MS)
--- a/src/peer_internal.h
+++ b/src/peer_internal.h
@@ -17,8 +17,8 @@
 /* A connection with streams that is silent this long is asked, then given up. */
 #define PEER_PING_AFTER_MS 1000
 #define PEER_SILENCE_MAX_MS 4000
-/* The same for a connection with a node that membership holds down. */
-#define PEER_DOWN_SILENCE_MS 1000
+/* A node that membership holds down is asked this long after its last frame. */
+#define PEER_DOWN_PING_MS 300
 /* How often membership is told that a node's connections deliver. */
 #define PEER_HEARD_MS 200
 /*
--- a/src/peer_stream.c
+++ b/src/peer_stream.c
@@ -174,7 +174,8 @@
 	peer_stream_t *stream;
 	message_t *taken;
 
-	if (remote == NULL) {
+	/* One held down keeps its streams while it answers, but gets no new ones. */
+	if (remote == NULL || remote->down) {
 		call_refuse(peer, message, REASON_PEER_UNREACHABLE);
 		return;
 	}
--- a/src/throttle.h
+++ b/src/throttle.h
@@ -19,11 +19,11 @@
 /* Shortest time between two steps of a class's share, ms. */
 #define THROTTLE_STEP_MS 100
 /* Pressure at a called service above which the share shrinks, percent. */
-#define THROTTLE_PRESSURE_HIGH 25
+#define THROTTLE_PRESSURE_HIGH 15
 /* Pressure up to which it grows again, percent. */
-#define THROTTLE_PRESSURE_LOW 10
+#define THROTTLE_PRESSURE_LOW 5
 #define THROTTLE_DECREASE 0.9
-#define THROTTLE_INCREASE 0.05
+#define THROTTLE_INCREASE 0.04
 /* The share never falls below this, so that recovery is noticed. */
 #define THROTTLE_SHARE_MIN 0.1
 /* Without a call for this time the share grows, ms. */
