Give the refusal of a body that ends after it

Load was ruled out by a test that cuts the chunk itself.

Change: bytes dropped after the refusal have their own count.

--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -147,6 +147,7 @@
 	/* request body */
 	int64_t body_length; /* -1: chunked */
 	uint64_t body_received;
+	uint64_t body_dropped; /* read after the refusal or the whole answer */
 	bool body_end;
 	buffer_t kept; /* the body so far, for another attempt */
 	bool body_kept;
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -199,8 +199,8 @@
 
 	if (request->route != NULL)
 		limit = MAX_OF(limit, request->route->body_limit_bytes);
-	request->body_received += size;
-	if (request->body_received > limit)
+	request->body_dropped += size;
+	if (request->body_dropped > limit)
 		entry_request_break(request);
 }
 
--- a/test/test_entry.cc
+++ b/test/test_entry.cc
@@ -151,6 +151,24 @@
 	ASSERT_TRUE(until([&] { return gate->count(MESSAGE_CALL_CANCEL) == 1; }));
 }
 
+// Guards: a refusal that is lost since the rest of the chunk that exceeded the limit
+// comes a moment later; the connection was closed without an answer.
+TEST_F(Entry, ARefusedBodyMayEndAfterTheRefusal)
+{
+	std::unique_ptr<Raw> caller;
+
+	ready();
+	caller = send_request("POST /katalogo/book/2 HTTP/1.1\r\nHost: h\r\n"
+			      "Transfer-Encoding: chunked\r\n\r\n");
+	for (int i = 0; i < 50; i++)
+		caller->write("fa0\r\n" + std::string(4000, 'x') + "\r\n");
+	caller->write("fa0\r\n" + std::string(2000, 'x'));
+	ASSERT_TRUE(until([&] { return gate->count(MESSAGE_CALL_CANCEL) == 1; }));
+	caller->write(std::string(2000, 'x') + "\r\n0\r\n\r\n");
+	ASSERT_TRUE(until([&] { return caller->has("}"); }));
+	expect_refused(caller->input, 413, "body-too-large", "unknown");
+}
+
 TEST_F(Entry, RequestNotRunIsSentWholeToAnotherInstance)
 {
 	std::string body(50000, 'b');
