Read only the changed pieces of a configuration

Cause: every change of the configuration made each node read all routes again: 11.5 ms of processor time for 1,600 routes, 120 ms on 0.1 of a core, in a storm several times a second. All pieces stood in memory as JSON objects at once.

Change: routes of pieces that the preset before was read from are copied; changed pieces are read one at a time.

Ruled out: the index; sorting and indexing 1,600 routes takes under 1 ms.

--- a/src/preset.c
+++ b/src/preset.c
@@ -454,6 +454,23 @@
 	return MASTICPITCH_OK;
 }
 
+int
+preset_routes_reserve(preset_t *preset, size_t more)
+{
+	preset_route_t *grown;
+
+	if (more > PRESET_ROUTES_MAX || preset->route_count > PRESET_ROUTES_MAX - more)
+		return MASTICPITCH_E_LIMIT;
+	if (more == 0)
+		return MASTICPITCH_OK;
+	grown = realloc(preset->routes, (preset->route_count + more) * sizeof(*grown));
+	if (grown == NULL)
+		return MASTICPITCH_E_NOMEM;
+	preset->routes = grown;
+	memset(&grown[preset->route_count], 0, more * sizeof(*grown));
+	return MASTICPITCH_OK;
+}
+
 int
 preset_services_finish(preset_t *preset, char *message, size_t message_size)
 {
--- a/src/preset.h
+++ b/src/preset.h
@@ -18,7 +18,7 @@
 
 #define PRESET_FORMAT 1
 #define PRESET_SERVICES_MAX 1024
-#define PRESET_ROUTES_MAX 4096
+#define PRESET_ROUTES_MAX 8192
 #define PRESET_PREFIX_BYTES 257 /* 256 characters and a terminator */
 #define PRESET_HOST_BYTES 129
 /* Ranked routes up to this priority go before the others. */
@@ -80,6 +80,7 @@
 	uint32_t service; /* index into services; of the first split if there are */
 	preset_split_t splits[PRESET_SPLITS_MAX];
 	size_t split_count; /* 0: everything goes to service */
+	uint32_t part;	    /* of a record in parts that it was read from */
 	bool ranked;	    /* its priority orders it, in place of its class */
 	uint32_t priority;  /* of a ranked route; 0 is the most urgent */
 	uint32_t target_ms; /* answers within this time are worth most; 0: not given */
@@ -137,6 +138,8 @@
  * MASTICPITCH_E_INVALID.
  */
 int preset_create(size_t services, size_t routes, preset_t **preset);
+/* Makes room for more routes. Errors: MASTICPITCH_E_NOMEM, MASTICPITCH_E_LIMIT. */
+int preset_routes_reserve(preset_t *preset, size_t more);
 int preset_services_finish(preset_t *preset, char *message, size_t message_size);
 int preset_finish(
     preset_t *preset, preset_t **result, char *message, size_t message_size);
--- a/src/record_cache.c
+++ b/src/record_cache.c
@@ -65,11 +65,41 @@
 	cache->count = kept;
 }
 
+/* The cached preset whose first part is the key's; it shares most others. */
+static const record_cache_item_t *
+cache_find_older(const record_cache_t *cache, const record_preset_t *key)
+{
+	for (size_t i = cache->count; i > 0; i--) {
+		const record_preset_t *older = &cache->items[i - 1].key;
+
+		if (older->part_count > 0 && key->part_count > 0 &&
+		    digest_equal(&older->parts[0], &key->parts[0]))
+			return &cache->items[i - 1];
+	}
+	return NULL;
+}
+
+/* Finds the parts of key that the older preset was read from as well. */
+static void
+older_match(
+    const record_cache_item_t *item, const record_preset_t *key, hosted_older_t *older)
+{
+	*older = (hosted_older_t){.preset = item->preset};
+	for (size_t i = 1; i < key->part_count; i++) {
+		for (size_t j = 1; j < item->key.part_count; j++) {
+			if (digest_equal(&item->key.parts[j], &key->parts[i]))
+				older->same[i] = (uint32_t)j;
+		}
+	}
+}
+
 static int
-document_parse(const record_preset_t *key, const record_parts_t *parts, preset_t **result,
-    char *message, size_t message_size)
+document_parse(const record_preset_t *key, const record_cache_t *cache,
+    const record_parts_t *parts, preset_t **result, char *message, size_t message_size)
 {
+	const record_cache_item_t *item = cache_find_older(cache, key);
 	preset_text_t texts[RECORD_PRESET_PARTS_MAX];
+	hosted_older_t older;
 
 	for (size_t i = 0; i < key->part_count; i++) {
 		const chunk_t *content = record_parts_find(parts, &key->parts[i]);
@@ -80,7 +110,10 @@
 		}
 		texts[i] = (preset_text_t){(const char *)content->data, content->size};
 	}
-	return hosted_preset_parse(texts, key->part_count, result, message, message_size);
+	if (item != NULL)
+		older_match(item, key, &older);
+	return hosted_preset_parse(texts, key->part_count, item != NULL ? &older : NULL,
+	    result, message, message_size);
 }
 
 /* One reference to the parsed preset. */
@@ -97,7 +130,7 @@
 	}
 	switch (cache->dialect) {
 	case DIALECT_HOSTED:
-		error = document_parse(key, parts, result, message, message_size);
+		error = document_parse(key, cache, parts, result, message, message_size);
 		break;
 	case DIALECT_NATIVE:
 	default:
