--- a/src/balance.c
+++ b/src/balance.c
@@ -1,6 +1,7 @@
 #include "balance.h"
 
 #include "balance_table.h"
+#include "link.h"
 
 #include <string.h>
 
@@ -13,6 +14,11 @@
 #define LATENCY_HALF_LIFE_MS 5000
 /* Latency assumed before the first sample of a service, us. */
 #define LATENCY_DEFAULT_US 1000.0
+/*
+ * Mean wait for the links of a zone's hosts at which its instances count as
+ * fully used by calls with long answers, us.
+ */
+#define LINK_WAIT_FULL_US 300000.0
 /* Weight of an instance at the start of its slow start. */
 #define WEIGHT_MIN 0.1
 /* Lowest share of attempts taken that a score is divided by. */
@@ -94,39 +100,73 @@
 		   balance_decay(instance->load_at, now, LOAD_HALF_LIFE_MS);
 }
 
+/* Time that the answer occupies the link of the instance's host, us. */
+static double
+instance_transfer(const balance_t *balance, const balance_instance_t *instance,
+    const balance_need_t *need)
+{
+	if (need->answer_bytes <= LINK_SHORT_BYTES || instance->node == balance->local)
+		return 0;
+	return (double)need->answer_bytes / 1000 * instance->load.link_ns_per_kilobyte /
+	       NS_PER_US;
+}
+
+/* Time that a long answer waits for the link of the instance's host, us. */
+static double
+instance_link_wait(const balance_t *balance, const balance_instance_t *instance,
+    const balance_need_t *need, uint64_t now)
+{
+	double age, reported;
+
+	if (need->answer_bytes <= LINK_SHORT_BYTES || instance->load_at == 0 ||
+	    instance->node == balance->local)
+		return 0;
+	age = (double)(now - MIN_OF(instance->load_at, now)) / NS_PER_US;
+	reported = MAX_OF(instance->load.link_wait_us - age, 0.0);
+	return MAX_OF(reported,
+	    instance->long_in_flight * instance_transfer(balance, instance, need));
+}
+
 /*
  * About the time until a new call would be answered; lower is better. The work
  * counts in relation to the calls that the gate runs at once, since a lagging
  * gate has a short queue that moves slowly.
  */
 static double
-instance_score(const balance_instance_t *instance, const preset_service_t *settings,
-    route_class_t route_class, uint64_t now)
+instance_score(const balance_t *balance, const balance_instance_t *instance,
+    const preset_service_t *settings, const balance_need_t *need, uint64_t now)
 {
-	double load = 1.0 + instance_work(instance, route_class, now);
+	double load = 1.0 + instance_work(instance, need->route_class, now);
+	double work = load / instance_places(instance) * instance_latency(instance, now) /
+		      instance_weight(instance, settings->slow_start_ms, now) /
+		      MAX_OF(ACCEPTANCE_MIN, balance_instance_acceptance(instance, now));
 
-	return load / instance_places(instance) * instance_latency(instance, now) /
-	       instance_weight(instance, settings->slow_start_ms, now) /
-	       MAX_OF(ACCEPTANCE_MIN, balance_instance_acceptance(instance, now));
+	return work + instance_link_wait(balance, instance, need, now) +
+	       instance_transfer(balance, instance, need);
 }
 
-/* Two random candidates of a tier and the tier's utilisation. */
+/* Two random candidates of a tier, the local one, and the tier's utilisation. */
 typedef struct candidates {
 	balance_instance_t *drawn[2];
+	balance_instance_t *local; /* NULL: it is none of them */
 	size_t count;
 	double work;
 	double places;
+	double link_wait; /* us, sum */
 } candidates_t;
 
 static void
-candidates_add(
-    candidates_t *candidates, balance_instance_t *instance, rng_t *rng, uint64_t now)
+candidates_add(const balance_t *balance, candidates_t *candidates,
+    balance_instance_t *instance, const balance_need_t *need, rng_t *rng, uint64_t now)
 {
 	double reported = instance_reported_load(instance, now);
 	size_t seen = candidates->count++;
 
 	candidates->work += MAX_OF(reported, (double)instance->in_flight);
 	candidates->places += instance_places(instance);
+	candidates->link_wait += instance_link_wait(balance, instance, need, now);
+	if (instance->node == balance->local)
+		candidates->local = instance;
 	/* Reservoir of two: every pair is equally likely, and nothing is allocated. */
 	if (seen < 2) {
 		candidates->drawn[seen] = instance;
@@ -141,13 +181,14 @@
 static double
 candidates_utilisation(const candidates_t *candidates)
 {
-	return candidates->work / candidates->places;
+	return MAX_OF(candidates->work / candidates->places,
+	    candidates->link_wait / (double)candidates->count / LINK_WAIT_FULL_US);
 }
 
 static void
-candidates_collect(const balance_service_t *service, const uint64_t *excluded,
-    size_t excluded_count, bool preferred, rng_t *rng, uint64_t now,
-    candidates_t tiers[TIER_COUNT])
+candidates_collect(const balance_t *balance, const balance_service_t *service,
+    const balance_need_t *need, const uint64_t *excluded, size_t excluded_count,
+    bool preferred, rng_t *rng, uint64_t now, candidates_t tiers[TIER_COUNT])
 {
 	memset(tiers, 0, TIER_COUNT * sizeof(*tiers));
 	for (size_t i = 0; i < service->count; i++) {
@@ -157,7 +198,8 @@
 			      : !balance_instance_is_ready(instance, now))
 			continue;
 		if (!instance_is_excluded(instance, excluded, excluded_count))
-			candidates_add(&tiers[instance->tier], instance, rng, now);
+			candidates_add(
+			    balance, &tiers[instance->tier], instance, need, rng, now);
 	}
 }
 
@@ -195,36 +237,60 @@
 	return selected;
 }
 
+/* The better one; the order does not decide between equal ones. */
+static const balance_instance_t *
+instance_better(const balance_t *balance, const balance_instance_t *a,
+    const balance_instance_t *b, const preset_service_t *settings,
+    const balance_need_t *need, uint64_t now)
+{
+	return instance_score(balance, b, settings, need, now) <
+		       instance_score(balance, a, settings, need, now)
+		   ? b
+		   : a;
+}
+
+/* Two random choices, and the local instance, which needs no link. */
+static const balance_instance_t *
+candidates_best(const balance_t *balance, const candidates_t *candidates,
+    const preset_service_t *settings, const balance_need_t *need, rng_t *rng,
+    uint64_t now)
+{
+	const balance_instance_t *best = candidates->drawn[0];
+
+	if (candidates->count > 1) {
+		/* Equal scores are common when idle. */
+		size_t first = rng_below(rng, 2);
+
+		best = instance_better(balance, candidates->drawn[first],
+		    candidates->drawn[1 - first], settings, need, now);
+	}
+	if (candidates->local != NULL)
+		best = instance_better(
+		    balance, candidates->local, best, settings, need, now);
+	return best;
+}
+
 static int
-choose_adaptive(const balance_service_t *service, const preset_service_t *settings,
-    route_class_t route_class, const uint64_t *excluded, size_t excluded_count,
-    rng_t *rng, uint64_t now, uint64_t *node)
+choose_adaptive(const balance_t *balance, const balance_service_t *service,
+    const preset_service_t *settings, const balance_need_t *need,
+    const uint64_t *excluded, size_t excluded_count, rng_t *rng, uint64_t now,
+    uint64_t *node)
 {
 	candidates_t tiers[TIER_COUNT];
 	const candidates_t *selected;
-	const balance_instance_t *best;
 
-	candidates_collect(service, excluded, excluded_count, true, rng, now, tiers);
+	candidates_collect(
+	    balance, service, need, excluded, excluded_count, true, rng, now, tiers);
 	selected = candidates_select(tiers, settings->spill_percent, rng);
 	if (selected == NULL) {
 		/* Ejected and suspect instances are better than none. */
-		candidates_collect(
-		    service, excluded, excluded_count, false, rng, now, tiers);
+		candidates_collect(balance, service, need, excluded, excluded_count,
+		    false, rng, now, tiers);
 		selected = candidates_select(tiers, settings->spill_percent, rng);
 	}
 	if (selected == NULL)
 		return MASTICPITCH_E_NOT_FOUND;
-	best = selected->drawn[0];
-	if (selected->count > 1) {
-		/* Equal scores are common when idle; the order must not decide them. */
-		size_t first = rng_below(rng, 2);
-
-		best = selected->drawn[first];
-		if (instance_score(selected->drawn[1 - first], settings, route_class,
-			now) < instance_score(best, settings, route_class, now))
-			best = selected->drawn[1 - first];
-	}
-	*node = best->node;
+	*node = candidates_best(balance, selected, settings, need, rng, now)->node;
 	return MASTICPITCH_OK;
 }
 
@@ -251,13 +317,15 @@
     const uint64_t *excluded, size_t excluded_count, rng_t *rng, uint64_t now,
     uint64_t *node)
 {
-	return balance_choose_for_class(
-	    balance, settings, ROUTE_CALL, excluded, excluded_count, rng, now, node);
+	const balance_need_t need = {.route_class = ROUTE_CALL};
+
+	return balance_choose_for(
+	    balance, settings, &need, excluded, excluded_count, rng, now, node);
 }
 
 int
-balance_choose_for_class(balance_t *balance, const preset_service_t *settings,
-    route_class_t route_class, const uint64_t *excluded, size_t excluded_count,
+balance_choose_for(balance_t *balance, const preset_service_t *settings,
+    const balance_need_t *need, const uint64_t *excluded, size_t excluded_count,
     rng_t *rng, uint64_t now, uint64_t *node)
 {
 	balance_service_t *service = balance_service_find(balance, settings->name);
@@ -269,7 +337,7 @@
 		return choose_naive(service, excluded, excluded_count, now, node);
 	case BALANCE_ADAPTIVE:
 	default:
-		return choose_adaptive(service, settings, route_class, excluded,
+		return choose_adaptive(balance, service, settings, need, excluded,
 		    excluded_count, rng, now, node);
 	}
 }
--- a/src/balance.h
+++ b/src/balance.h
@@ -44,9 +44,16 @@
 	uint64_t generation; /* of the instance; an older one is ignored */
 	uint64_t started;
 	route_class_t route_class;
+	bool long_answer;
 	bool open;
 } balance_attempt_t;
 
+/* What a request needs of an instance. */
+typedef struct balance_need {
+	route_class_t route_class;
+	uint32_t answer_bytes; /* as expected; 0: not known */
+} balance_need_t;
+
 /* What balancing knows of one instance, for operators. */
 typedef struct balance_view {
 	uint64_t node;
@@ -94,16 +101,23 @@
     uint64_t *node);
 
 /*
- * The same with the class of the request known. balance_choose() takes it as
- * ROUTE_CALL; internal calls should come through here, since lookups that wait
- * at a gate do not delay them.
+ * The same with more known of the request. balance_choose() takes it as a
+ * ROUTE_CALL with a short answer; internal calls should come through here, since
+ * lookups that wait at a gate do not delay them, and calls with long answers,
+ * since these wait for the link of the instance's host.
  */
-int balance_choose_for_class(balance_t *balance, const preset_service_t *service,
-    route_class_t route_class, const uint64_t *excluded, size_t excluded_count,
+int balance_choose_for(balance_t *balance, const preset_service_t *service,
+    const balance_need_t *need, const uint64_t *excluded, size_t excluded_count,
     rng_t *rng, uint64_t now, uint64_t *node);
 
+/*
+ * The node of this entry: its instance needs no link, and is compared with those
+ * that are drawn.
+ */
+void balance_local_set(balance_t *balance, uint64_t node);
+
 /* Records the start of an attempt. An unknown node gives a closed attempt. */
-void balance_attempt_start(balance_t *balance, uint64_t node, route_class_t route_class,
+void balance_attempt_start(balance_t *balance, uint64_t node, const balance_need_t *need,
     uint64_t now, balance_attempt_t *attempt);
 /*
  * The answer head has come. The attempt stays open, and counted in flight,
--- a/src/balance_record.c
+++ b/src/balance_record.c
@@ -1,6 +1,7 @@
 #include "balance.h"
 
 #include "balance_table.h"
+#include "link.h"
 
 /* Share of a new sample in a smoothed latency. */
 #define LATENCY_SAMPLE_SHARE 0.2
@@ -32,19 +33,22 @@
 }
 
 void
-balance_attempt_start(balance_t *balance, uint64_t node, route_class_t route_class,
+balance_attempt_start(balance_t *balance, uint64_t node, const balance_need_t *need,
     uint64_t now, balance_attempt_t *attempt)
 {
 	balance_instance_t *instance = balance_instance_find(balance, node);
 
-	*attempt =
-	    (balance_attempt_t){.node = node, .started = now, .route_class = route_class};
+	*attempt = (balance_attempt_t){.node = node,
+	    .started = now,
+	    .route_class = need->route_class,
+	    .long_answer = need->answer_bytes > LINK_SHORT_BYTES};
 	if (instance == NULL)
 		return;
 	attempt->open = true;
 	attempt->generation = instance->generation;
 	instance->in_flight++;
-	instance->class_in_flight[route_class]++;
+	instance->class_in_flight[need->route_class]++;
+	instance->long_in_flight += attempt->long_answer;
 }
 
 static void
@@ -240,7 +244,8 @@
 
 	if (instance != NULL) {
 		instance_load_record(instance, load, now);
-		if (reason_is_overload(reason))
+		/* A busy link says nothing of calls with short answers. */
+		if (reason_is_overload(reason) && reason != REASON_LINK_BUSY)
 			instance_acceptance_record(instance, true, now);
 		/* A gate that answers nothing in time still tells how slow it is. */
 		if (load != NULL && load->latency_us > 0)
@@ -276,4 +281,5 @@
 	INVARIANT(instance->in_flight > 0);
 	instance->in_flight--;
 	instance->class_in_flight[attempt->route_class]--;
+	instance->long_in_flight -= attempt->long_answer;
 }
--- a/src/balance_table.c
+++ b/src/balance_table.c
@@ -220,6 +220,12 @@
 	return MASTICPITCH_OK;
 }
 
+void
+balance_local_set(balance_t *balance, uint64_t node)
+{
+	balance->local = node;
+}
+
 size_t
 balance_instance_count(const balance_t *balance)
 {
--- a/src/balance_table.h
+++ b/src/balance_table.h
@@ -34,6 +34,7 @@
 	uint64_t ready_since;
 	uint32_t in_flight;
 	uint32_t class_in_flight[ROUTE_CLASS_COUNT];
+	uint32_t long_in_flight; /* whose answers are long */
 	load_report_t load;
 	uint64_t load_at; /* 0: none yet */
 	double latency_us;
@@ -65,6 +66,7 @@
 
 struct balance {
 	balance_kind_t kind;
+	uint64_t local; /* node of this entry; 0: not known */
 	char zone[ZONE_BYTES];
 	char region[ZONE_BYTES];
 	uint64_t generation;
--- a/src/config.c
+++ b/src/config.c
@@ -544,6 +544,7 @@
 	spread_options_t spread = {.node = address_to_node_id(&settings->peers),
 	    .address = settings->peers,
 	    .zone = settings->zone,
+	    .link_mbps = (uint32_t)settings->link_mbps,
 	    .boot = kernel_boot_id(kernel),
 	    .mode = settings->spread,
 	    .source = settings->config_source,
--- a/src/entry.c
+++ b/src/entry.c
@@ -189,9 +189,11 @@
 	int error = balance_create(entry->naive ? BALANCE_NAIVE : BALANCE_ADAPTIVE,
 	    settings->zone, settings->region, &entry->balance);
 
-	if (error == MASTICPITCH_OK)
+	if (error == MASTICPITCH_OK) {
+		balance_local_set(entry->balance, entry->node);
 		error = retry_create(
 		    entry->naive ? RETRY_NAIVE : RETRY_ADAPTIVE, &entry->retry);
+	}
 	if (error == MASTICPITCH_OK)
 		error = limit_entry_create(
 		    settings->requests_max, !entry->naive, &entry->limit);
@@ -220,6 +222,7 @@
 	entry->service.is_idle = entry_is_idle;
 	entry->hangup_fd = -1;
 	deadline_profile_init(&entry->deadlines);
+	answer_profile_init(&entry->answers);
 	run_set_init(&entry->running);
 	list_init(&entry->service.link);
 	list_init(&entry->requests);
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -48,6 +48,13 @@
 	       reason == REASON_BACKEND_CONNECT;
 }
 
+static balance_need_t
+request_need(const entry_request_t *request)
+{
+	return (balance_need_t){.route_class = request->head->route_class,
+	    .answer_bytes = request->head->answer_bytes};
+}
+
 static bool
 instance_choose(entry_request_t *request, uint64_t *node)
 {
@@ -55,6 +62,7 @@
 	size_t excluded = MIN_OF(request->attempts, (uint32_t)PRESET_ATTEMPTS_MAX);
 	rng_t *rng = kernel_rng(entry->kernel);
 	uint64_t now = kernel_now(entry->kernel);
+	balance_need_t need = request_need(request);
 
 	if (request->ticket_bound) {
 		*node = request->ticket_node;
@@ -62,13 +70,12 @@
 	}
 	if (entry->naive)
 		excluded = 0;
-	if (balance_choose_for_class(entry->balance, request->preset_service,
-		request->head->route_class, request->tried, excluded, rng, now,
-		node) == MASTICPITCH_OK)
+	if (balance_choose_for(entry->balance, request->preset_service, &need,
+		request->tried, excluded, rng, now, node) == MASTICPITCH_OK)
 		return true;
 	return excluded > 0 && failure_is_brief(request->last_reason) &&
-	       balance_choose_for_class(entry->balance, request->preset_service,
-		   request->head->route_class, NULL, 0, rng, now, node) == MASTICPITCH_OK;
+	       balance_choose_for(entry->balance, request->preset_service, &need, NULL, 0,
+		   rng, now, node) == MASTICPITCH_OK;
 }
 
 static bool
@@ -102,6 +109,7 @@
 {
 	entry_t *entry = request->entry;
 	uint64_t now = kernel_now(entry->kernel);
+	balance_need_t need;
 	uint64_t node;
 
 	if (!retry_time_suffices(
@@ -124,8 +132,8 @@
 	request->runs++;
 	request->window = STREAM_WINDOW;
 	request->end_sent = !request->head->has_body;
-	balance_attempt_start(
-	    entry->balance, node, request->head->route_class, now, &request->attempt);
+	need = request_need(request);
+	balance_attempt_start(entry->balance, node, &need, now, &request->attempt);
 	metrics_add(kernel_metrics(entry->kernel), METRIC_ATTEMPTS, 1);
 	entry_attempt_pump(request);
 }
@@ -381,6 +389,9 @@
 	message->u.answer = NULL;
 	request->answer = answer;
 	request->first_byte = kernel_now(entry->kernel);
+	if (answer->status < 300 && answer->body_length >= 0)
+		answer_profile_record(&entry->answers, hash_string(request->route->name),
+		    (uint64_t)answer->body_length);
 	balance_attempt_answer(entry->balance, &request->attempt, answer->status,
 	    &answer->load, kernel_now(entry->kernel));
 	request->body_kept = false;
--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -294,6 +294,8 @@
 	request->nested = request_is_nested(request, fields);
 	head->route_class = preset_route_class(route, request->nested);
 	target_set(request, fields);
+	head->answer_bytes =
+	    answer_profile_bytes(&request->entry->answers, hash_string(route->name));
 	head->idempotent = route->idempotent || request->asks_ticket;
 	head->depth = (uint32_t)fields->depth;
 	head->deadline =
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -9,6 +9,7 @@
 #ifndef MASTICPITCH_ENTRY_INTERNAL_H
 #define MASTICPITCH_ENTRY_INTERNAL_H
 
+#include "answer_profile.h"
 #include "balance.h"
 #include "chunk_queue.h"
 #include "deadline_profile.h"
@@ -103,6 +104,7 @@
 	limit_entry_t *limit;
 	quarantine_t *quarantine;
 	deadline_profile_t deadlines;
+	answer_profile_t answers;
 	run_set_t running; /* on this host's backend server */
 	bool naive;
 	bool leaving;
--- a/src/frame.c
+++ b/src/frame.c
@@ -58,6 +58,8 @@
 	scratch->load.slots = load->slots;
 	scratch->load.latency_us = load->latency_us;
 	scratch->load.pressure = load->pressure;
+	scratch->load.link_wait_us = load->link_wait_us;
+	scratch->load.link_ns_per_kilobyte = load->link_ns_per_kilobyte;
 	return &scratch->load;
 }
 
@@ -112,6 +114,7 @@
 	open->fingerprint = call->fingerprint;
 	open->caller_service = (char *)call->caller_service;
 	open->target_ms = target_to_frame(call->target, now);
+	open->answer_bytes = call->answer_bytes;
 	scratch->frame.body_case = MASTICPITCH__FRAME__BODY_CALL_OPEN;
 	scratch->frame.call_open = open;
 	return MASTICPITCH_OK;
@@ -229,6 +232,8 @@
 	report->slots = load->slots;
 	report->latency_us = load->latency_us;
 	report->pressure = MIN_OF(load->pressure, 100U);
+	report->link_wait_us = load->link_wait_us;
+	report->link_ns_per_kilobyte = load->link_ns_per_kilobyte;
 }
 
 static int
@@ -280,6 +285,7 @@
 	call->idempotent = open->idempotent;
 	call->deadline = now + remaining + open->remaining_us * NS_PER_US;
 	call->target = target_from_frame(open->target_ms, now);
+	call->answer_bytes = open->answer_bytes;
 	call->depth = open->depth;
 	call->attempt = open->attempt;
 	call->fingerprint = open->fingerprint;
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -1003,7 +1003,7 @@
   (ProtobufCMessageInit) masticpitch__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[8] =
 {
   {
     "running",
@@ -1077,10 +1077,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_wait_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, link_wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link_ns_per_kilobyte",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, link_ns_per_kilobyte),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__load__field_indices_by_name[] = {
   4,   /* field[4] = latency_us */
   2,   /* field[2] = limit */
+  7,   /* field[7] = link_ns_per_kilobyte */
+  6,   /* field[6] = link_wait_us */
   5,   /* field[5] = pressure */
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
@@ -1089,7 +1115,7 @@
 static const ProtobufCIntRange masticpitch__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor masticpitch__load__descriptor =
 {
@@ -1099,7 +1125,7 @@
   "Masticpitch__Load",
   "masticpitch",
   sizeof(Masticpitch__Load),
-  6,
+  8,
   masticpitch__load__field_descriptors,
   masticpitch__load__field_indices_by_name,
   1,  masticpitch__load__number_ranges,
@@ -1273,7 +1299,7 @@
   (ProtobufCMessageInit) masticpitch__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[19] =
+static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[20] =
 {
   {
     "stream",
@@ -1503,8 +1529,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer_bytes",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__CallOpen, answer_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__call_open__field_indices_by_name[] = {
+  19,   /* field[19] = answer_bytes */
   11,   /* field[11] = attempt */
   4,   /* field[4] = body_length */
   17,   /* field[17] = caller_service */
@@ -1528,7 +1567,7 @@
 static const ProtobufCIntRange masticpitch__call_open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor masticpitch__call_open__descriptor =
 {
@@ -1538,7 +1577,7 @@
   "Masticpitch__CallOpen",
   "masticpitch",
   sizeof(Masticpitch__CallOpen),
-  19,
+  20,
   masticpitch__call_open__field_descriptors,
   masticpitch__call_open__field_indices_by_name,
   1,  masticpitch__call_open__number_ranges,
@@ -2367,7 +2406,7 @@
   (ProtobufCMessageInit) masticpitch__instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__member__field_descriptors[8] =
+static const ProtobufCFieldDescriptor masticpitch__member__field_descriptors[9] =
 {
   {
     "ip",
@@ -2465,12 +2504,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_mbps",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Member, link_mbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__member__field_indices_by_name[] = {
   7,   /* field[7] = config_version */
   4,   /* field[4] = incarnation */
   6,   /* field[6] = instance */
   0,   /* field[0] = ip */
+  8,   /* field[8] = link_mbps */
   1,   /* field[1] = port */
   3,   /* field[3] = region */
   5,   /* field[5] = state */
@@ -2479,7 +2531,7 @@
 static const ProtobufCIntRange masticpitch__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor masticpitch__member__descriptor =
 {
@@ -2489,7 +2541,7 @@
   "Masticpitch__Member",
   "masticpitch",
   sizeof(Masticpitch__Member),
-  8,
+  9,
   masticpitch__member__field_descriptors,
   masticpitch__member__field_indices_by_name,
   1,  masticpitch__member__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -95,10 +95,18 @@
   uint32_t slots;
   uint32_t latency_us;
   uint32_t pressure;
+  /*
+   * until a long body that is queued now begins to leave
+   */
+  uint32_t link_wait_us;
+  /*
+   * of the host's link; 0: not known
+   */
+  uint32_t link_ns_per_kilobyte;
 };
 #define MASTICPITCH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Masticpitch__Hello
@@ -158,10 +166,14 @@
    * remaining; 0: no target, below 0: it has passed
    */
   int32_t target_ms;
+  /*
+   * of the answer, as expected; 0: not known
+   */
+  uint32_t answer_bytes;
 };
 #define MASTICPITCH__CALL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__call_open__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Masticpitch__CallData
@@ -338,10 +350,14 @@
   uint32_t state;
   Masticpitch__Instance *instance;
   uint64_t config_version;
+  /*
+   * of the host; 0: not known
+   */
+  uint32_t link_mbps;
 };
 #define MASTICPITCH__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__member__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0 }
 
 
 struct  Masticpitch__CrashReport
--- a/src/member.c
+++ b/src/member.c
@@ -398,6 +398,7 @@
 		goto fail;
 	string_copy(self.zone, sizeof(self.zone), options->zone);
 	string_copy(self.region, sizeof(self.region), options->region);
+	self.link_mbps = options->link_mbps;
 	error = MASTICPITCH_E_NOMEM;
 	table->self = entry_create(table, &self, now, &actions);
 	if (table->self == NULL)
--- a/src/member.h
+++ b/src/member.h
@@ -102,6 +102,7 @@
 	address_t address;
 	const char *zone;
 	const char *region;
+	uint32_t link_mbps; /* of this host; 0: not known */
 	uint64_t boot;
 	uint64_t incarnation; /* wall clock, ms */
 	uint64_t seed;	      /* of the random numbers */
--- a/src/member_record.c
+++ b/src/member_record.c
@@ -48,6 +48,7 @@
 	member->node = address_to_node_id(&member->address);
 	string_copy(member->zone, sizeof(member->zone), record->zone);
 	string_copy(member->region, sizeof(member->region), record->region);
+	member->link_mbps = record->link_mbps;
 	member->incarnation = record->incarnation;
 	member->state = record->state == MEMBER_SUSPECT ? MEMBER_ALIVE
 							: (member_state_t)record->state;
@@ -86,6 +87,7 @@
 	record->port = member->address.port;
 	record->zone = (char *)member->zone;
 	record->region = (char *)member->region;
+	record->link_mbps = member->link_mbps;
 	record->incarnation = member->incarnation;
 	record->state =
 	    member->state == MEMBER_SUSPECT ? MEMBER_ALIVE : (uint32_t)member->state;
--- a/src/member_types.h
+++ b/src/member_types.h
@@ -40,6 +40,7 @@
 	address_t address; /* peers' address, TCP and UDP */
 	char zone[ZONE_BYTES];
 	char region[ZONE_BYTES];
+	uint32_t link_mbps;   /* of the host's network link; 0: not known */
 	uint64_t incarnation; /* wall clock at start, ms; raised to refute */
 	member_state_t state;
 	instance_t instance;
--- a/src/membership.c
+++ b/src/membership.c
@@ -377,6 +377,7 @@
 	const member_options_t options = {.address = settings->peers,
 	    .zone = settings->zone,
 	    .region = settings->region,
+	    .link_mbps = (uint32_t)settings->link_mbps,
 	    .boot = kernel_boot_id(kernel),
 	    .incarnation = os_clock_wall_ms(),
 	    .seed = rng_next(kernel_rng(kernel)) ^ kernel_boot_id(kernel),
--- a/src/message.h
+++ b/src/message.h
@@ -77,10 +77,11 @@
 	char service[NAME_BYTES];
 	route_class_t route_class;
 	bool idempotent;
-	uint64_t deadline; /* monotonic, ns */
-	uint64_t target;   /* an answer by then is worth most; 0: no target */
-	uint32_t depth;	   /* 0 for a call from outside the mesh */
-	uint32_t attempt;  /* 1 for the first */
+	uint64_t deadline;     /* monotonic, ns */
+	uint64_t target;       /* an answer by then is worth most; 0: no target */
+	uint32_t answer_bytes; /* of the answer's body, as expected; 0: not known */
+	uint32_t depth;	       /* 0 for a call from outside the mesh */
+	uint32_t attempt;      /* 1 for the first */
 	char request_id[REQUEST_ID_BYTES];
 	char trace[TRACE_BYTES];
 	char ticket[TICKET_BYTES];	 /* empty: none */
@@ -94,8 +95,10 @@
 	uint32_t queued;
 	uint32_t limit; /* adaptive limit, calls */
 	uint32_t slots;
-	uint32_t latency_us; /* smoothed backend latency */
-	uint32_t pressure;   /* share of the urgent calls refused for load, percent */
+	uint32_t latency_us;   /* smoothed backend latency */
+	uint32_t pressure;     /* share of the urgent calls refused for load, percent */
+	uint32_t link_wait_us; /* until a long body queued now leaves the host */
+	uint32_t link_ns_per_kilobyte; /* of the host's link; 0: not known */
 } load_report_t;
 
 typedef struct answer_head {
--- a/src/peer.c
+++ b/src/peer.c
@@ -111,7 +111,8 @@
 {
 	const peer_t *peer = state;
 
-	if (peer->outgoing.count > 0 || peer->incoming.count > 0)
+	if (peer->outgoing.count > 0 || peer->incoming.count > 0 ||
+	    !list_is_empty(&peer->bulk))
 		return false;
 	LIST_FOREACH (node, &peer->connections)
 		if (!connection_is_drained(LIST_ENTRY(node, peer_connection_t, link)))
@@ -146,13 +147,33 @@
 	}
 }
 
+/* Only wakes the loop: flush_callback() runs before it waits again. */
 static void
-flush_callback(struct ev_loop *loop, ev_prepare *watcher, int events)
+pacer_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+}
+
+static void
+pacer_set(peer_t *peer)
+{
+	struct ev_loop *loop = kernel_loop(peer->kernel);
+	uint64_t now = kernel_now(peer->kernel);
+
+	/* Full sockets wake the loop by themselves. */
+	if (list_is_empty(&peer->bulk) || ev_is_active(&peer->pacer) ||
+	    link_admits(&peer->link, now))
+		return;
+	ev_now_update(loop);
+	ev_timer_set(&peer->pacer,
+	    (double)(link_ready_at(&peer->link, now) - now) / (double)NS_PER_S, 0.0);
+	ev_timer_start(loop, &peer->pacer);
+}
+
+static void
+dirty_flush(peer_t *peer)
 {
-	peer_t *peer = watcher->data;
 	list_t *node;
 
-	peer->in_flush = true;
 	while ((node = list_take_first(&peer->dirty)) != NULL) {
 		peer_connection_t *connection =
 		    LIST_ENTRY(node, peer_connection_t, dirty_link);
@@ -161,7 +182,20 @@
 		    peer_connection_flush(connection) != MASTICPITCH_OK)
 			peer_connection_fail(connection);
 	}
+}
+
+/* Short frames first; then long bodies while the link and a socket take them. */
+static void
+flush_callback(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+	peer_t *peer = watcher->data;
+
+	peer->in_flush = true;
+	do
+		dirty_flush(peer);
+	while (peer_bulk_run(peer));
 	peer->in_flush = false;
+	pacer_set(peer);
 }
 
 static void
@@ -203,6 +237,9 @@
 	auth_keys_init(&peer->keys, settings);
 	list_init(&peer->connections);
 	list_init(&peer->dirty);
+	list_init(&peer->bulk);
+	link_init(&peer->link, settings->link_mbps, kernel_now(kernel));
+	ev_timer_init(&peer->pacer, pacer_callback, 0., 0.);
 	hash_table_init(&peer->remotes);
 	hash_table_init(&peer->outgoing);
 	hash_table_init(&peer->incoming);
@@ -252,6 +289,7 @@
 	ev_prepare_stop(loop, &peer->flusher);
 	ev_timer_stop(loop, &peer->reaper);
 	ev_timer_stop(loop, &peer->ticker);
+	ev_timer_stop(loop, &peer->pacer);
 	close(peer->listen_fd);
 	LIST_FOREACH_SAFE (node, &peer->connections)
 		peer_connection_close(LIST_ENTRY(node, peer_connection_t, link));
--- a/src/peer_connection.c
+++ b/src/peer_connection.c
@@ -78,6 +78,9 @@
 		connection->sent_total += (uint64_t)sent;
 		metrics_add(metrics, METRIC_PEER_BYTES_SENT, (uint64_t)sent);
 	}
+	/* With a connection to each node, kept room would add up to megabytes. */
+	if (connection->out.capacity > PEER_OUT_KEPT)
+		buffer_free(&connection->out);
 	return MASTICPITCH_OK;
 }
 
--- a/src/peer_internal.h
+++ b/src/peer_internal.h
@@ -10,6 +10,7 @@
 #include "fault.h"
 #include "frame.h"
 #include "hash_table.h"
+#include "link.h"
 #include "peer.h"
 
 /* Connect and handshake together; a connect in the mesh takes some 3 ms. */
@@ -39,6 +40,8 @@
 #define PEER_CONNECTIONS_PER_NODE_MAX 4
 /* Encoded bytes that wait for the socket; kept short so that priorities hold. */
 #define PEER_OUT_TARGET (32 * 1024)
+/* Room of an empty output that is kept, bytes; most calls are shorter. */
+#define PEER_OUT_KEPT 2048
 /* Unsent bytes that the kernel accepts; the same reason. */
 #define PEER_NOTSENT_BYTES (64 * 1024)
 #define PEER_READ_BYTES (64 * 1024)
@@ -106,7 +109,7 @@
 	size_t control_count;
 	size_t control_bytes;
 	list_t small;	/* message_t: second priority */
-	list_t bodies;	/* peer_stream_t.body_link: last, round-robin */
+	list_t bodies;	/* peer_stream_t.body_link: short ones, round-robin */
 	list_t streams; /* peer_stream_t.owner_link */
 	size_t incoming_count;
 	uint64_t next_wire;
@@ -120,14 +123,18 @@
 	hash_node_t by_local; /* outgoing: node, stream; incoming: 0, stream */
 	hash_node_t by_wire;  /* connection id, wire id with the direction */
 	list_t owner_link;
-	list_t body_link;
-	list_t queue; /* message_t: data, and the head while it waits */
+	list_t body_link; /* in connection->bodies, a long body in peer->bulk */
+	list_t queue;	  /* message_t: data, and the head while it waits */
 	peer_remote_t *remote;
 	peer_connection_t *connection; /* NULL: waits for one */
 	bool outgoing;
 	bool open_encoded;
-	bool data_seen;	 /* a piece of body was handed over */
-	bool body_ended; /* the answer's end is queued */
+	bool data_seen;	    /* a piece of body was handed over */
+	bool body_ended;    /* the answer's end is queued */
+	bool bulk;	    /* its body is long */
+	size_t body_handed; /* bytes of body */
+	uint64_t urgency;   /* of a long body: the call's target, else its deadline */
+	size_t expected;    /* bytes of a long answer that has not come yet */
 	uint64_t local;
 	uint64_t wire;
 	uint64_t open_offset;	/* out_total where the head begins */
@@ -149,6 +156,9 @@
 	hash_table_t remotes;
 	list_t connections;
 	list_t dirty;
+	list_t bulk; /* streams with a long body to send, most urgent first */
+	link_shaper_t link;
+	ev_timer pacer; /* fires when the link admits the next piece */
 	size_t connection_count;
 	size_t unproved_count;
 	uint64_t next_connection;
@@ -212,6 +222,8 @@
 /* Encodes waiting frames by priority while the output is short. */
 int peer_send_fill(peer_connection_t *connection);
 bool peer_send_is_empty(const peer_connection_t *connection);
+/* Encodes pieces of long bodies while the link admits them; false: none. */
+bool peer_bulk_run(peer_t *peer);
 /* Signs and appends one frame. */
 int peer_send_frame(peer_connection_t *connection, const Masticpitch__Frame *frame);
 void peer_send_control(peer_connection_t *connection, message_t *message);
@@ -226,6 +238,8 @@
 peer_stream_t *peer_stream_find_wire(
     peer_connection_t *connection, bool outgoing, uint64_t wire);
 void peer_stream_destroy(peer_t *peer, peer_stream_t *stream);
+/* Bytes of body in a message. */
+size_t peer_message_body(const message_t *message);
 /* Posts how the stream ended to its owner and destroys it. */
 void peer_stream_end(peer_t *peer, peer_stream_t *stream, message_type_t type,
     reason_t reason, run_state_t run);
--- a/src/peer_send.c
+++ b/src/peer_send.c
@@ -2,7 +2,8 @@
  * Send scheduling on one connection: control first, then heads, refusals and
  * bodies of one piece, then longer bodies one piece a stream in turn. Frames
  * are encoded only when the socket takes them, so a new one never waits behind
- * more than the output's short buffer.
+ * more than the output's short buffer. Long bodies of all connections share the
+ * host's link in order of urgency, see link.h.
  */
 #include "peer_internal.h"
 
@@ -16,8 +17,9 @@
 	       !connection->pong_due;
 }
 
-int
-peer_send_frame(peer_connection_t *connection, const Masticpitch__Frame *frame)
+/* bulk: a piece of a long body. */
+static int
+frame_send(peer_connection_t *connection, const Masticpitch__Frame *frame, bool bulk)
 {
 	buffer_t *out = &connection->out;
 	size_t start = out->size;
@@ -33,9 +35,17 @@
 	if (error != MASTICPITCH_OK)
 		return error;
 	connection->out_total += out->size - start;
+	link_spend(&connection->peer->link, out->size - start, bulk,
+	    kernel_now(connection->peer->kernel));
 	return MASTICPITCH_OK;
 }
 
+int
+peer_send_frame(peer_connection_t *connection, const Masticpitch__Frame *frame)
+{
+	return frame_send(connection, frame, false);
+}
+
 static int
 ping_send(peer_connection_t *connection, uint64_t token, bool reply)
 {
@@ -99,19 +109,25 @@
 	return MASTICPITCH_OK;
 }
 
-/* message->stream is the wire id here. */
+/* message->stream is the wire id here. bulk: a piece of a long body. */
 static int
-message_send(peer_connection_t *connection, const message_t *message)
+message_encode(peer_connection_t *connection, const message_t *message, bool bulk)
 {
 	peer_t *peer = connection->peer;
 	int error = frame_from_message(
 	    message, message->stream, kernel_now(peer->kernel), &peer->scratch);
 
 	if (error == MASTICPITCH_OK)
-		error = peer_send_frame(connection, &peer->scratch.frame);
+		error = frame_send(connection, &peer->scratch.frame, bulk);
 	return error;
 }
 
+static int
+message_send(peer_connection_t *connection, const message_t *message)
+{
+	return message_encode(connection, message, false);
+}
+
 static int
 control_send(peer_connection_t *connection)
 {
@@ -210,3 +226,51 @@
 	}
 	return error;
 }
+
+/* The most urgent stream whose socket has room, or NULL. */
+static peer_stream_t *
+bulk_next(const peer_t *peer)
+{
+	LIST_FOREACH (node, &peer->bulk) {
+		peer_stream_t *stream = LIST_ENTRY(node, peer_stream_t, body_link);
+		const peer_connection_t *connection = stream->connection;
+
+		if (!connection->failed && connection->state == PEER_READY &&
+		    connection->out.size < PEER_OUT_TARGET)
+			return stream;
+	}
+	return NULL;
+}
+
+static void
+bulk_send(peer_stream_t *stream)
+{
+	peer_connection_t *connection = stream->connection;
+	message_t *message = LIST_ENTRY(list_take_first(&stream->queue), message_t, link);
+
+	connection->used = kernel_now(connection->peer->kernel);
+	if (message_encode(connection, message, true) != MASTICPITCH_OK)
+		peer_connection_fail(connection);
+	link_waiting_remove(&connection->peer->link, peer_message_body(message));
+	message_destroy(message);
+	peer_connection_dirty(connection);
+	if (!list_is_empty(&stream->queue))
+		return;
+	list_remove(&stream->body_link);
+	if (stream->body_ended)
+		peer_stream_destroy(connection->peer, stream);
+}
+
+bool
+peer_bulk_run(peer_t *peer)
+{
+	uint64_t now = kernel_now(peer->kernel);
+	peer_stream_t *stream;
+	bool sent = false;
+
+	while (link_admits(&peer->link, now) && (stream = bulk_next(peer)) != NULL) {
+		bulk_send(stream);
+		sent = true;
+	}
+	return sent;
+}
--- a/src/peer_stream.c
+++ b/src/peer_stream.c
@@ -73,6 +73,12 @@
 	    stream->outgoing ? &peer->outgoing : &peer->incoming, &stream->by_local);
 	list_remove(&stream->owner_link);
 	list_remove(&stream->body_link);
+	link_waiting_remove(&peer->link, stream->expected);
+	if (stream->bulk && stream->connection != NULL) {
+		LIST_FOREACH (node, &stream->queue)
+			link_waiting_remove(&peer->link,
+			    peer_message_body(LIST_ENTRY(node, message_t, link)));
+	}
 	peer_message_queue_clear(&stream->queue);
 	free(stream);
 }
@@ -107,6 +113,98 @@
 	    stream->outgoing && !written ? RUN_NO : RUN_UNKNOWN);
 }
 
+size_t
+peer_message_body(const message_t *message)
+{
+	if (message->type != MESSAGE_CALL_DATA && message->type != MESSAGE_ANSWER_DATA)
+		return 0;
+	return message->u.data.chunk != NULL ? message->u.data.chunk->size : 0;
+}
+
+/* Bytes of body that the head says will follow; -1: not known, or no head. */
+static int64_t
+message_body_length(const message_t *message)
+{
+	switch (message->type) {
+	case MESSAGE_CALL_OPEN:
+		return message->u.call->body_length;
+	case MESSAGE_ANSWER_HEAD:
+		return message->u.answer->body_length;
+	default:
+		return -1;
+	}
+}
+
+/*
+ * One body after the other, in order of urgency: sent in turns, all would come
+ * as late as the last.
+ */
+static void
+bulk_insert(peer_t *peer, peer_stream_t *stream)
+{
+	list_t *position = peer->bulk.prev;
+
+	while (position != &peer->bulk &&
+	       LIST_ENTRY(position, peer_stream_t, body_link)->urgency > stream->urgency)
+		position = position->prev;
+	list_insert_before(position->next, &stream->body_link);
+}
+
+static void
+bulk_append(peer_stream_t *stream, message_t *message)
+{
+	peer_connection_t *connection = stream->connection;
+
+	size_t come = MIN_OF(stream->expected, peer_message_body(message));
+
+	stream->expected -= come;
+	link_waiting_remove(&connection->peer->link, come);
+	link_waiting_add(&connection->peer->link, peer_message_body(message));
+	list_append(&stream->queue, &message->link);
+	if (list_is_empty(&stream->body_link))
+		bulk_insert(connection->peer, stream);
+}
+
+/* Queues a long body in pieces, so that short frames wait for one piece at most. */
+static void
+bulk_enqueue(peer_stream_t *stream, message_t *message)
+{
+	size_t piece = link_piece(&stream->connection->peer->link);
+
+	while (peer_message_body(message) > piece) {
+		chunk_t *chunk = message->u.data.chunk;
+		message_t *first =
+		    message_create(message->type, message->node, message->stream);
+		chunk_t *rest = chunk_copy(chunk->data + piece, chunk->size - piece);
+
+		if (first != NULL)
+			first->u.data.chunk = chunk_copy(chunk->data, piece);
+		if (rest == NULL || first == NULL || first->u.data.chunk == NULL) {
+			/* One long piece does no harm. */
+			chunk_release(rest);
+			message_destroy(first);
+			break;
+		}
+		bulk_append(stream, first);
+		chunk_release(chunk);
+		message->u.data.chunk = rest;
+	}
+	bulk_append(stream, message);
+}
+
+/*
+ * A body turns out to be long when its head says so, or when more of it comes.
+ * What is queued as short by then stays ahead.
+ */
+static void
+stream_classify(peer_stream_t *stream, const message_t *message)
+{
+	stream->body_handed += peer_message_body(message);
+	if (!stream->bulk && list_is_empty(&stream->queue))
+		stream->bulk = message_body_length(message) > LINK_SHORT_BYTES ||
+			       stream->body_handed > LINK_SHORT_BYTES;
+}
+
 /* Puts a message of an attached stream into the queue of its priority. */
 static void
 stream_enqueue(peer_stream_t *stream, message_t *message)
@@ -119,6 +217,12 @@
 
 	message->stream = stream->wire;
 	peer_connection_dirty(connection);
+	stream_classify(stream, message);
+	if (stream->bulk && is_data) {
+		stream->data_seen = true;
+		bulk_enqueue(stream, message);
+		return;
+	}
 	if (is_small) {
 		list_append(&connection->small, &message->link);
 		return;
@@ -166,6 +270,13 @@
 	peer_post(peer, "entry", answer);
 }
 
+/* A call whose target has passed is as urgent as its deadline. */
+static uint64_t
+call_urgency(const peer_t *peer, const call_head_t *call)
+{
+	return call->target > kernel_now(peer->kernel) ? call->target : call->deadline;
+}
+
 static void
 call_open_send(peer_t *peer, message_t *message)
 {
@@ -198,6 +309,7 @@
 			peer_stream_destroy(peer, stream);
 		return;
 	}
+	stream->urgency = call_urgency(peer, taken->u.call);
 	list_append(&stream->queue, &taken->link);
 	if (connection != NULL)
 		peer_stream_attach(stream, connection);
@@ -242,6 +354,27 @@
 		stream_enqueue(stream, taken);
 }
 
+/* Adds the state of the host's link to what the gate says of its load. */
+static void
+link_report(peer_t *peer, message_t *message)
+{
+	uint64_t now = kernel_now(peer->kernel);
+	load_report_t *load;
+
+	switch (message->type) {
+	case MESSAGE_ANSWER_HEAD:
+		load = &message->u.answer->load;
+		break;
+	case MESSAGE_REFUSAL:
+		load = &message->u.refusal.load;
+		break;
+	default:
+		return;
+	}
+	load->link_wait_us = link_wait_us(&peer->link, now);
+	load->link_ns_per_kilobyte = link_ns_per_kilobyte(&peer->link, now);
+}
+
 /* From the gate. The stream is gone once its last frame is in a queue. */
 static void
 answer_send(peer_t *peer, peer_stream_t *stream, message_t *message)
@@ -252,6 +385,7 @@
 
 	if (stream->body_ended)
 		return;
+	link_report(peer, message);
 	data_send(stream, message);
 	if (!end)
 		return;
@@ -305,6 +439,7 @@
 		return MASTICPITCH_E_NOMEM;
 	refusal->u.refusal.reason = reason;
 	refusal->u.refusal.run = RUN_NO;
+	link_report(connection->peer, refusal);
 	list_append(&connection->small, &refusal->link);
 	peer_connection_dirty(connection);
 	metrics_refusal_add(kernel_metrics(connection->peer->kernel), reason);
@@ -331,6 +466,12 @@
 		    connection->incoming_count > 0 ? REASON_STREAM_LIMIT
 						   : REASON_INSTANCE_GONE);
 	}
+	if (link_refuses(&peer->link, message->u.call->answer_bytes,
+		message->u.call->target, message->u.call->deadline,
+		kernel_now(peer->kernel))) {
+		message_destroy(message);
+		return incoming_refuse(connection, wire, REASON_LINK_BUSY);
+	}
 	stream = stream_create(peer, connection->remote, false, ++peer->next_incoming);
 	if (stream == NULL ||
 	    hash_table_insert(&peer->wires, &stream->by_wire, connection->id,
@@ -342,6 +483,11 @@
 	}
 	stream->wire = wire;
 	stream->connection = connection;
+	stream->urgency = call_urgency(peer, message->u.call);
+	if (message->u.call->answer_bytes > LINK_SHORT_BYTES) {
+		stream->expected = message->u.call->answer_bytes;
+		link_waiting_add(&peer->link, stream->expected);
+	}
 	connection->incoming_count++;
 	list_append(&connection->streams, &stream->owner_link);
 	message->node = connection->remote->node;
--- a/src/settings.c
+++ b/src/settings.c
@@ -12,6 +12,8 @@
 #include <strings.h>
 
 #define TOKEN_MIN 16
+/* Fastest link that a host has, Mbit/s. */
+#define LINK_MBPS_MAX 1e6
 
 /* Where an error message goes; the first error is kept. */
 typedef struct reader {
@@ -143,6 +145,27 @@
 	*target = (uint32_t)number;
 }
 
+/* A number from 0 to high. */
+static void
+read_decimal(reader_t *reader, struct json_object *root, const char *key, double high,
+    double *target)
+{
+	struct json_object *value = settings_lookup(root, key);
+	double number;
+
+	if (value == NULL)
+		return;
+	number = json_object_get_double(value);
+	if ((!json_object_is_type(value, json_type_double) &&
+		!json_object_is_type(value, json_type_int)) ||
+	    !(number >= 0 && number <= high)) {
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "%s: must be a number from 0 to %.0f", key, high);
+		return;
+	}
+	*target = number;
+}
+
 static void
 read_flag(reader_t *reader, struct json_object *root, const char *key, bool *target)
 {
@@ -441,7 +464,7 @@
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", "watchers", NULL}},
     {"routing", {"policy", NULL}},
-    {"limits", {"requests", "streams_per_peer", "fixed", NULL}},
+    {"limits", {"requests", "streams_per_peer", "fixed", "link_mbps", NULL}},
     {"shutdown", {"grace_ms", "accept_ms", NULL}},
     {"log", {"level", NULL}},
 };
@@ -471,6 +494,8 @@
 	settings->routing_policy = (routing_policy_t)read_choice(
 	    reader, root, "routing.policy", policy_choices, ROUTING_ADAPTIVE);
 	read_flag(reader, root, "limits.fixed", &settings->fixed_limit);
+	read_decimal(
+	    reader, root, "limits.link_mbps", LINK_MBPS_MAX, &settings->link_mbps);
 	read_number(reader, root, "limits.requests", 1, 65536, &settings->requests_max);
 	read_number(reader, root, "limits.streams_per_peer", 1, 65536,
 	    &settings->streams_per_peer_max);
--- a/src/settings.h
+++ b/src/settings.h
@@ -74,6 +74,7 @@
 	config_source_t config_source;
 	uint32_t config_watchers; /* nodes of a zone that watch; 1: its relay only */
 	routing_policy_t routing_policy;
+	double link_mbps; /* of the host's network link, Mbit/s; 0: not known */
 	bool fixed_limit; /* of a gate: the announced slots, not an adaptive one */
 	uint32_t requests_max;
 	uint32_t streams_per_peer_max;
--- a/src/spread.c
+++ b/src/spread.c
@@ -18,8 +18,8 @@
 	spread->variant.kind = options->source;
 	rng_init(&spread->rng, options->seed);
 	list_init(&spread->actions);
-	spread_members_init(&spread->members, options->node, options->zone,
-	    options->fan_out != 0 ? options->fan_out : SPREAD_FAN_OUT);
+	spread_members_init(&spread->members, options->node, options->link_mbps,
+	    options->zone, options->fan_out != 0 ? options->fan_out : SPREAD_FAN_OUT);
 	record_parts_init(&spread->parts);
 	record_cache_init(&spread->cache, options->dialect);
 	for (size_t i = 0; i < SPREAD_ASSEMBLIES; i++)
--- a/src/spread.h
+++ b/src/spread.h
@@ -87,6 +87,7 @@
 	uint64_t node; /* own id */
 	address_t address;
 	const char *zone;
+	uint32_t link_mbps; /* of this host's link; 0: not known */
 	uint64_t boot;
 	spread_mode_t mode;
 	config_source_t source;
--- a/src/spread_members.c
+++ b/src/spread_members.c
@@ -10,18 +10,32 @@
 /* Zones that a push goes to; the target size has 5 zones in each of 2 regions. */
 #define ZONES_MAX 64
 
+/* Bits of a rank below those that tell the width of the link. */
+#define RANK_HASH_BITS 58
+
+/*
+ * Hosts with wide links rank lowest: a relay takes the whole document from the
+ * platform, which holds a link of 5 Mbit/s for half a second at each change. The
+ * width counts by its power of two, a hash decides between equal ones.
+ */
 static uint64_t
-rank_of(uint64_t node)
+rank_of(uint64_t node, uint32_t link_mbps)
 {
-	return hash_bytes(&node, sizeof(node), 0);
+	uint64_t narrowness = 32;
+
+	for (; link_mbps > 0; link_mbps /= 2)
+		narrowness--;
+	return narrowness << RANK_HASH_BITS |
+	       hash_bytes(&node, sizeof(node), 0) >> (64 - RANK_HASH_BITS);
 }
 
 void
-spread_members_init(
-    spread_members_t *members, uint64_t self, const char *zone, unsigned fan_out)
+spread_members_init(spread_members_t *members, uint64_t self, uint32_t link_mbps,
+    const char *zone, unsigned fan_out)
 {
 	memset(members, 0, sizeof(*members));
 	members->self = self;
+	members->self_rank = rank_of(self, link_mbps);
 	members->fan_out = fan_out;
 	string_copy(members->zone, sizeof(members->zone), zone);
 }
@@ -94,7 +108,7 @@
 	memmove(member + 1, member, (members->count - position) * sizeof(*member));
 	memset(member, 0, sizeof(*member));
 	member->node = node;
-	member->rank = rank_of(node);
+	member->rank = rank_of(node, 0);
 	members->count++;
 	return member;
 }
@@ -107,6 +121,7 @@
 	if (member == NULL)
 		return;
 	member->known = true;
+	member->rank = rank_of(update->node, update->link_mbps);
 	member->state = update->state;
 	member->reachable = update->reachable;
 	string_copy(member->zone, sizeof(member->zone), update->zone);
@@ -156,7 +171,6 @@
 static size_t
 rank_count(const spread_members_t *members)
 {
-	uint64_t own = rank_of(members->self);
 	size_t lower = 0;
 
 	if (members->self_leaving)
@@ -164,7 +178,7 @@
 	for (size_t i = 0; i < members->count; i++) {
 		const spread_member_t *member = &members->items[i];
 
-		lower += member->rank < own && may_relay(member) &&
+		lower += member->rank < members->self_rank && may_relay(member) &&
 			 strcmp(member->zone, members->zone) == 0;
 	}
 	return lower;
@@ -208,11 +222,19 @@
 	return lowest != NULL ? lowest->node : 0;
 }
 
+static uint64_t
+order_rank(const spread_members_t *members, uint64_t node)
+{
+	const spread_member_t *member = spread_member_find(members, node);
+
+	return member != NULL ? member->rank : members->self_rank;
+}
+
 static int
-order_compare(const void *a, const void *b)
+order_compare(const void *a, const void *b, void *state)
 {
-	uint64_t first = rank_of(*(const uint64_t *)a);
-	uint64_t second = rank_of(*(const uint64_t *)b);
+	uint64_t first = order_rank(state, *(const uint64_t *)a);
+	uint64_t second = order_rank(state, *(const uint64_t *)b);
 
 	return first < second ? -1 : first > second;
 }
@@ -241,7 +263,8 @@
 		    strcmp(member->zone, members->zone) == 0)
 			members->order[members->order_count++] = member->node;
 	}
-	qsort(members->order, members->order_count, sizeof(uint64_t), order_compare);
+	qsort_r(members->order, members->order_count, sizeof(uint64_t), order_compare,
+	    members);
 	members->order_valid = true;
 	return true;
 }
--- a/src/spread_members.h
+++ b/src/spread_members.h
@@ -14,7 +14,8 @@
 
 typedef struct spread_member {
 	uint64_t node;
-	uint64_t rank; /* hash of the node id; the lowest live one is the relay */
+	uint64_t
+	    rank; /* by link and hash of the node id; the lowest live one is the relay */
 	char zone[ZONE_BYTES];
 	member_state_t state;
 	bool known; /* membership reported it; else only its version is known */
@@ -25,6 +26,7 @@
 
 typedef struct spread_members {
 	uint64_t self;
+	uint64_t self_rank;
 	char zone[ZONE_BYTES];
 	bool self_leaving;
 	spread_member_t *items; /* sorted by node; without this node */
@@ -39,8 +41,9 @@
 	unsigned fan_out;
 } spread_members_t;
 
-void spread_members_init(
-    spread_members_t *members, uint64_t self, const char *zone, unsigned fan_out);
+/* link_mbps: of this host's link; 0: not known. */
+void spread_members_init(spread_members_t *members, uint64_t self, uint32_t link_mbps,
+    const char *zone, unsigned fan_out);
 void spread_members_free(spread_members_t *members);
 
 /*
--- a/test/policy_simulation.h
+++ b/test/policy_simulation.h
@@ -239,9 +239,10 @@
 	int
 	choose(const request_t &request, uint32_t excluded, uint64_t *node)
 	{
-		return balance_choose_for_class(entry_of(request)->balance, &service,
-		    request.arrival->traffic->route_class, request.tried, excluded, &rng,
-		    now, node);
+		const balance_need_t need = {request.arrival->traffic->route_class, 0};
+
+		return balance_choose_for(entry_of(request)->balance, &service, &need,
+		    request.tried, excluded, &rng, now, node);
 	}
 
 	void
@@ -258,8 +259,9 @@
 			return finish(request, request.run);
 		request.tried[request.attempts++] = node;
 		result.attempts += measured(request);
-		balance_attempt_start(entry->balance, node,
-		    request.arrival->traffic->route_class, now, &request.attempt);
+		const balance_need_t need = {request.arrival->traffic->route_class, 0};
+
+		balance_attempt_start(entry->balance, node, &need, now, &request.attempt);
 		post(EVENT_AT_GATE, now + delay(request.arrival->entry, (int)node - 1),
 		    index, (int)node - 1);
 	}
--- a/test/test_balance.cc
+++ b/test/test_balance.cc
@@ -12,6 +12,16 @@
 namespace
 {
 
+/* A call of the class with a short answer. */
+const balance_need_t *
+need_of(route_class_t route_class)
+{
+	static balance_need_t needs[ROUTE_CLASS_COUNT];
+
+	needs[route_class].route_class = route_class;
+	return &needs[route_class];
+}
+
 const uint64_t START = 1000 * NS_PER_S;
 
 member_t
@@ -98,7 +108,8 @@
 		balance_attempt_t attempt;
 		load_report_t load = {running, 0, 10, 10, 0};
 
-		balance_attempt_start(balance, node, ROUTE_LOOKUP, now, &attempt);
+		balance_attempt_start(
+		    balance, node, need_of(ROUTE_LOOKUP), now, &attempt);
 		balance_attempt_answer(
 		    balance, &attempt, status, &load, now + latency_us * NS_PER_US);
 		balance_attempt_end(balance, &attempt, now + latency_us * NS_PER_US);
@@ -109,7 +120,8 @@
 	{
 		balance_attempt_t attempt;
 
-		balance_attempt_start(balance, node, ROUTE_LOOKUP, now, &attempt);
+		balance_attempt_start(
+		    balance, node, need_of(ROUTE_LOOKUP), now, &attempt);
 		balance_attempt_failed(balance, &attempt, now);
 	}
 
@@ -118,7 +130,8 @@
 	{
 		balance_attempt_t attempt;
 
-		balance_attempt_start(balance, node, ROUTE_LOOKUP, now, &attempt);
+		balance_attempt_start(
+		    balance, node, need_of(ROUTE_LOOKUP), now, &attempt);
 		balance_attempt_refused(balance, &attempt, reason, NULL, now);
 	}
 
@@ -231,12 +244,12 @@
 	answer(1, 1000);
 	answer(2, 1000);
 	for (balance_attempt_t &attempt : lookups)
-		balance_attempt_start(balance, 1, ROUTE_LOOKUP, now, &attempt);
+		balance_attempt_start(balance, 1, need_of(ROUTE_LOOKUP), now, &attempt);
 	for (balance_attempt_t &attempt : internal)
-		balance_attempt_start(balance, 2, ROUTE_INTERNAL, now, &attempt);
+		balance_attempt_start(balance, 2, need_of(ROUTE_INTERNAL), now, &attempt);
 	EXPECT_EQ(shares(1000).count(1), 0u);
 	for (int i = 0; i < 100; i++) {
-		ASSERT_EQ(balance_choose_for_class(balance, &service, ROUTE_INTERNAL,
+		ASSERT_EQ(balance_choose_for(balance, &service, need_of(ROUTE_INTERNAL),
 			      NULL, 0, &rng, now, &node),
 		    0);
 		EXPECT_EQ(node, 1u);
@@ -257,7 +270,7 @@
 	now += 60 * NS_PER_S;
 	std::vector<balance_attempt_t> attempts(3);
 	for (balance_attempt_t &attempt : attempts)
-		balance_attempt_start(balance, 1, ROUTE_LOOKUP, now, &attempt);
+		balance_attempt_start(balance, 1, need_of(ROUTE_LOOKUP), now, &attempt);
 	EXPECT_GT(shares(1000)[2], 900);
 }
 
@@ -300,7 +313,8 @@
 	add(3);
 	std::vector<balance_attempt_t> busy(8);
 	for (size_t i = 0; i < busy.size(); i++)
-		balance_attempt_start(balance, 1 + i % 2, ROUTE_LOOKUP, now, &busy[i]);
+		balance_attempt_start(
+		    balance, 1 + i % 2, need_of(ROUTE_LOOKUP), now, &busy[i]);
 	EXPECT_EQ(view(3).weight_percent, 10u);
 	EXPECT_EQ(shares(1000).count(3), 0u);
 	now += 5 * NS_PER_S;
@@ -350,7 +364,7 @@
 	add(1);
 	add(2);
 	for (balance_attempt_t &attempt : attempts)
-		balance_attempt_start(balance, 1, ROUTE_LOOKUP, now, &attempt);
+		balance_attempt_start(balance, 1, need_of(ROUTE_LOOKUP), now, &attempt);
 	now += NS_PER_MS;
 	for (balance_attempt_t &attempt : attempts)
 		balance_attempt_refused(balance, &attempt, REASON_STREAM_LOST, NULL, now);
@@ -423,7 +437,7 @@
 	answer(1, 1000);
 	answer(2, 1000);
 	for (balance_attempt_t &attempt : attempts)
-		balance_attempt_start(balance, 2, ROUTE_LOOKUP, now, &attempt);
+		balance_attempt_start(balance, 2, need_of(ROUTE_LOOKUP), now, &attempt);
 	for (int i = 0; i < 50; i++)
 		refuse(1, REASON_QUEUE_FULL);
 	EXPECT_EQ(shares(1000).count(1), 0u);
@@ -439,7 +453,7 @@
 
 	add(1);
 	for (balance_attempt_t &attempt : attempts)
-		balance_attempt_start(balance, 1, ROUTE_CALL, now, &attempt);
+		balance_attempt_start(balance, 1, need_of(ROUTE_CALL), now, &attempt);
 	EXPECT_EQ(view(1).in_flight, 3u);
 	balance_attempt_failed(balance, &attempts[0], now);
 	balance_attempt_end(balance, &attempts[0], now);
@@ -450,7 +464,7 @@
 	add(1);
 	balance_attempt_end(balance, &attempts[2], now);
 	EXPECT_EQ(view(1).in_flight, 0u);
-	balance_attempt_start(balance, 99, ROUTE_CALL, now, &attempts[0]);
+	balance_attempt_start(balance, 99, need_of(ROUTE_CALL), now, &attempts[0]);
 	EXPECT_FALSE(attempts[0].open);
 }
 
--- /dev/null
+++ b/test/test_link.cc
@@ -0,0 +1,139 @@
+// Guards the order on a host's link: short answers that wait behind long bodies, a
+// link that lies idle beside waiting bodies, and calls taken although their long
+// answers cannot leave in time.
+#include "link.h"
+#include "os.h"
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const double MBPS = 5;
+const double BYTES_PER_NS = MBPS * 1e6 / 8 / 1e9;
+const size_t LONG_BYTES = 90 * 1024;
+const size_t SHORT_BYTES = 700;
+
+// A link that sends what it is given in order, at its rate.
+struct Wire {
+	uint64_t free_at = 0;
+
+	uint64_t
+	send(size_t bytes, uint64_t now)
+	{
+		free_at =
+		    std::max(free_at, now) + (uint64_t)((double)bytes / BYTES_PER_NS);
+		return free_at;
+	}
+};
+
+// Pattern: 40 long answers are ready at once, and 100 short ones a second follow.
+uint64_t
+longest_short_delay(double mbps, uint64_t *long_done)
+{
+	link_shaper_t link;
+	Wire wire;
+	uint64_t now = NS_PER_S, longest = 0, next_short = now;
+	size_t left = 40 * LONG_BYTES;
+
+	link_init(&link, mbps, now);
+	for (; left > 0 || now < wire.free_at; now += NS_PER_MS) {
+		if (now >= next_short) {
+			link_spend(&link, SHORT_BYTES, false, now);
+			longest = std::max(longest, wire.send(SHORT_BYTES, now) - now);
+			next_short += 10 * NS_PER_MS;
+		}
+		while (left > 0 && link_admits(&link, now)) {
+			size_t piece = std::min(left, link_piece(&link));
+
+			link_spend(&link, piece, true, now);
+			wire.send(piece, now);
+			left -= piece;
+		}
+	}
+	*long_done = now - NS_PER_S;
+	return longest;
+}
+
+// Guards: internal calls that time out behind downloads on a narrow link.
+TEST(Link, ShortAnswersPassLongBodies)
+{
+	uint64_t paced_done, naive_done;
+	uint64_t paced = longest_short_delay(MBPS, &paced_done);
+	uint64_t naive = longest_short_delay(0, &naive_done);
+
+	/* One piece, the burst and the own bytes. */
+	EXPECT_LT(paced, 2 * (LINK_PIECE_MS + LINK_BURST_MS) * NS_PER_MS);
+	EXPECT_GT(naive, 5 * NS_PER_S);
+	/* What is not used by short frames is used by the bodies. */
+	EXPECT_LT((double)paced_done, (double)naive_done * 1.35);
+}
+
+// Guards: a link that stays idle after short frames took more than its rate.
+TEST(Link, DebtOfShortFramesIsBounded)
+{
+	link_shaper_t link;
+	uint64_t now = NS_PER_S;
+
+	link_init(&link, MBPS, now);
+	link_spend(&link, 10 * 1000 * 1000, false, now);
+	EXPECT_FALSE(link_admits(&link, now));
+	EXPECT_LE(link_ready_at(&link, now), now + (LINK_DEBT_MS + 1) * NS_PER_MS);
+}
+
+TEST(Link, WithoutARateNothingIsHeld)
+{
+	link_shaper_t link;
+
+	link_init(&link, 0, 0);
+	link_spend(&link, 1 << 30, true, 0);
+	EXPECT_TRUE(link_admits(&link, 0));
+	EXPECT_EQ(link_wait_us(&link, 0), 0u);
+	EXPECT_FALSE(link_refuses(&link, 1 << 30, 1, 2, 0));
+}
+
+// Pattern: downloads come at twice the rate of the link. Guards: all of them being
+// late, since calls that run are not counted before their answers come.
+TEST(Link, CallsAreRefusedWhenTheirAnswersWouldBeLate)
+{
+	link_shaper_t link;
+	std::deque<uint64_t> taken; /* targets */
+	uint64_t now = NS_PER_S, sent = 0;
+	int refused = 0, late = 0, served = 0;
+
+	link_init(&link, MBPS, now);
+	for (int ms = 0; ms < 20000; ms++, now += NS_PER_MS) {
+		uint64_t target = now + 800 * NS_PER_MS;
+
+		if (ms % 65 == 0) {
+			if (link_refuses(
+				&link, LONG_BYTES, target, now + 3 * NS_PER_S, now)) {
+				refused++;
+			} else {
+				taken.push_back(target);
+				link_waiting_add(&link, LONG_BYTES);
+			}
+		}
+		while (!taken.empty() && link_admits(&link, now)) {
+			size_t piece = std::min(LONG_BYTES - sent, link_piece(&link));
+
+			link_spend(&link, piece, true, now);
+			link_waiting_remove(&link, piece);
+			sent += piece;
+			if (sent < LONG_BYTES)
+				continue;
+			sent = 0;
+			late += now > taken.front();
+			served++;
+			taken.pop_front();
+		}
+	}
+	EXPECT_EQ(late, 0);
+	EXPECT_GT(refused, 100);
+	/* The link is used in spite of the refusals. */
+	EXPECT_GT(served * (double)LONG_BYTES, 0.95 * 20e9 * link.rate);
+}
+
+} // namespace
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -225,6 +225,96 @@
 	EXPECT_EQ(a.metric(METRIC_CONTROL_BYTES_SENT), 0u);
 }
 
+// A peer whose host has a link of 2 Mbit/s: 100 KB take it half a second.
+class PeerOnNarrowLink : public Peer
+{
+      protected:
+	void
+	SetUp() override
+	{
+		b.settings.link_mbps = 2;
+		Peer::SetUp();
+	}
+	/* An answer head that names its length, then the body. */
+	void
+	long_answer(const message_t *open, size_t body)
+	{
+		message_t *head =
+		    message_create(MESSAGE_ANSWER_HEAD, open->node, open->stream);
+
+		head->u.answer = answer_head_create();
+		head->u.answer->status = 200;
+		head->u.answer->body_length = (int64_t)body;
+		b.gate.post(head);
+		for (size_t done = 0; done < body; done += STREAM_DATA_MAX)
+			b.data(b.gate, MESSAGE_ANSWER_DATA, open->node, open->stream,
+			    std::min(body - done, (size_t)STREAM_DATA_MAX),
+			    done + STREAM_DATA_MAX >= body);
+	}
+};
+
+// Pattern: internal calls beside downloads on a narrow link. Guards: short answers
+// that wait behind long ones, and long ones that all end late since they take turns.
+TEST_F(PeerOnNarrowLink, ShortAnswersPassAndLongOnesEndOneAfterTheOther)
+{
+	std::vector<uint64_t> ended;
+	std::map<uint64_t, size_t> bytes;
+
+	b.gate.handler = [&](message_t *message) {
+		if (message->type == MESSAGE_CALL_OPEN)
+			long_answer(message, message->u.call->depth > 0 ? 100 : 100000);
+	};
+	a.entry.handler = [&](message_t *message) {
+		if (message->type != MESSAGE_ANSWER_DATA)
+			return;
+		if (message->u.data.chunk != NULL)
+			bytes[message->stream] += message->u.data.chunk->size;
+		if (message->u.data.end)
+			ended.push_back(message->stream);
+		/* The first download is well under way when the others are done. */
+		if (bytes[1] > 0 && bytes[3] == 0 && ended.empty())
+			EXPECT_LT(bytes[2], 50000u);
+	};
+	a.call(b.id, 1);
+	a.call(b.id, 2);
+	ASSERT_TRUE(wait([&] { return bytes[1] > 10000; }));
+	{
+		message_t *message = message_create(MESSAGE_CALL_OPEN, b.id, 3);
+
+		message->u.call = call_head_create();
+		message->u.call->path = strdup("/x");
+		message->u.call->depth = 1;
+		message->u.call->deadline = kernel_now(a.kernel) + 30 * NS_PER_S;
+		a.entry.post(message);
+	}
+	ASSERT_TRUE(wait([&] { return ended.size() == 3; }));
+	EXPECT_EQ(ended, (std::vector<uint64_t>{3, 1, 2}));
+	EXPECT_EQ(bytes[1], 100000u);
+	EXPECT_EQ(bytes[2], 100000u);
+	EXPECT_TRUE(
+	    wait([&] { return kernel_is_idle(a.kernel) && kernel_is_idle(b.kernel); }));
+}
+
+// Guards: a call that is taken although its long answer cannot leave in time.
+TEST_F(PeerOnNarrowLink, CallsWithLongAnswersAreRefusedWhenTheLinkIsTaken)
+{
+	for (uint64_t stream = 1; stream <= 6; stream++) {
+		message_t *message = message_create(MESSAGE_CALL_OPEN, b.id, stream);
+
+		message->u.call = call_head_create();
+		message->u.call->path = strdup("/x");
+		message->u.call->answer_bytes = 100000;
+		message->u.call->deadline = kernel_now(a.kernel) + 30 * NS_PER_S;
+		message->u.call->target = kernel_now(a.kernel) + 2 * NS_PER_S;
+		a.entry.post(message);
+	}
+	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_REFUSAL] >= 1; }));
+	EXPECT_EQ(a.entry.refusals[0].reason, REASON_LINK_BUSY);
+	EXPECT_EQ(a.entry.refusals[0].run, RUN_NO);
+	EXPECT_GT(a.entry.refusals[0].load.link_wait_us, 500000u);
+	EXPECT_GE(b.gate.counts[MESSAGE_CALL_OPEN], 2);
+}
+
 TEST_F(Peer, ControlOfSeveralFramesArrivesWhole)
 {
 	std::string received;
--- a/test/test_spread_members.cc
+++ b/test/test_spread_members.cc
@@ -22,7 +22,7 @@
 	SetUp() override
 	{
 		for (uint64_t self = 1; self <= NODES; self++) {
-			spread_members_init(&views[self], self, "z", FAN_OUT);
+			spread_members_init(&views[self], self, 0, "z", FAN_OUT);
 			for (uint64_t node = 1; node <= NODES; node++)
 				add(&views[self], node);
 		}
@@ -83,4 +83,34 @@
 	}
 }
 
+// Pattern: a large document that changes several times a second, on hosts of which
+// few have wide links. Guards: a relay whose link is full of the document.
+TEST(SpreadMembers, HostsWithWideLinksRelay)
+{
+	spread_members_t narrow, wide;
+
+	spread_members_init(&narrow, 1, 5, "z", FAN_OUT);
+	spread_members_init(&wide, 40, 100, "z", FAN_OUT);
+	for (uint64_t node = 1; node <= NODES; node++) {
+		member_t member = {};
+
+		member.node = node;
+		strcpy(member.zone, "z");
+		member.state = MEMBER_ALIVE;
+		member.reachable = true;
+		member.link_mbps = node == 40 ? 100 : 5;
+		if (node != 1)
+			spread_members_update(&narrow, &member);
+		if (node != 40)
+			spread_members_update(&wide, &member);
+	}
+	EXPECT_TRUE(spread_members_is_relay(&wide));
+	EXPECT_FALSE(spread_members_is_relay(&narrow));
+	EXPECT_EQ(spread_members_relay_of(&narrow, "z"), 40u);
+	spread_members_remove(&narrow, 40);
+	EXPECT_NE(spread_members_relay_of(&narrow, "z"), 40u);
+	spread_members_free(&narrow);
+	spread_members_free(&wide);
+}
+
 } // namespace
