Withdraw the instance of a restarted node later; ramp new ones for 3 s

After the restart its instance got a tenth of the work, rising over 10 s. A node that leaves refused nested calls of work that it still ran, since they name their parent, not a depth.

--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -353,7 +353,7 @@
 		return reason;
 	headers_strip(&request->head->headers);
 	/* Calls of running work continue while the node leaves. */
-	if (entry->leaving && fields.depth == 0 &&
+	if (entry->leaving && !request_is_nested(request, &fields) &&
 	    request->accepted >= entry->accept_deadline)
 		return REASON_SHUTDOWN;
 	if (entry->snapshot == NULL)
--- a/src/node.c
+++ b/src/node.c
@@ -60,10 +60,38 @@
 	uint64_t grace_deadline;
 	bool listening;
 	uint64_t next_stage; /* earliest time of the next step of the shutdown */
+	uint64_t withdraw_at; /* the instance takes other nodes' work until then */
+	bool withdrawn;
 };
 
-static const char *const service_names[] = {
-    "entry", "gate", "peer", "membership", "config", "operators", "readiness"};
+/* The services that are told of a shutdown when it begins, and at withdraw_at. */
+static const char *const first_names[] = {
+    "entry", "peer", "config", "operators", "readiness"};
+static const char *const withdraw_names[] = {"gate", "membership"};
+
+static void
+leave_post(masticpitch_node_t *node, const char *const *names, size_t count)
+{
+	kernel_t *kernel = node->kernel;
+
+	for (size_t i = 0; i < count; i++)
+		kernel_message_post(kernel, NULL, kernel_service_find(kernel, names[i]),
+		    message_create(MESSAGE_LEAVE, 0, 0));
+}
+
+/*
+ * The backend server of this host goes on when only the node is restarted: its
+ * instance leaves no earlier than callers are turned away.
+ */
+static void
+node_withdraw(masticpitch_node_t *node)
+{
+	if (node->withdrawn || kernel_now(node->kernel) < node->withdraw_at)
+		return;
+	node->withdrawn = true;
+	log_info(kernel_log(node->kernel), "leaving: the instance is withdrawn");
+	leave_post(node, withdraw_names, ARRAY_LENGTH(withdraw_names));
+}
 
 static void
 node_begin_leaving(masticpitch_node_t *node)
@@ -75,12 +103,12 @@
 	node->leaving = true;
 	node->grace_deadline =
 	    kernel_now(kernel) + node->settings.shutdown_grace_ms * NS_PER_MS;
-	node->next_stage = kernel_now(kernel) + SHUTDOWN_LINGER_NS;
+	node->withdraw_at =
+	    kernel_now(kernel) + node->settings.shutdown_accept_ms * NS_PER_MS;
+	node->next_stage = node->withdraw_at + SHUTDOWN_LINGER_NS;
 	log_info(kernel_log(kernel), "leaving: taking no new work");
-	for (size_t i = 0; i < ARRAY_LENGTH(service_names); i++)
-		kernel_message_post(kernel, NULL,
-		    kernel_service_find(kernel, service_names[i]),
-		    message_create(MESSAGE_LEAVE, 0, 0));
+	leave_post(node, first_names, ARRAY_LENGTH(first_names));
+	node_withdraw(node);
 	ev_timer_start(kernel_loop(kernel), &node->shutdown_poll);
 }
 
@@ -96,6 +124,7 @@
 		kernel_stop(node->kernel);
 		return;
 	}
+	node_withdraw(node);
 	if (!kernel_is_idle(node->kernel) || now < node->next_stage)
 		return;
 	if (node->listening) {
--- a/src/preset.c
+++ b/src/preset.c
@@ -48,7 +48,7 @@
 	service->in_flight_limit = 1024;
 	service->retry_percent = 10;
 	service->spill_percent = 80;
-	service->slow_start_ms = 10000;
+	service->slow_start_ms = PRESET_SLOW_START_MS;
 }
 
 static int
--- a/src/preset.h
+++ b/src/preset.h
@@ -33,6 +33,11 @@
 #define PRESET_TEXT_MAX (1024 * 1024)
 #define PRESET_IN_FLIGHT_MAX 65536
 #define PRESET_QUEUE_MAX 65536
+/*
+ * Ramp of a new instance unless the preset says so, ms: backend servers are cold for
+ * some three seconds; a longer ramp leaves warm ones unused after a node's restart.
+ */
+#define PRESET_SLOW_START_MS 3000
 #define PRESET_SLOW_START_MS_MAX (10 * 60 * 1000)
 #define PRESET_BODY_LIMIT_MAX (UINT64_C(1) << 40)
 /* Texts that preset_parse_parts() takes: routes and 32 buckets of services. */
