Let a node that stays alone watch; relays leave with their membership

A host added while the platform is down knows nobody. Logs of the node: in force version 4 at 26.5 s, members and version 48 at 30.3 s.

Change: watching is put off for the wait of a lone node, not for as long as it is alone. Test: test_spread ANodeThatStaysAloneWatches, failed before.

--- a/src/node.c
+++ b/src/node.c
@@ -59,15 +59,18 @@
 	bool leaving;
 	uint64_t grace_deadline;
 	bool listening;
-	uint64_t next_stage; /* earliest time of the next step of the shutdown */
+	uint64_t next_stage;  /* earliest time of the next step of the shutdown */
 	uint64_t withdraw_at; /* the instance takes other nodes' work until then */
 	bool withdrawn;
 };
 
 /* The services that are told of a shutdown when it begins, and at withdraw_at. */
-static const char *const first_names[] = {
-    "entry", "peer", "config", "operators", "readiness"};
-static const char *const withdraw_names[] = {"gate", "membership"};
+static const char *const first_names[] = {"entry", "peer", "operators", "readiness"};
+/*
+ * A relay stops with its membership: the others take its part once they hear that it
+ * leaves, so a relay that stopped before would leave its zone without one.
+ */
+static const char *const withdraw_names[] = {"gate", "membership", "config"};
 
 static void
 leave_post(masticpitch_node_t *node, const char *const *names, size_t count)
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -88,7 +88,8 @@
 
 /* Real variant: the lease of the zone's relay. */
 typedef struct spread_relay {
-	bool active; /* this node watches for its zone */
+	bool active;	  /* this node watches for its zone */
+	bool lone_waited; /* others were looked for before it takes the part */
 	relay_phase_t phase;
 	uint64_t lease;
 	uint64_t expect; /* revision of relay/ZONE that a put replaces */
--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -11,10 +11,11 @@
 {
 	switch (spread->variant.kind) {
 	case CONFIG_SOURCE_RELAY:
-		/* A node that knows nobody yet ranks lowest by mistake. */
+		/* At first a node knows nobody and ranks lowest by mistake. */
 		return spread->variant.u.relay.active ||
 		       (spread->watchers > 1 &&
-			   spread_members_usable_count(&spread->members) > 0 &&
+			   (spread->variant.u.relay.lone_waited ||
+			       spread_members_usable_count(&spread->members) > 0) &&
 			   spread_members_own_rank(&spread->members) < spread->watchers);
 	case CONFIG_SOURCE_WATCH:
 		return true;
--- a/src/spread_relay.c
+++ b/src/spread_relay.c
@@ -106,6 +106,7 @@
 		spread_wake_at(spread, lone_wait_until(spread));
 		return;
 	}
+	relay->lone_waited = true;
 	if (relay->refused_since != 0 &&
 	    now >= relay->refused_since + SPREAD_LEASE_WAIT_NS)
 		relay->active = true; /* the holder is out of this node's reach */
--- a/test/process_relay.py
+++ b/test/process_relay.py
@@ -5,6 +5,7 @@
 from common_process import VersionWatch, check, run, start_mesh, wait_for
 
 ZONE = 1
+CONVERGENCE_LIMIT_S = 3.0
 
 
 def relays(fleet):
@@ -63,4 +64,18 @@
     check(relay.node.alive(), "the paused relay is gone")
 
 
-run(test_killed, test_paused)
+def test_leaving(fleet):
+    """Guards against a zone without a relay while one leaves and still serves."""
+    start_mesh(fleet, hosts_per_zone=3, backends=False)
+    watch = VersionWatch(fleet)
+    relay = wait_lease(fleet)
+    relay.node.terminate()
+    version = fleet.use("peak")
+    others = [host for host in fleet.hosts if host is not relay]
+    # Well before the leaving node withdraws, and within the guaranteed time.
+    watch.wait(version, others, timeout=CONVERGENCE_LIMIT_S)
+    check(relay.node.alive(), "the leaving relay was gone before the change")
+
+
+test_leaving.fleet = {"settings": {"shutdown.accept_ms": 8000, "shutdown.grace_ms": 15000}}
+run(test_killed, test_paused, test_leaving)
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -327,6 +327,48 @@
 	EXPECT_FALSE(has_ended(1));
 }
 
+// Guards: an answer without a length that is taken as whole after a reset, or as cut
+// after an ordered end.
+TEST_F(Gate, AnswerWithoutALengthEndsWithItsConnection)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/x"));
+	ASSERT_TRUE(until([&] { return server->with("\r\n\r\n") != nullptr; }));
+	server->connections[0]->write("HTTP/1.1 200 OK\r\n\r\nthe whole");
+	ASSERT_TRUE(until([&] { return entry->find(MESSAGE_ANSWER_DATA, 1); }));
+	EXPECT_FALSE(has_ended(1));
+	server->connections[0]->finish();
+	ASSERT_TRUE(until([&] { return has_ended(1); }));
+
+	entry->post("gate", call(0, 2, "GET", "/katalogo/reset"));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/reset") != nullptr; }));
+	server->with("/katalogo/reset")->write("HTTP/1.1 200 OK\r\n\r\na part");
+	ASSERT_TRUE(until([&] { return entry->find(MESSAGE_ANSWER_DATA, 2); }));
+	server->with("/katalogo/reset")->abort();
+	expect_refusal(*entry, MESSAGE_ANSWER_ABORT, 2, REASON_BACKEND_LOST, RUN_YES);
+	EXPECT_FALSE(has_ended(2));
+}
+
+// Guards: the rest of a long body that goes to the backend server as something else
+// after an early answer.
+TEST_F(Gate, ConnectionOfAnEarlyAnswerIsNotUsedForTheNextRequest)
+{
+	Raw *first;
+
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "POST", "/katalogo/early", 100000));
+	entry->post_data("gate", MESSAGE_CALL_DATA, 0, 1, std::string(1000, 'x'), false);
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/early") != nullptr; }));
+	first = server->with("/katalogo/early");
+	first->write("HTTP/1.1 403 Early\r\nContent-Length: 2\r\n\r\nno");
+	ASSERT_TRUE(until([&] { return has_ended(1); }));
+	entry->post("gate", call(0, 2, "GET", "/katalogo/next"));
+	ASSERT_TRUE(until([&] { return server->with("/katalogo/next") != nullptr; }));
+	EXPECT_FALSE(first->has("/katalogo/next"));
+	server->with("/katalogo/next")->write(OK_ANSWER);
+	ASSERT_TRUE(until([&] { return has_ended(2); }));
+}
+
 TEST_F(Gate, MalformedAnswerIsUnknown)
 {
 	ASSERT_EQ(announce("ready"), 200);
--- a/test/test_spread.cc
+++ b/test/test_spread.cc
@@ -560,3 +560,43 @@
 	seeds_run(first ? strtoull(first, NULL, 10) : 1,
 	    count ? strtoull(count, NULL, 10) : 2000);
 }
+// Pattern: a host starts while the platform is down and nobody is known. Guards: a
+// node that reads the document once after the platform's return and then hears of no
+// change until somebody answers it (campanario-mesh trouble-3: two seconds too late).
+TEST(Spread, ANodeThatStaysAloneWatches)
+{
+	spread_options_t options = {};
+	uint64_t now = 100 * NS_PER_S, watched = 0;
+	spread_t *spread = nullptr;
+
+	options.node = 7;
+	options.zone = "z";
+	options.boot = 1;
+	options.source = CONFIG_SOURCE_RELAY;
+	options.watchers = 2;
+	options.seed = 3;
+	ASSERT_EQ(spread_create(&options, now, &spread), MASTICPITCH_OK);
+	for (int ms = 0; ms < 6000 && watched == 0; ms += 10, now += 10 * NS_PER_MS) {
+		spread_action_t *action;
+
+		spread_tick(spread, now);
+		while ((action = spread_action_take(spread)) != nullptr) {
+			platform_answer_t answer = {};
+
+			/* Another node's lease stands, and there is no document yet. */
+			answer.outcome = action->call == SPREAD_CALL_GET_HEAD
+					     ? PLATFORM_NOT_FOUND
+					     : PLATFORM_REFUSED;
+			if (action->kind == SPREAD_CALL) {
+				if (action->call == SPREAD_CALL_WATCH_HEAD)
+					watched = now;
+				else
+					spread_platform_answer(
+					    spread, action->call, nullptr, &answer, now);
+			}
+			spread_action_destroy(action);
+		}
+	}
+	EXPECT_NE(watched, 0u);
+	spread_destroy(spread);
+}
