--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,10 @@
 	libmicrohttpd-dev libcurl4-openssl-dev libargtable2-dev libjson-c-dev \
 	libsodium-dev libgtest-dev
 
-.PHONY: all deps build sanitized check demo model mutants bench capacity lint fuzz format proto clean
+# Seeds of the fault soak, FIRST..LAST.
+SEEDS ?= 1..10
+
+.PHONY: all deps build sanitized check demo model mutants bench capacity lint fuzz soak format proto clean
 
 all: build
 
@@ -55,6 +58,9 @@
 fuzz: deps
 	@tools/fuzz.sh
 
+soak: build
+	@MASTICPITCH_BUILD=$(BUILD) python3 tools/soak.py $(SEEDS)
+
 format: deps
 	@git ls-files '*.c' '*.h' '*.cc' | grep -v pb-c | xargs clang-format -i
 
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -89,7 +89,8 @@
 		membership.post(message);
 	}
 	void
-	call(uint64_t node, uint64_t stream, bool has_body = false)
+	call(uint64_t node, uint64_t stream, bool has_body = false,
+	    std::function<void(call_head_t *)> change = {})
 	{
 		message_t *message = message_create(MESSAGE_CALL_OPEN, node, stream);
 
@@ -97,6 +98,8 @@
 		message->u.call->path = strdup("/x");
 		message->u.call->has_body = has_body;
 		message->u.call->deadline = kernel_now(kernel) + 30 * NS_PER_S;
+		if (change)
+			change(message->u.call);
 		entry.post(message);
 	}
 	void
@@ -278,15 +281,7 @@
 	a.call(b.id, 1);
 	a.call(b.id, 2);
 	ASSERT_TRUE(wait([&] { return bytes[1] > 10000; }));
-	{
-		message_t *message = message_create(MESSAGE_CALL_OPEN, b.id, 3);
-
-		message->u.call = call_head_create();
-		message->u.call->path = strdup("/x");
-		message->u.call->depth = 1;
-		message->u.call->deadline = kernel_now(a.kernel) + 30 * NS_PER_S;
-		a.entry.post(message);
-	}
+	a.call(b.id, 3, false, [](call_head_t *call) { call->depth = 1; });
 	ASSERT_TRUE(wait([&] { return ended.size() == 3; }));
 	EXPECT_EQ(ended, (std::vector<uint64_t>{3, 1, 2}));
 	EXPECT_EQ(bytes[1], 100000u);
@@ -298,16 +293,11 @@
 // Guards: a call that is taken although its long answer cannot leave in time.
 TEST_F(PeerOnNarrowLink, CallsWithLongAnswersAreRefusedWhenTheLinkIsTaken)
 {
-	for (uint64_t stream = 1; stream <= 6; stream++) {
-		message_t *message = message_create(MESSAGE_CALL_OPEN, b.id, stream);
-
-		message->u.call = call_head_create();
-		message->u.call->path = strdup("/x");
-		message->u.call->answer_bytes = 100000;
-		message->u.call->deadline = kernel_now(a.kernel) + 30 * NS_PER_S;
-		message->u.call->target = kernel_now(a.kernel) + 2 * NS_PER_S;
-		a.entry.post(message);
-	}
+	for (uint64_t stream = 1; stream <= 6; stream++)
+		a.call(b.id, stream, false, [&](call_head_t *call) {
+			call->answer_bytes = 100000;
+			call->target = kernel_now(a.kernel) + 2 * NS_PER_S;
+		});
 	ASSERT_TRUE(wait([&] { return a.entry.counts[MESSAGE_REFUSAL] >= 1; }));
 	EXPECT_EQ(a.entry.refusals[0].reason, REASON_LINK_BUSY);
 	EXPECT_EQ(a.entry.refusals[0].run, RUN_NO);
--- a/test/test_throttle.cc
+++ b/test/test_throttle.cc
@@ -97,7 +97,8 @@
 	for (int i = 0; i < 30; i++) {
 		now += THROTTLE_STEP_MS * NS_PER_MS;
 		if (i < 10)
-			throttle_call_record(&throttle, ROUTE_LOOKUP, 0, false, false, now);
+			throttle_call_record(
+			    &throttle, ROUTE_LOOKUP, 0, false, false, now);
 		else
 			throttle_admit(&throttle, ROUTE_LOOKUP, now);
 	}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -65,7 +65,7 @@
         living = self.fleet.living()
         return self.random.choice(living) if len(living) > 2 else None
 
-    # Faults. Each returns True if it was injected.
+    # Faults; each one undoes itself later.
 
     def node_kill(self, host):
         host.node.kill()
@@ -76,17 +76,20 @@
         node.pause()
         self.later(self.random.choice((0.2, 1.0, 4.0)), node.resume)
 
-    def node_restart(self, host):
-        node = host.node
-        node.terminate()
+    def restart(self, process, start):
+        """A planned stop, and a start once the process has ended."""
+        process.terminate()
 
         def start_again():
-            if node.alive():
+            if process.alive():
                 self.later(0.1, start_again)
             else:
-                host.node_start()
+                start()
         self.later(0.1, start_again)
 
+    def node_restart(self, host):
+        self.restart(host.node, host.node_start)
+
     def backend_kill(self, host):
         if host.backend.alive():
             host.backend.kill()
@@ -98,15 +101,7 @@
         self.later(self.random.uniform(0.2, 1.5), backend.resume)
 
     def backend_leave(self, host):
-        backend = host.backend
-        backend.terminate()
-
-        def start_again():
-            if backend.alive():
-                self.later(0.1, start_again)
-            else:
-                host.backend_start()
-        self.later(0.2, start_again)
+        self.restart(host.backend, host.backend_start)
 
     def platform_fault(self, _host):
         name, value, normal = self.random.choice((
