--- a/src/link.h
+++ b/src/link.h
@@ -45,8 +45,7 @@
 	uint64_t at;   /* time of tokens */
 	double short_rate; /* smoothed use by short frames, bytes per ns */
 	uint64_t short_at;
-	uint64_t
-	    waiting; /* bytes of long bodies that are to be sent, expected ones too */
+	uint64_t waiting; /* bytes of long bodies to be sent, expected ones too */
 } link_shaper_t;
 
 /* mbps: of the host's link, Mbit/s; 0: not known, nothing is paced. */
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,6 +24,7 @@
         "levels": 2}
 GUARANTEES = ("wrong", "doubled", "refused_but_run", "answered_unrun")
 SERVED_LEAST = 0.3  # share of the requests of a seed that must be answered
+WORK_MS = 25  # of a run, so that a death finds some of them under way
 SETTLE_S = 2.0  # without new faults, so that the end shows recovery
 
 
@@ -44,7 +45,8 @@
 
     def start(self):
         for number in range(self.host_count):
-            self.fleet.host_add(number % len(self.fleet.zones) + 1, SERVICE)
+            self.fleet.host_add(number % len(self.fleet.zones) + 1, SERVICE,
+                                work_ms=WORK_MS)
         for name, deadline in PRESETS:
             self.fleet.preset_create(name, preset_make([SERVICE], deadline))
         self.fleet.wait_versions(self.fleet.use("normal"))
