Set the pacer's timer from the look that refused

Cause: peer_bulk_run() stopped because the link was busy, and pacer_set() looked at the link a second time some microseconds later. Change: link_admits() gives the time to wake up at with its refusal; the peer task stores it as bulk_ready_at and sets the timer from it. Ruled out: a full socket, which wakes the loop by itself.

--- a/src/link.c
+++ b/src/link.c
@@ -28,20 +28,16 @@
 }
 
 bool
-link_admits(link_shaper_t *link, uint64_t now)
+link_admits(link_shaper_t *link, uint64_t now, uint64_t *ready_at)
 {
 	if (link->rate <= 0)
 		return true;
 	link_refill(link, now);
-	return link->tokens >= 0;
-}
-
-uint64_t
-link_ready_at(link_shaper_t *link, uint64_t now)
-{
-	if (link_admits(link, now))
-		return now;
-	return now + (uint64_t)(-link->tokens / link->rate) + 1;
+	if (link->tokens >= 0)
+		return true;
+	if (ready_at != NULL)
+		*ready_at = now + (uint64_t)(-link->tokens / link->rate) + 1;
+	return false;
 }
 
 /* Adds bytes to an exponentially decaying average. */
--- a/src/link.h
+++ b/src/link.h
@@ -54,10 +54,12 @@
 
 /* mbps: rate of the host's link, Mbit/s; 0: not known, nothing is paced. */
 void link_init(link_shaper_t *link, double mbps, uint64_t now);
-/* Whether a piece of a long body may be sent now. */
-bool link_admits(link_shaper_t *link, uint64_t now);
-/* The time from which link_admits() is true if nothing is sent until then. */
-uint64_t link_ready_at(link_shaper_t *link, uint64_t now);
+/*
+ * Whether a piece of a long body may be sent now. If not, *ready_at is the time from
+ * which it may, provided that nothing is sent until then; may be NULL. The caller
+ * has to wake up at that time: a second look may find the link free again.
+ */
+bool link_admits(link_shaper_t *link, uint64_t now, uint64_t *ready_at);
 /* Takes tokens for bytes handed to the network; bulk: they are of a long body. */
 void link_consume(link_shaper_t *link, size_t bytes, bool bulk, uint64_t now);
 /* Size of the pieces in which long bodies are sent, bytes. */
--- a/src/peer.c
+++ b/src/peer.c
@@ -160,12 +160,14 @@
 	uint64_t now = kernel_now(peer->kernel);
 
 	/* A full socket wakes the loop when it becomes writable. */
-	if (list_is_empty(&peer->bulk) || ev_is_active(&peer->pacer) ||
-	    link_admits(&peer->link, now))
+	if (peer->bulk_ready_at == 0 || ev_is_active(&peer->pacer))
 		return;
 	ev_now_update(loop);
 	ev_timer_set(&peer->pacer,
-	    (double)(link_ready_at(&peer->link, now) - now) / (double)NS_PER_S, 0.0);
+	    peer->bulk_ready_at > now
+		? (double)(peer->bulk_ready_at - now) / (double)NS_PER_S
+		: 0.0,
+	    0.0);
 	ev_timer_start(loop, &peer->pacer);
 }
 
--- a/src/peer_internal.h
+++ b/src/peer_internal.h
@@ -161,7 +161,9 @@
 	list_t dirty;
 	list_t bulk; /* streams with a long body to send, most urgent first */
 	link_shaper_t link;
-	ev_timer pacer; /* fires when the link admits the next piece */
+	uint64_t
+	    bulk_ready_at; /* when the link admits the next piece; 0: it did not refuse */
+	ev_timer pacer;	   /* fires at bulk_ready_at */
 	size_t connection_count;
 	size_t unauthenticated_count;
 	uint64_t next_connection;
@@ -225,7 +227,10 @@
 /* Encodes waiting frames by priority while the output is short. */
 int peer_send_fill(peer_connection_t *connection);
 bool peer_send_is_empty(const peer_connection_t *connection);
-/* Encodes pieces of long bodies while the link admits them; false: none. */
+/*
+ * Encodes pieces of long bodies while the link admits them and sets bulk_ready_at;
+ * false: none.
+ */
 bool peer_bulk_run(peer_t *peer);
 /* Signs and appends one frame. */
 int peer_send_frame(peer_connection_t *connection, const Masticpitch__Frame *frame);
--- a/src/peer_send.c
+++ b/src/peer_send.c
@@ -268,7 +268,10 @@
 	peer_stream_t *stream;
 	bool sent = false;
 
-	while (link_admits(&peer->link, now) && (stream = bulk_next(peer)) != NULL) {
+	peer->bulk_ready_at = 0;
+	while (!list_is_empty(&peer->bulk) &&
+	       link_admits(&peer->link, now, &peer->bulk_ready_at) &&
+	       (stream = bulk_next(peer)) != NULL) {
 		bulk_send(stream);
 		sent = true;
 	}
--- a/test/test_link.cc
+++ b/test/test_link.cc
@@ -46,7 +46,7 @@
 			longest = std::max(longest, wire.send(SHORT_BYTES, now) - now);
 			next_short += 10 * NS_PER_MS;
 		}
-		while (left > 0 && link_admits(&link, now)) {
+		while (left > 0 && link_admits(&link, now, nullptr)) {
 			size_t piece = std::min(left, link_piece_bytes(&link));
 
 			link_consume(&link, piece, true, now);
@@ -76,12 +76,30 @@
 TEST(Link, DebtOfShortFramesIsBounded)
 {
 	link_shaper_t link;
-	uint64_t now = NS_PER_S;
+	uint64_t now = NS_PER_S, ready_at = 0;
 
 	link_init(&link, MBPS, now);
 	link_consume(&link, 10 * 1000 * 1000, false, now);
-	EXPECT_FALSE(link_admits(&link, now));
-	EXPECT_LE(link_ready_at(&link, now), now + (LINK_DEBT_MAX_MS + 1) * NS_PER_MS);
+	EXPECT_FALSE(link_admits(&link, now, &ready_at));
+	EXPECT_LE(ready_at, now + (LINK_DEBT_MAX_MS + 1) * NS_PER_MS);
+}
+
+// A sender that was refused sets its timer some microseconds later, when the link may be
+// free again. Guards against a second look that finds no reason for a timer, after which
+// the rest of a long body waits for the next unrelated event.
+TEST(Link, RefusalGivesTheTimeToWakeUpAt)
+{
+	for (uint64_t late_us = 0; late_us < 100; late_us++) {
+		link_shaper_t link;
+		uint64_t now = NS_PER_S, ready_at = 0, later = now + late_us * NS_PER_US;
+
+		link_init(&link, MBPS, now);
+		link_consume(&link, 28, true, now); // 50 us at the paced rate
+		ASSERT_FALSE(link_admits(&link, now, &ready_at));
+		EXPECT_GT(ready_at, now);
+		EXPECT_LT(ready_at, now + 100 * NS_PER_US);
+		EXPECT_EQ(link_admits(&link, later, nullptr), later >= ready_at);
+	}
 }
 
 TEST(Link, WithoutARateNothingIsDelayed)
@@ -90,7 +108,7 @@
 
 	link_init(&link, 0, 0);
 	link_consume(&link, 1 << 30, true, 0);
-	EXPECT_TRUE(link_admits(&link, 0));
+	EXPECT_TRUE(link_admits(&link, 0, nullptr));
 	EXPECT_EQ(link_wait_us(&link, 0), 0u);
 	EXPECT_FALSE(link_refuses(&link, 1 << 30, 1, 2, 0));
 }
@@ -117,7 +135,7 @@
 				link_backlog_add(&link, LONG_BYTES);
 			}
 		}
-		while (!accepted_targets.empty() && link_admits(&link, now)) {
+		while (!accepted_targets.empty() && link_admits(&link, now, nullptr)) {
 			size_t piece =
 			    std::min(LONG_BYTES - sent, link_piece_bytes(&link));
 
