--- /dev/null
+++ b/src/entry_callers.c
@@ -0,0 +1,95 @@
+/*
+ * Connects the callers' server with the entry's requests.
+ */
+#include "entry_internal.h"
+
+#include <unistd.h>
+
+static size_t
+ahead_bytes(void *state, const request_head_t *head)
+{
+	return entry_ahead_bytes(state, head);
+}
+
+/* Changed timeouts of the configuration take effect with the next request. */
+static void
+timeouts_set(entry_t *entry)
+{
+	const preset_limits_t *limits;
+
+	if (entry->snapshot == NULL)
+		return;
+	limits = &entry->snapshot->preset->limits;
+	caller_server_timeouts_set(entry->callers,
+	    limits->idle_timeout_ms == 0
+		? 0
+		: limits->idle_timeout_ms * NS_PER_MS + ENTRY_IDLE_MARGIN_S * NS_PER_S,
+	    limits->header_timeout_ms * NS_PER_MS);
+}
+
+static void *
+request_begin(void *state, exchange_t *exchange)
+{
+	entry_request_t *request = entry_request_create(state, exchange);
+
+	if (request == NULL)
+		return NULL;
+	timeouts_set(state);
+	entry_request_begin(request);
+	return request;
+}
+
+static size_t
+request_body(void *owner, const char *data, size_t size)
+{
+	return entry_request_body(owner, data, size);
+}
+
+static void
+request_body_end(void *owner)
+{
+	entry_request_body_end(owner);
+}
+
+static void
+request_end(void *owner, bool delivered)
+{
+	entry_request_t *request = owner;
+	metrics_t *metrics = kernel_metrics(request->entry->kernel);
+
+	entry_request_log(request, delivered);
+	if (request->answer_cut)
+		metrics_add(metrics, METRIC_ANSWERS_CUT, 1);
+	else if (!delivered)
+		metrics_add(metrics, METRIC_CALLER_HANGUPS, 1);
+	else if (request->answer != NULL)
+		metrics_add(metrics, METRIC_ANSWERS, 1);
+	metrics_observe(metrics, HISTOGRAM_REQUEST,
+	    kernel_now(request->entry->kernel) - request->accepted_at);
+	entry_request_destroy(request);
+}
+
+int
+entry_callers_open(entry_t *entry)
+{
+	const caller_owner_t owner = {.state = entry,
+	    .ahead_bytes = ahead_bytes,
+	    .begin = request_begin,
+	    .body = request_body,
+	    .body_end = request_body_end,
+	    .read = entry_answer_read,
+	    .end = request_end};
+	caller_options_t options = {
+	    .connections_max =
+		(unsigned)(entry->settings->requests_max + ENTRY_EXTRA_CONNECTIONS),
+	    .idle_ns = ENTRY_IDLE_TIMEOUT_S * NS_PER_S};
+	int error = os_socket_listen(&entry->settings->callers, &options.listen_fd);
+
+	if (error != MASTICPITCH_OK)
+		return error;
+	error = caller_server_create(
+	    kernel_loop(entry->kernel), &options, &owner, &entry->callers);
+	if (error != MASTICPITCH_OK)
+		close(options.listen_fd);
+	return error;
+}
--- /dev/null
+++ b/src/entry_refuse.c
@@ -0,0 +1,87 @@
+/*
+ * The end of a request's attempt: its stream, the report to the local gate, and the
+ * refusal of the request.
+ */
+#include "entry_internal.h"
+
+void
+entry_stream_post(entry_request_t *request, message_t *message)
+{
+	entry_t *entry = request->entry;
+
+	kernel_message_post(
+	    entry->kernel, &entry->service, request->stream.service, message);
+}
+
+void
+entry_nested_report(
+    entry_request_t *request, const load_report_t *load, bool refused, bool failed)
+{
+	entry_t *entry = request->entry;
+	message_t *message;
+
+	if (!request->nested)
+		return;
+	message = message_create(MESSAGE_NESTED, 0, 0);
+	if (message != NULL) {
+		message->u.nested.parent = run_set_parent_hash(request->head->request_id);
+		message->u.nested.duration =
+		    kernel_now(entry->kernel) - request->accepted_at;
+		message->u.nested.pressure = load == NULL ? 0 : load->pressure;
+		message->u.nested.refused = refused;
+		message->u.nested.failed = failed;
+	}
+	kernel_message_post(entry->kernel, &entry->service,
+	    kernel_service_find(entry->kernel, "gate"), message);
+}
+
+message_t *
+entry_stream_message(const entry_request_t *request, message_type_t type)
+{
+	return message_create(type, request->stream.node, request->stream.stream);
+}
+
+void
+entry_stream_close(entry_request_t *request)
+{
+	if (!request->stream_open)
+		return;
+	request->stream_open = false;
+	stream_table_remove(&request->entry->streams, &request->stream);
+}
+
+void
+entry_attempt_cancel(entry_request_t *request)
+{
+	entry_t *entry = request->entry;
+
+	ev_timer_stop(kernel_loop(entry->kernel), &request->backoff);
+	if (!request->stream_open)
+		return;
+	entry_stream_post(request, entry_stream_message(request, MESSAGE_CALL_CANCEL));
+	entry_stream_close(request);
+	balance_attempt_end(entry->balance, &request->attempt, kernel_now(entry->kernel));
+}
+
+void
+entry_request_refuse(
+    entry_request_t *request, reason_t reason, run_state_t run, bool final)
+{
+	entry_t *entry = request->entry;
+
+	metrics_refusal_add(kernel_metrics(entry->kernel), reason);
+	entry_attempt_cancel(request);
+	entry_nested_report(request, &request->last_load,
+	    run == RUN_NO && reason_is_overload(reason), true);
+	if (run == RUN_NO && request->refusal.retry_after_ms == 0 &&
+	    reason_is_overload(reason))
+		request->refusal.retry_after_ms =
+		    ENTRY_RETRY_AFTER_MIN_MS +
+		    (uint32_t)rng_below(kernel_rng(entry->kernel),
+			ENTRY_RETRY_AFTER_MAX_MS - ENTRY_RETRY_AFTER_MIN_MS);
+	request->refusal.reason = reason;
+	request->refusal.run = run;
+	request->refusal.final = final;
+	chunk_queue_free(&request->unsent);
+	entry_request_resume(request);
+}
--- /dev/null
+++ b/src/request_parser.c
@@ -0,0 +1,289 @@
+#include "request_parser.h"
+
+#include "util.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* Names and values of trailer fields, which are discarded, bytes. */
+#define TRAILERS_MAX_BYTES (16 * 1024)
+
+void
+request_head_init(request_head_t *head)
+{
+	head->method[0] = '\0';
+	buffer_init(&head->text, REQUEST_HEAD_MAX_BYTES);
+	head->field_count = 0;
+	head->http_1_0 = false;
+	head->keep_alive = false;
+	head->expects = false;
+	head->has_body = false;
+	head->error = REQUEST_ERROR_NONE;
+}
+
+void
+request_head_free(request_head_t *head)
+{
+	buffer_free(&head->text);
+	request_head_init(head);
+}
+
+const char *
+request_head_path(const request_head_t *head)
+{
+	return head->text.size > 0 ? (const char *)head->text.data : "";
+}
+
+const char *
+request_field_name(const request_head_t *head, size_t field)
+{
+	return (const char *)head->text.data + head->fields[field].name;
+}
+
+const char *
+request_field_value(const request_head_t *head, size_t field)
+{
+	return (const char *)head->text.data + head->fields[field].value;
+}
+
+static request_parser_t *
+parser_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+/* Stops the parser with an error that is not one of http-parser's. */
+static int
+parser_fail(request_parser_t *parser, request_error_t error)
+{
+	parser->head.error = error;
+	return 1;
+}
+
+static int
+text_append(request_parser_t *parser, const char *data, size_t size)
+{
+	if (buffer_append(&parser->head.text, data, size) != MASTICPITCH_OK)
+		return parser_fail(parser, REQUEST_ERROR_TOO_LARGE);
+	return 0;
+}
+
+/* Terminates the string that was appended last. */
+static int
+text_end(request_parser_t *parser)
+{
+	return text_append(parser, "", 1);
+}
+
+static int
+begin_callback(http_parser *http)
+{
+	request_parser_t *parser = parser_of(http);
+
+	parser->head_begun = true;
+	parser->head_done = false;
+	parser->in_value = false;
+	parser->trailer_bytes = 0;
+	return 0;
+}
+
+static int
+url_callback(http_parser *http, const char *data, size_t size)
+{
+	return text_append(parser_of(http), data, size);
+}
+
+static int
+trailer_discard(request_parser_t *parser, size_t size)
+{
+	parser->trailer_bytes += size;
+	return parser->trailer_bytes > TRAILERS_MAX_BYTES
+		   ? parser_fail(parser, REQUEST_ERROR_TOO_LARGE)
+		   : 0;
+}
+
+static int
+name_callback(http_parser *http, const char *data, size_t size)
+{
+	request_parser_t *parser = parser_of(http);
+	request_head_t *head = &parser->head;
+	bool starts = parser->in_value || head->field_count == 0;
+
+	if (http->flags & F_TRAILING)
+		return trailer_discard(parser, size);
+	/* Ends the request target or the value before. */
+	if (starts) {
+		if (text_end(parser) != 0)
+			return 1;
+		if (head->field_count == REQUEST_FIELDS_MAX)
+			return parser_fail(parser, REQUEST_ERROR_TOO_LARGE);
+		head->fields[head->field_count++] =
+		    (request_field_t){.name = (uint32_t)head->text.size};
+		parser->in_value = false;
+	}
+	return text_append(parser, data, size);
+}
+
+static int
+value_callback(http_parser *http, const char *data, size_t size)
+{
+	request_parser_t *parser = parser_of(http);
+	request_head_t *head = &parser->head;
+
+	if (http->flags & F_TRAILING)
+		return trailer_discard(parser, size);
+	if (!parser->in_value) {
+		if (text_end(parser) != 0)
+			return 1;
+		head->fields[head->field_count - 1].value = (uint32_t)head->text.size;
+		parser->in_value = true;
+	} else if (data != parser->value_end) {
+		/* A folded line, which other programs may read as two fields. */
+		return parser_fail(parser, REQUEST_ERROR_SYNTAX);
+	}
+	parser->value_end = data + size;
+	return text_append(parser, data, size);
+}
+
+static void
+head_finish(request_parser_t *parser)
+{
+	http_parser *http = &parser->parser;
+	request_head_t *head = &parser->head;
+
+	string_copy(head->method, sizeof(head->method),
+	    http_method_str((enum http_method)http->method));
+	head->http_1_0 = http->http_minor == 0;
+	head->keep_alive = http_should_keep_alive(http) != 0;
+	head->has_body = (http->flags & F_CHUNKED) != 0 ||
+			 ((http->flags & F_CONTENTLENGTH) && http->content_length > 0);
+	for (size_t i = 0; i < head->field_count; i++)
+		head->expects |=
+		    strcasecmp(request_field_name(head, i), "Expect") == 0 &&
+		    strcasecmp(request_field_value(head, i), "100-continue") == 0;
+}
+
+static int
+head_callback(http_parser *http)
+{
+	request_parser_t *parser = parser_of(http);
+
+	if (http->http_major != 1 || text_end(parser) != 0)
+		return parser_fail(parser,
+		    parser->head.error != REQUEST_ERROR_NONE ? parser->head.error
+							     : REQUEST_ERROR_SYNTAX);
+	head_finish(parser);
+	/* Other protocols are not offered; the request is an ordinary one. */
+	http->upgrade = 0;
+	parser->head_begun = false;
+	parser->head_done = true;
+	if (!parser->events.head(parser->state, &parser->head))
+		http_parser_pause(http, 1);
+	return 0;
+}
+
+static int
+body_callback(http_parser *http, const char *data, size_t size)
+{
+	request_parser_t *parser = parser_of(http);
+
+	if (!parser->events.body(parser->state, data, size))
+		http_parser_pause(http, 1);
+	return 0;
+}
+
+static int
+end_callback(http_parser *http)
+{
+	request_parser_t *parser = parser_of(http);
+
+	request_head_free(&parser->head);
+	parser->head_done = false;
+	if (!parser->events.end(parser->state))
+		http_parser_pause(http, 1);
+	return 0;
+}
+
+static const http_parser_settings CALLBACKS = {
+    .on_message_begin = begin_callback,
+    .on_url = url_callback,
+    .on_header_field = name_callback,
+    .on_header_value = value_callback,
+    .on_headers_complete = head_callback,
+    .on_body = body_callback,
+    .on_message_complete = end_callback,
+};
+
+void
+request_parser_init(
+    request_parser_t *parser, const request_events_t *events, void *state)
+{
+	memset(parser, 0, sizeof(*parser));
+	http_parser_init(&parser->parser, HTTP_REQUEST);
+	parser->parser.data = parser;
+	parser->events = *events;
+	parser->state = state;
+	request_head_init(&parser->head);
+}
+
+void
+request_parser_free(request_parser_t *parser)
+{
+	request_head_free(&parser->head);
+}
+
+static request_error_t
+error_of(const request_parser_t *parser)
+{
+	if (parser->head.error != REQUEST_ERROR_NONE)
+		return parser->head.error;
+	switch (HTTP_PARSER_ERRNO(&parser->parser)) {
+	case HPE_INVALID_CONTENT_LENGTH:
+	case HPE_UNEXPECTED_CONTENT_LENGTH:
+	case HPE_INVALID_TRANSFER_ENCODING:
+	case HPE_INVALID_CHUNK_SIZE:
+		return REQUEST_ERROR_FRAMING;
+	case HPE_HEADER_OVERFLOW:
+		return REQUEST_ERROR_TOO_LARGE;
+	default:
+		return REQUEST_ERROR_SYNTAX;
+	}
+}
+
+request_error_t
+request_parser_run(
+    request_parser_t *parser, const char *data, size_t size, size_t *consumed)
+{
+	request_head_t *head = &parser->head;
+
+	http_parser_pause(&parser->parser, 0);
+	if (parser->in_value)
+		parser->value_end = data;
+	*consumed = http_parser_execute(&parser->parser, &CALLBACKS, data, size);
+	if (HTTP_PARSER_ERRNO(&parser->parser) == HPE_PAUSED ||
+	    HTTP_PARSER_ERRNO(&parser->parser) == HPE_OK)
+		return REQUEST_ERROR_NONE;
+	head->error = error_of(parser);
+	if (!parser->head_done) {
+		request_error_t error = head->error;
+
+		/* What was read of the fields is incomplete. */
+		if (head->text.size > 0 && head->text.size < head->text.limit)
+			(void)text_end(parser);
+		else if (head->text.size > 0)
+			head->text.data[head->text.size - 1] = '\0';
+		head->error = error;
+		head->field_count = 0;
+		parser->head_begun = false;
+		parser->head_done = true;
+		(void)parser->events.head(parser->state, head);
+		return error;
+	}
+	return head->error;
+}
+
+bool
+request_parser_in_head(const request_parser_t *parser)
+{
+	return parser->head_begun;
+}
--- /dev/null
+++ b/test/fuzz_request_parser.c
@@ -0,0 +1,110 @@
+/*
+ * Requests of callers: no input may crash the parser, and the same bytes in any pieces
+ * give the same requests.
+ */
+#include "fuzz_change.h"
+#include "request_parser.h"
+#include "util.h"
+
+#include <string.h>
+
+static const char valid[] =
+    "GET /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n"
+    "POST /e HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+    "PUT /f HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: v\r\n\r\n"
+    "GET /g HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+/* What the events told, as one hash. */
+typedef struct trace {
+	uint64_t hash;
+	bool pausing; /* stops behind every event */
+} trace_t;
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+trace_add(trace_t *trace, const void *data, size_t size)
+{
+	for (size_t i = 0; i < size; i++)
+		trace->hash = (trace->hash ^ ((const uint8_t *)data)[i]) * 0x100000001b3;
+}
+
+static bool
+head_event(void *state, request_head_t *head)
+{
+	trace_t *trace = state;
+
+	INVARIANT(head->field_count <= REQUEST_FIELDS_MAX);
+	INVARIANT(head->text.size <= REQUEST_HEAD_MAX_BYTES);
+	trace_add(trace, head->method, strlen(head->method));
+	if (head->error == REQUEST_ERROR_NONE)
+		trace_add(
+		    trace, request_head_path(head), strlen(request_head_path(head)));
+	for (size_t i = 0; i < head->field_count; i++) {
+		const char *name = request_field_name(head, i);
+		const char *value = request_field_value(head, i);
+
+		trace_add(trace, name, strlen(name) + 1);
+		trace_add(trace, value, strlen(value) + 1);
+	}
+	return !trace->pausing;
+}
+
+static bool
+body_event(void *state, const char *data, size_t size)
+{
+	trace_add(state, data, size);
+	return !((trace_t *)state)->pausing;
+}
+
+static bool
+end_event(void *state)
+{
+	trace_add(state, "end", 3);
+	return !((trace_t *)state)->pausing;
+}
+
+static uint64_t
+parse(const uint8_t *data, size_t size, size_t piece, bool pausing)
+{
+	static const request_events_t events = {head_event, body_event, end_event};
+	trace_t trace = {.pausing = pausing};
+	request_parser_t parser;
+	request_error_t error = REQUEST_ERROR_NONE;
+	size_t calls = 0;
+
+	request_parser_init(&parser, &events, &trace);
+	for (size_t at = 0; at < size && error == REQUEST_ERROR_NONE;) {
+		size_t consumed;
+
+		error = request_parser_run(&parser, (const char *)data + at,
+		    MIN_OF(piece, size - at), &consumed);
+		at += consumed;
+		/* Each call reads a byte or reports an event. */
+		INVARIANT(++calls <= 4 * size + 4);
+	}
+	request_parser_free(&parser);
+	return trace.hash;
+}
+
+static void
+parse_and_compare(const uint8_t *data, size_t size)
+{
+	uint64_t whole = parse(data, size, SIZE_MAX, false);
+
+	INVARIANT(parse(data, size, 1, false) == whole);
+	INVARIANT(parse(data, size, SIZE_MAX, true) == whole);
+	INVARIANT(parse(data, size, 7, true) == whole);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	uint8_t changed[sizeof(valid)];
+
+	parse_and_compare(data, size);
+	memcpy(changed, valid, sizeof(valid));
+	fuzz_change(changed, sizeof(valid) - 1, data, size);
+	parse_and_compare(changed, sizeof(valid) - 1);
+	return 0;
+}
