Run pipelined requests of a caller at the same time

Cause: libmicrohttpd reads the next request of a connection only after the answer to the one before. Change: caller_server, caller_connection and exchange serve callers on libev with http-parser (request_parser). Idempotent requests run together, at most 16 and 512 KB of expected answers a connection; answers go out in order; a request that isn't idempotent waits for all before it, and those behind it wait for it. An answer that ends the connection drops what is behind it; a refusal keeps the connection if requests wait behind it. The header timeout of the configuration is enforced. The files of the entry call one way: report, answer, refuse, attempt, head, request, callers, entry. Ruled out: libmicrohttpd with a socket pair for each request in flight, and reading ahead beside it; see docs/decisions.md.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	clang clang-format clang-tidy cppcheck libclang-rt-14-dev spin gnuplot-nox \
 	libev-dev libprotobuf-c-dev protobuf-c-compiler protobuf-compiler \
 	libmicrohttpd-dev libcurl4-openssl-dev libargtable2-dev libjson-c-dev \
-	libsodium-dev liblz4-dev libgtest-dev
+	libsodium-dev liblz4-dev libhttp-parser-dev libgtest-dev
 
 # Seeds of the fault soak, as FIRST..LAST.
 SEEDS ?= 1..10
--- a/src/caller_connection.c
+++ b/src/caller_connection.c
@@ -116,9 +116,8 @@
 
 	if (body->size == 0 || exchange == NULL || exchange->state == EXCHANGE_HELD)
 		return body->size == 0;
-	buffer_consume(body,
-	    connection->owner->body(
-		exchange->owner, (const char *)body->data, body->size));
+	buffer_consume(body, connection->owner->body(
+				 exchange->owner, (const char *)body->data, body->size));
 	return body->size == 0;
 }
 
@@ -126,12 +125,10 @@
 body_event(void *state, const char *data, size_t size)
 {
 	caller_connection_t *connection = state;
-	size_t consumed =
-	    connection->owner->body(connection->reading->owner, data, size);
+	size_t consumed = connection->owner->body(connection->reading->owner, data, size);
 
-	if (consumed < size &&
-	    buffer_append(&connection->body, data + consumed, size - consumed) !=
-		MASTICPITCH_OK)
+	if (consumed < size && buffer_append(&connection->body, data + consumed,
+				   size - consumed) != MASTICPITCH_OK)
 		connection->phase = CALLER_CLOSED;
 	return consumed == size;
 }
@@ -188,9 +185,12 @@
 		if (error == REQUEST_ERROR_NONE)
 			continue;
 		connection->input_ended = true;
-		/* A malformed body: the owner would wait for its end. */
-		if (connection->reading != NULL)
+		/* A malformed body: without an answer, the owner waits for its end. */
+		if (connection->reading != NULL &&
+		    (connection->reading->state < EXCHANGE_ANSWERING ||
+			!connection->reading->close))
 			connection->phase = CALLER_CLOSED;
+		connection->reading = NULL;
 		total = size;
 	}
 	if (connection->head_at == 0 && request_parser_in_head(&connection->parser))
@@ -224,9 +224,8 @@
 		return;
 	if (connection->input.size == 0)
 		parsed = input_parse(connection, data, size, now);
-	if (parsed < size &&
-	    buffer_append(&connection->input, data + parsed, size - parsed) !=
-		MASTICPITCH_OK)
+	if (parsed < size && buffer_append(&connection->input, data + parsed,
+				 size - parsed) != MASTICPITCH_OK)
 		connection->phase = CALLER_CLOSED;
 }
 
@@ -378,12 +377,12 @@
 void
 caller_connection_run(caller_connection_t *connection, uint64_t now)
 {
-	bool writable = true;
-	uint64_t collected;
+	bool writable;
+	uint64_t written;
 	size_t count;
 
 	do {
-		collected = connection->output_total;
+		written = connection->output_total - connection->output.size;
 		count = connection->exchange_count;
 		if (connection->phase == CALLER_OPEN)
 			input_advance(connection, now);
@@ -392,9 +391,10 @@
 			break;
 		writable = output_write(connection, now);
 		exchanges_finish(connection);
-		/* New output, or room for another request. */
-	} while (writable && (connection->output_total != collected ||
-				 connection->exchange_count < count));
+		/* There is room for more output, or for another request. */
+	} while (writable &&
+		 (connection->output_total - connection->output.size != written ||
+		     connection->exchange_count < count));
 	close_advance(connection);
 	if (connection->phase == CALLER_CLOSED) {
 		ev_io_stop(connection->loop, &connection->read_watcher);
@@ -423,8 +423,8 @@
 }
 
 caller_connection_t *
-caller_connection_create(
-    struct ev_loop *loop, int fd, const caller_owner_t *owner, list_t *woken, defer_t *defer)
+caller_connection_create(struct ev_loop *loop, int fd, const caller_owner_t *owner,
+    list_t *woken, defer_t *defer)
 {
 	static const request_events_t events = {
 	    .head = head_event, .body = body_event, .end = end_event};
@@ -472,8 +472,7 @@
 		exchange_destroy(exchange);
 	}
 	if (connection->reset)
-		setsockopt(
-		    connection->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	close(connection->fd);
 	request_parser_free(&connection->parser);
 	buffer_free(&connection->input);
--- a/src/entry.c
+++ b/src/entry.c
@@ -3,37 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-void
-entry_stream_post(entry_request_t *request, message_t *message)
-{
-	entry_t *entry = request->entry;
-
-	kernel_message_post(
-	    entry->kernel, &entry->service, request->stream.service, message);
-}
-
-void
-entry_nested_report(
-    entry_request_t *request, const load_report_t *load, bool refused, bool failed)
-{
-	entry_t *entry = request->entry;
-	message_t *message;
-
-	if (!request->nested)
-		return;
-	message = message_create(MESSAGE_NESTED, 0, 0);
-	if (message != NULL) {
-		message->u.nested.parent = run_set_parent_hash(request->head->request_id);
-		message->u.nested.duration =
-		    kernel_now(entry->kernel) - request->accepted_at;
-		message->u.nested.pressure = load == NULL ? 0 : load->pressure;
-		message->u.nested.refused = refused;
-		message->u.nested.failed = failed;
-	}
-	kernel_message_post(entry->kernel, &entry->service,
-	    kernel_service_find(entry->kernel, "gate"), message);
-}
-
 /* Gives this entry its share of the retry allowance of all entries. */
 static void
 retry_share_set(entry_t *entry)
@@ -166,7 +135,7 @@
 		entry_leave(entry);
 		break;
 	case MESSAGE_STOP_LISTENING:
-		entry_http_stop_listening(entry);
+		caller_server_stop_listening(entry->callers);
 		break;
 	default:
 		break;
@@ -223,7 +192,6 @@
 	entry->service.state = entry;
 	entry->service.receive = entry_receive;
 	entry->service.is_idle = entry_is_idle;
-	entry->disconnect_fd = -1;
 	deadline_profile_init(&entry->deadlines);
 	answer_profile_init(&entry->answers);
 	run_set_init(&entry->running);
@@ -233,7 +201,7 @@
 	if (error == MASTICPITCH_OK)
 		error = policies_create(entry);
 	if (error == MASTICPITCH_OK)
-		error = entry_http_open(entry);
+		error = entry_callers_open(entry);
 	if (error == MASTICPITCH_OK)
 		error = kernel_service_register(kernel, &entry->service);
 	if (error != MASTICPITCH_OK) {
@@ -250,7 +218,7 @@
 	if (entry == NULL)
 		return;
 	kernel_service_unregister(entry->kernel, &entry->service);
-	entry_http_close(entry);
+	caller_server_destroy(entry->callers);
 	balance_destroy(entry->balance);
 	retry_destroy(entry->retry);
 	limit_entry_destroy(entry->limit);
--- a/src/entry_answer.c
+++ b/src/entry_answer.c
@@ -75,13 +75,11 @@
 	int error = headers_add(headers, "Content-Type", "application/json");
 
 	if (error == MASTICPITCH_OK)
-		error =
-		    field_add(headers, names->reason, reason_text(refusal->reason));
+		error = field_add(headers, names->reason, reason_text(refusal->reason));
 	if (error == MASTICPITCH_OK)
 		error = field_add(headers, names->run, run_state_text(refusal->run));
 	if (error == MASTICPITCH_OK)
-		error =
-		    field_add(headers, names->request_id, request->head->request_id);
+		error = field_add(headers, names->request_id, request->head->request_id);
 	if (error == MASTICPITCH_OK && refusal->final)
 		error = field_add(headers, names->final, "1");
 	return error == MASTICPITCH_OK ? retry_after_add(request, headers) : error;
@@ -201,7 +199,7 @@
 		answer.body_length = answer_length(request);
 	}
 	if (error == MASTICPITCH_OK)
-		error = exchange_answer(request->exchange, &answer);
+		error = exchange_answer_start(request->exchange, &answer);
 	if (error != MASTICPITCH_OK)
 		exchange_abort(request->exchange);
 	headers_free(&headers);
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -3,34 +3,6 @@
 #include <stdio.h>
 #include <string.h>
 
-static message_t *
-stream_message(const entry_request_t *request, message_type_t type)
-{
-	return message_create(type, request->stream.node, request->stream.stream);
-}
-
-static void
-stream_close(entry_request_t *request)
-{
-	if (!request->stream_open)
-		return;
-	request->stream_open = false;
-	stream_table_remove(&request->entry->streams, &request->stream);
-}
-
-void
-entry_attempt_cancel(entry_request_t *request)
-{
-	entry_t *entry = request->entry;
-
-	ev_timer_stop(kernel_loop(entry->kernel), &request->backoff);
-	if (!request->stream_open)
-		return;
-	entry_stream_post(request, stream_message(request, MESSAGE_CALL_CANCEL));
-	stream_close(request);
-	balance_attempt_end(entry->balance, &request->attempt, kernel_now(entry->kernel));
-}
-
 /*
  * Refuses the request without a further attempt. The run state of the earlier
  * attempts is kept, and so is their reason if no instance is left.
@@ -97,7 +69,7 @@
 	request->stream.node = local ? 0 : node;
 	request->stream.stream = ++entry->stream_last;
 	head = request->stream.service == NULL ? NULL : call_head_copy(request->head);
-	message = head == NULL ? NULL : stream_message(request, MESSAGE_CALL_OPEN);
+	message = head == NULL ? NULL : entry_stream_message(request, MESSAGE_CALL_OPEN);
 	if (message == NULL ||
 	    stream_table_insert(&entry->streams, &request->stream) != MASTICPITCH_OK) {
 		call_head_destroy(head);
@@ -152,7 +124,7 @@
 static void
 body_send(entry_request_t *request)
 {
-	message_t *message = stream_message(request, MESSAGE_CALL_DATA);
+	message_t *message = entry_stream_message(request, MESSAGE_CALL_DATA);
 	chunk_t *chunk = chunk_queue_take(&request->unsent);
 
 	if (chunk != NULL)
@@ -314,7 +286,7 @@
 	refusal_t refusal = message->u.refusal;
 	uint64_t now = kernel_now(entry->kernel);
 
-	stream_close(request);
+	entry_stream_close(request);
 	if (message->type == MESSAGE_REFUSAL)
 		balance_attempt_refused(entry->balance, &request->attempt, refusal.reason,
 		    &refusal.load, now);
@@ -436,7 +408,7 @@
 		chunk_release(chunk);
 	if (message->u.data.end) {
 		request->answer_end = true;
-		stream_close(request);
+		entry_stream_close(request);
 		balance_attempt_end(
 		    entry->balance, &request->attempt, kernel_now(entry->kernel));
 		/* The caller may still send body data, which is discarded. */
--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -7,6 +7,8 @@
 
 #define RESERVED_PATH "/.masticpitch/"
 #define TICKET_PATH "/.masticpitch/ticket"
+/* A decoded argument of a query, with its terminator. */
+#define QUERY_VALUE_BYTES 1024
 
 /* Collected while the header fields are read. */
 typedef struct head_fields {
@@ -89,27 +91,32 @@
 	return true;
 }
 
-static enum MHD_Result
-field_callback(void *state, enum MHD_ValueKind kind, const char *name, size_t name_size,
-    const char *value, size_t value_size)
+static void
+field_read(head_fields_t *fields, const char *name, const char *value)
 {
-	head_fields_t *fields = state;
-
-	fields->bytes += name_size + value_size;
-	if (++fields->count > HEADERS_COUNT_MAX || fields->bytes > fields->bytes_max) {
+	fields->bytes += strlen(name) + strlen(value);
+	if (++fields->count > HEADERS_COUNT_MAX || fields->bytes > fields->bytes_max)
 		fields->reason = REASON_HEADERS_TOO_LARGE;
-		return MHD_NO;
-	}
-	if (value == NULL)
-		value = "";
-	if (strlen(name) != name_size || strlen(value) != value_size) {
+	else if (!field_is_consumed(fields, name, value) &&
+		 headers_add(&fields->head->headers, name, value) != MASTICPITCH_OK)
 		fields->reason = REASON_BAD_REQUEST;
-		return MHD_NO;
+}
+
+/* The reason for a request that could not be parsed. */
+static reason_t
+error_reason(request_error_t error)
+{
+	switch (error) {
+	case REQUEST_ERROR_NONE:
+		break;
+	case REQUEST_ERROR_SYNTAX:
+		return REASON_BAD_REQUEST;
+	case REQUEST_ERROR_FRAMING:
+		return REASON_BAD_FRAMING;
+	case REQUEST_ERROR_TOO_LARGE:
+		return REASON_HEADERS_TOO_LARGE;
 	}
-	if (!field_is_consumed(fields, name, value) &&
-	    headers_add(&fields->head->headers, name, value) != MASTICPITCH_OK)
-		fields->reason = REASON_BAD_REQUEST;
-	return fields->reason == REASON_NONE ? MHD_YES : MHD_NO;
+	return REASON_NONE;
 }
 
 /*
@@ -121,7 +128,7 @@
 {
 	if (fields->length_count > 0 && fields->encoding_count > 0)
 		return REASON_BAD_FRAMING;
-	if (fields->chunked && request->http_1_0)
+	if (fields->chunked && request->exchange->head.http_1_0)
 		return REASON_BAD_FRAMING;
 	request->body_length = fields->chunked ? -1 : (int64_t)fields->length;
 	request->head->body_length = request->body_length;
@@ -211,6 +218,42 @@
 	return REASON_NONE;
 }
 
+/*
+ * Finds an argument in the query of a path and decodes its value. False if there is
+ * none, or if it is malformed or too long.
+ */
+static bool
+query_find(const char *path, const char *name, char value[QUERY_VALUE_BYTES])
+{
+	const char *at = strchr(path, '?');
+	size_t name_length = strlen(name), size = 0;
+	uint8_t byte;
+
+	while (at != NULL &&
+	       (strncmp(at + 1, name, name_length) != 0 || at[1 + name_length] != '='))
+		at = strchr(at + 1, '&');
+	if (at == NULL)
+		return false;
+	for (at += name_length + 2; *at != '\0' && *at != '&'; at++) {
+		char digits[3] = "";
+
+		byte = (uint8_t)*at;
+		if (byte == '%') {
+			if (at[1] == '\0' || at[2] == '\0')
+				return false;
+			memcpy(digits, at + 1, 2);
+			if (hex_decode(digits, &byte, 1) != MASTICPITCH_OK || byte == 0)
+				return false;
+			at += 2;
+		}
+		if (size == QUERY_VALUE_BYTES - 1)
+			return false;
+		value[size++] = (char)byte;
+	}
+	value[size] = '\0';
+	return true;
+}
+
 /*
  * Finds the route of the request. A request for a ticket is routed by the path and
  * the method that the ticket is for.
@@ -222,17 +265,17 @@
 	const char *path = request->head->path;
 	const char *method = request->head->method;
 	size_t length = sizeof(TICKET_PATH) - 1;
+	char argument[QUERY_VALUE_BYTES], method_argument[QUERY_VALUE_BYTES];
 
 	if (strncmp(path, RESERVED_PATH, sizeof(RESERVED_PATH) - 1) == 0) {
 		if (strncmp(path, TICKET_PATH, length) != 0 ||
 		    strchr("?", path[length]) == NULL || strcmp(method, "GET") != 0)
 			return REASON_NO_ROUTE;
-		path = MHD_lookup_connection_value(
-		    request->mhd, MHD_GET_ARGUMENT_KIND, "path");
-		method = MHD_lookup_connection_value(
-		    request->mhd, MHD_GET_ARGUMENT_KIND, "method");
-		if (path == NULL || method == NULL)
+		if (!query_find(request->head->path, "path", argument) ||
+		    !query_find(request->head->path, "method", method_argument))
 			return REASON_BAD_REQUEST;
+		path = argument;
+		method = method_argument;
 		request->ticket_requested = true;
 	}
 	request->route = preset_route_find_host(
@@ -335,22 +378,26 @@
 }
 
 reason_t
-entry_head_read(entry_request_t *request, const char *method, const char *version)
+entry_head_read(entry_request_t *request)
 {
 	entry_t *entry = request->entry;
+	const request_head_t *head = &request->exchange->head;
 	head_fields_t fields = {.names = entry->names,
 	    .head = request->head,
 	    .bytes_max = entry_header_bytes_max(entry),
 	    .deadline_ms = UINT32_MAX};
 	reason_t reason;
 
-	request->http_1_0 = strcmp(version, "HTTP/1.1") != 0;
-	if (string_copy(request->head->method, sizeof(request->head->method), method) !=
-		MASTICPITCH_OK ||
-	    strcmp(method, "CONNECT") == 0)
+	if (string_copy(request->head->method, sizeof(request->head->method),
+		head->method) != MASTICPITCH_OK ||
+	    strcmp(head->method, "CONNECT") == 0) {
+		request->close = true;
 		return REASON_BAD_REQUEST;
-	MHD_get_connection_values_n(
-	    request->mhd, MHD_HEADER_KIND, field_callback, &fields);
+	}
+	fields.reason = error_reason(head->error);
+	for (size_t i = 0; i < head->field_count && fields.reason == REASON_NONE; i++)
+		field_read(
+		    &fields, request_field_name(head, i), request_field_value(head, i));
 	reason = fields.reason;
 	if (reason == REASON_NONE)
 		reason = framing_check(request, &fields);
@@ -378,3 +425,25 @@
 		reason = route_apply(request, &fields);
 	return reason;
 }
+
+size_t
+entry_ahead_bytes(entry_t *entry, const request_head_t *head)
+{
+	const preset_route_t *route;
+	const char *host = NULL;
+	uint32_t bytes;
+
+	if (entry->snapshot == NULL)
+		return 0;
+	for (size_t i = 0; i < head->field_count && host == NULL; i++) {
+		if (strcasecmp(request_field_name(head, i), "Host") == 0)
+			host = request_field_value(head, i);
+	}
+	route = preset_route_find_host(
+	    entry->snapshot->preset, host, head->method, request_head_path(head));
+	if (route == NULL || !route->idempotent)
+		return 0;
+	bytes = answer_profile_bytes(&entry->answers, hash_string(route->name));
+	return bytes != 0 ? MIN_OF(bytes, (uint32_t)STREAM_WINDOW_BYTES)
+			  : ENTRY_AHEAD_BYTES;
+}
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -1,21 +1,23 @@
 /*
- * Shared declarations of the entry service; see entry.h.
+ * Shared declarations of the entry service; see entry.h. Each file calls only those
+ * before it.
  *
- * entry.c: service and message dispatch. entry_http.c: callers' connections.
- * entry_head.c: validates and parses a request head. entry_request.c: a
- * request's body, answer and refusal. entry_attempt.c: attempts at instances.
- * entry_report.c: request log and answers to operators' queries.
+ * entry_report.c: request log and answers to operators' queries. entry_answer.c:
+ * answers to callers. entry_refuse.c: the end of an attempt and the refusal of a
+ * request. entry_attempt.c: attempts at instances. entry_head.c: validates and parses
+ * a request head. entry_request.c: a request from its head to its end.
+ * entry_callers.c: callers' connections. entry.c: service and message dispatch.
  */
 #ifndef MASTICPITCH_ENTRY_INTERNAL_H
 #define MASTICPITCH_ENTRY_INTERNAL_H
 
 #include "answer_profile.h"
 #include "balance.h"
+#include "caller_server.h"
 #include "chunk_queue.h"
 #include "deadline_profile.h"
 #include "entry.h"
 #include "limit.h"
-#include "mhd_loop.h"
 #include "quarantine.h"
 #include "retry.h"
 #include "run_set.h"
@@ -27,11 +29,6 @@
 #define ENTRY_HEADER_BYTES_MAX (16 * 1024)
 /* Path with query, bytes. */
 #define ENTRY_PATH_MAX_BYTES 8192
-/*
- * Memory of libmicrohttpd for one connection; to a head that exceeds it,
- * libmicrohttpd itself answers 431.
- */
-#define ENTRY_CONNECTION_MEMORY_BYTES (20 * 1024)
 /* Unsent body bytes of a request above which no more is read from its caller. */
 #define ENTRY_BODY_BUFFERED_MAX_BYTES (64 * 1024)
 /*
@@ -66,6 +63,8 @@
  * deadline states the run state more exactly than the entry's, ms.
  */
 #define ENTRY_DEADLINE_GRACE_MS 20
+/* Expected size of the first answer of a route, for pipelined requests, bytes. */
+#define ENTRY_AHEAD_BYTES (64 * 1024)
 /* Attempts of an idempotent request under the naive policy. */
 #define ENTRY_NAIVE_ATTEMPTS 3
 /*
@@ -96,21 +95,12 @@
 
 typedef struct entry_request entry_request_t;
 
-/* A caller's connection. */
-typedef struct entry_connection {
-	int fd;
-	entry_request_t *request; /* the one in progress; NULL: none */
-} entry_connection_t;
-
 struct entry {
 	service_t service;
 	kernel_t *kernel;
 	const settings_t *settings;
 	uint64_t node; /* own id */
-	struct MHD_Daemon *daemon;
-	mhd_loop_t mhd;
-	int disconnect_fd; /* epoll descriptor, reports disconnects only */
-	ev_io disconnect;
+	caller_server_t *callers;
 	stream_table_t streams;
 	list_t requests;
 	uint64_t stream_last;
@@ -129,11 +119,9 @@
 	uint64_t accept_deadline; /* a leaving entry accepts new requests until then */
 	const header_names_t *names;
 	char caller_service[NAME_BYTES]; /* backend server's; may be empty */
-	bool stopping;
 };
 
 typedef enum request_state {
-	REQUEST_HEAD,	  /* the head is not read yet */
 	REQUEST_BODY,	  /* the body is being read */
 	REQUEST_WAITING,  /* completely read; waits for answer or refusal */
 	REQUEST_ANSWERING /* the answer is being sent */
@@ -142,12 +130,8 @@
 struct entry_request {
 	list_t link;
 	entry_t *entry;
-	struct MHD_Connection *mhd;
-	entry_connection_t *connection;
+	exchange_t *exchange;
 	request_state_t state;
-	bool suspended;
-	bool aborted; /* the caller disconnected or the request was aborted */
-	bool http_1_0;
 	bool close; /* close the connection after the answer */
 	uint64_t accepted_at;
 
@@ -194,82 +178,77 @@
 	chunk_queue_t answer_body;
 	bool answer_end;
 	bool answer_cut;
-	uint32_t answer_credit; /* bytes delivered, credit not returned yet */
+	uint64_t answer_delivered; /* bytes of the body */
+	uint32_t answer_credit;	   /* bytes delivered, credit not returned yet */
 
 	/* refusal, if reason is not REASON_NONE */
 	refusal_t refusal;
 };
 
-/* entry.c */
-/* Posts a message of the request's open stream to its service, gate or peer. */
-void entry_stream_post(entry_request_t *request, message_t *message);
-
-/* entry_http.c */
-int entry_http_open(entry_t *entry);
-void entry_http_close(entry_t *entry);
-/*
- * Closes the listen socket after accepting the connections in its backlog. A
- * second call changes nothing.
- */
-void entry_http_stop_listening(entry_t *entry);
-/* Number of callers' open connections. */
-unsigned entry_connections(const entry_t *entry);
-/* Resumes the connection if it is suspended. */
-void entry_request_resume(entry_request_t *request);
-/* Closes the caller's connection without an answer. */
-void entry_request_abort(entry_request_t *request);
-
-/* entry_head.c */
-/*
- * Validates the head and fills in framing, deadline and route. Returns
- * REASON_NONE, or the reason for refusing the request.
- */
-reason_t entry_head_read(
-    entry_request_t *request, const char *method, const char *version);
-
-/* entry_request.c */
-/* Returns NULL if there is no memory. */
-entry_request_t *entry_request_create(
-    entry_t *entry, struct MHD_Connection *mhd, const char *path);
-void entry_request_destroy(entry_request_t *request);
-/* Parses the head, then admits or refuses the request. */
-void entry_request_begin(
-    entry_request_t *request, const char *method, const char *version);
-/* Consumes body bytes; returns how many. */
-size_t entry_request_body(entry_request_t *request, const char *data, size_t size);
-void entry_request_body_end(entry_request_t *request);
-/*
- * Sets the refusal and cancels the open attempt. The refusal is queued by
- * entry_request_answer().
- */
-void entry_request_refuse(
-    entry_request_t *request, reason_t reason, run_state_t run, bool final);
+/* entry_report.c */
 /* Logs the outcome of the request in one line. */
 void entry_request_log(const entry_request_t *request, bool delivered);
-/* True if an answer or a refusal can be queued. */
+/* Answers an operator's query with MESSAGE_REPORT. */
+void entry_report(entry_t *entry, const message_t *query);
+
+/* entry_answer.c */
+/* True if an answer or a refusal can be given. */
 bool entry_request_is_ready(const entry_request_t *request);
-/* Queues the answer or the refusal. */
-enum MHD_Result entry_request_answer(entry_request_t *request);
+/* Gives the answer or the refusal to the caller. */
+void entry_request_answer(entry_request_t *request);
+/* See exchange_read_t. */
+ssize_t entry_answer_read(void *owner, char *target, size_t size);
+/* Answers if that is possible now; otherwise the caller's connection goes on. */
+void entry_request_resume(entry_request_t *request);
+/* Number of callers' open connections. */
+unsigned entry_connections(const entry_t *entry);
 
+/* entry_refuse.c */
+/* A message of the request's open stream; NULL: no memory. */
+message_t *entry_stream_message(const entry_request_t *request, message_type_t type);
+/* Posts it to the stream's service, gate or peer. */
+void entry_stream_post(entry_request_t *request, message_t *message);
+void entry_stream_close(entry_request_t *request);
+/* Ends the open stream, if any, with CALL_CANCEL. */
+void entry_attempt_cancel(entry_request_t *request);
 /*
  * Reports the end of a nested request to the gate of this host; does nothing for
  * other requests. load: of the instance, may be NULL; refused: for load, not run.
  */
 void entry_nested_report(
     entry_request_t *request, const load_report_t *load, bool refused, bool failed);
+/* Sets the refusal and cancels the open attempt; answers if the body was read. */
+void entry_request_refuse(
+    entry_request_t *request, reason_t reason, run_state_t run, bool final);
 
 /* entry_attempt.c */
 /* Starts the first or another attempt, or refuses the request. */
 void entry_attempt_start(entry_request_t *request);
 /* Sends body data while there is credit. */
 void entry_attempt_pump(entry_request_t *request);
-/* Ends the open stream, if any, with CALL_CANCEL. */
-void entry_attempt_cancel(entry_request_t *request);
 /* Handles a message of the request's stream. */
 void entry_attempt_receive(entry_request_t *request, message_t *message);
 
-/* entry_report.c */
-/* Answers an operator's query with MESSAGE_REPORT. */
-void entry_report(entry_t *entry, const message_t *query);
+/* entry_head.c */
+/*
+ * Validates the head and fills in framing, deadline and route. Returns
+ * REASON_NONE, or the reason for refusing the request.
+ */
+reason_t entry_head_read(entry_request_t *request);
+/* See caller_owner_t. */
+size_t entry_ahead_bytes(entry_t *entry, const request_head_t *head);
+
+/* entry_request.c */
+/* Returns NULL if there is no memory. */
+entry_request_t *entry_request_create(entry_t *entry, exchange_t *exchange);
+void entry_request_destroy(entry_request_t *request);
+/* Parses the head, then admits or refuses the request. */
+void entry_request_begin(entry_request_t *request);
+/* Consumes body bytes; returns how many. */
+size_t entry_request_body(entry_request_t *request, const char *data, size_t size);
+void entry_request_body_end(entry_request_t *request);
+
+/* entry_callers.c */
+int entry_callers_open(entry_t *entry);
 
 #endif
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -76,8 +76,7 @@
 {
 	return strcasecmp(name, "Content-Length") == 0 ||
 	       strcasecmp(name, "Transfer-Encoding") == 0 ||
-	       strcasecmp(name, "Connection") == 0 ||
-	       strcasecmp(name, "Keep-Alive") == 0;
+	       strcasecmp(name, "Connection") == 0 || strcasecmp(name, "Keep-Alive") == 0;
 }
 
 static exchange_framing_t
@@ -148,15 +147,14 @@
 }
 
 int
-exchange_answer(exchange_t *exchange, const exchange_answer_t *answer)
+exchange_answer_start(exchange_t *exchange, const exchange_answer_t *answer)
 {
 	int error;
 
 	exchange->framing = framing_of(exchange, answer);
 	exchange->close = answer->close || !exchange->head.keep_alive ||
 			  exchange->framing == EXCHANGE_UNTIL_CLOSE;
-	exchange->body_left =
-	    answer->body_length > 0 ? (uint64_t)answer->body_length : 0;
+	exchange->body_left = answer->body_length > 0 ? (uint64_t)answer->body_length : 0;
 	error = buffer_printf(&exchange->answer_head, "HTTP/1.1 %d %s\r\n",
 	    answer->status, MHD_get_reason_phrase_for((unsigned)answer->status));
 	if (error == MASTICPITCH_OK)
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -87,7 +87,7 @@
  * Gives the answer's head; the body is then read from the owner. To be called once.
  * Errors: MASTICPITCH_E_LIMIT, MASTICPITCH_E_NOMEM.
  */
-int exchange_answer(exchange_t *exchange, const exchange_answer_t *answer);
+int exchange_answer_start(exchange_t *exchange, const exchange_answer_t *answer);
 /* The owner has more of the answer, or room for more of the request's body. */
 void exchange_resume(exchange_t *exchange);
 /* Ends the connection without an answer, or without the rest of it. */
--- a/src/request_parser.c
+++ b/src/request_parser.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <strings.h>
 
+/* Result of the callback for a head: http-parser gives 1 and 2 other meanings. */
+#define HEAD_CALLBACK_FAILED 3
 /* Names and values of trailer fields, which are discarded, bytes. */
 #define TRAILERS_MAX_BYTES (16 * 1024)
 
@@ -68,10 +70,17 @@
 	return 0;
 }
 
-/* Terminates the string that was appended last. */
+/* Terminates the string that was appended last; a value ends before its white space. */
 static int
 text_end(request_parser_t *parser)
 {
+	request_head_t *head = &parser->head;
+	buffer_t *text = &head->text;
+
+	while (parser->in_value &&
+	       text->size > head->fields[head->field_count - 1].value &&
+	       strchr(" \t", text->data[text->size - 1]) != NULL)
+		text->size--;
 	return text_append(parser, "", 1);
 }
 
@@ -111,6 +120,9 @@
 
 	if (http->flags & F_TRAILING)
 		return trailer_discard(parser, size);
+	/* Other programs may read "Name : value" as another field, or as none. */
+	if (memchr(data, ' ', size) != NULL)
+		return parser_fail(parser, REQUEST_ERROR_SYNTAX);
 	/* Ends the request target or the value before. */
 	if (starts) {
 		if (text_end(parser) != 0)
@@ -129,6 +141,7 @@
 {
 	request_parser_t *parser = parser_of(http);
 	request_head_t *head = &parser->head;
+	uint64_t offset = parser->consumed_total + (uint64_t)(data - parser->data);
 
 	if (http->flags & F_TRAILING)
 		return trailer_discard(parser, size);
@@ -137,11 +150,11 @@
 			return 1;
 		head->fields[head->field_count - 1].value = (uint32_t)head->text.size;
 		parser->in_value = true;
-	} else if (data != parser->value_end) {
+	} else if (offset != parser->value_end) {
 		/* A folded line, which other programs may read as two fields. */
 		return parser_fail(parser, REQUEST_ERROR_SYNTAX);
 	}
-	parser->value_end = data + size;
+	parser->value_end = offset + size;
 	return text_append(parser, data, size);
 }
 
@@ -168,10 +181,12 @@
 {
 	request_parser_t *parser = parser_of(http);
 
-	if (http->http_major != 1 || text_end(parser) != 0)
-		return parser_fail(parser,
-		    parser->head.error != REQUEST_ERROR_NONE ? parser->head.error
-							     : REQUEST_ERROR_SYNTAX);
+	if (text_end(parser) != 0)
+		return HEAD_CALLBACK_FAILED;
+	if (http->http_major != 1) {
+		parser_fail(parser, REQUEST_ERROR_SYNTAX);
+		return HEAD_CALLBACK_FAILED;
+	}
 	head_finish(parser);
 	/* Other protocols are not offered; the request is an ordinary one. */
 	http->upgrade = 0;
@@ -215,8 +230,7 @@
 };
 
 void
-request_parser_init(
-    request_parser_t *parser, const request_events_t *events, void *state)
+request_parser_init(request_parser_t *parser, const request_events_t *events, void *state)
 {
 	memset(parser, 0, sizeof(*parser));
 	http_parser_init(&parser->parser, HTTP_REQUEST);
@@ -257,9 +271,9 @@
 	request_head_t *head = &parser->head;
 
 	http_parser_pause(&parser->parser, 0);
-	if (parser->in_value)
-		parser->value_end = data;
+	parser->data = data;
 	*consumed = http_parser_execute(&parser->parser, &CALLBACKS, data, size);
+	parser->consumed_total += *consumed;
 	if (HTTP_PARSER_ERRNO(&parser->parser) == HPE_PAUSED ||
 	    HTTP_PARSER_ERRNO(&parser->parser) == HPE_OK)
 		return REQUEST_ERROR_NONE;
--- a/src/request_parser.h
+++ b/src/request_parser.h
@@ -67,8 +67,10 @@
 	http_parser parser;
 	request_events_t events;
 	void *state;
-	request_head_t head; /* being read */
-	const char *value_end;
+	request_head_t head;	 /* being read */
+	const char *data;	 /* of the current run */
+	uint64_t consumed_total; /* bytes read by earlier runs */
+	uint64_t value_end;	 /* offset behind the last bytes of a value */
 	bool in_value;
 	bool head_begun; /* a byte of the next head was read */
 	bool head_done;
--- a/test/fuzz_request_parser.c
+++ b/test/fuzz_request_parser.c
@@ -17,7 +17,8 @@
 /* What the events told, as one hash. */
 typedef struct trace {
 	uint64_t hash;
-	bool pausing; /* stops behind every event */
+	bool pausing;	 /* stops behind every event */
+	bool in_request; /* between a head and its end */
 } trace_t;
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
@@ -36,6 +37,8 @@
 
 	INVARIANT(head->field_count <= REQUEST_FIELDS_MAX);
 	INVARIANT(head->text.size <= REQUEST_HEAD_MAX_BYTES);
+	INVARIANT(!trace->in_request);
+	trace->in_request = head->error == REQUEST_ERROR_NONE;
 	trace_add(trace, head->method, strlen(head->method));
 	if (head->error == REQUEST_ERROR_NONE)
 		trace_add(
@@ -53,15 +56,22 @@
 static bool
 body_event(void *state, const char *data, size_t size)
 {
-	trace_add(state, data, size);
-	return !((trace_t *)state)->pausing;
+	trace_t *trace = state;
+
+	INVARIANT(trace->in_request);
+	trace_add(trace, data, size);
+	return !trace->pausing;
 }
 
 static bool
 end_event(void *state)
 {
-	trace_add(state, "end", 3);
-	return !((trace_t *)state)->pausing;
+	trace_t *trace = state;
+
+	INVARIANT(trace->in_request);
+	trace->in_request = false;
+	trace_add(trace, "end", 3);
+	return !trace->pausing;
 }
 
 static uint64_t
--- a/test/test_caller_server.cc
+++ b/test/test_caller_server.cc
@@ -25,8 +25,8 @@
 	void
 	SetUp() override
 	{
-		const caller_owner_t owner = {this, ahead_bytes, begin, body, body_end,
-		    read_answer, end};
+		const caller_owner_t owner = {
+		    this, ahead_bytes, begin, body, body_end, read_answer, end};
 		address_t any = {0x7f000001, 0};
 
 		loop = ev_loop_new(EVFLAG_AUTO);
@@ -105,7 +105,7 @@
 		ASSERT_NE(request, nullptr) << path;
 		request->answer = text;
 		request->answer_ended = ended;
-		ASSERT_EQ(exchange_answer(request->exchange, &given), 0);
+		ASSERT_EQ(exchange_answer_start(request->exchange, &given), 0);
 	}
 	static std::string
 	get(const std::string &path, const std::string &fields = "")
@@ -263,7 +263,7 @@
 			    200, &no_headers, (int64_t)request->path.size(), false};
 			request->answer = request->path;
 			request->answer_ended = true;
-			exchange_answer(request->exchange, &given);
+			exchange_answer_start(request->exchange, &given);
 		}
 		while (answered < requests.size() && requests[answered]->ended)
 			answered++;
@@ -368,7 +368,7 @@
 
 		request->answer = body;
 		request->answer_ended = true;
-		exchange_answer(request->exchange, &given);
+		exchange_answer_start(request->exchange, &given);
 	};
 	caller->write(get("/first") + rest);
 	ASSERT_TRUE(run_until([&] {
@@ -383,13 +383,12 @@
 // The same requests, split into two parts at every byte.
 TEST_F(CallerServer, RequestsAreTheSameHoweverTheyArrive)
 {
-	const std::string text = get("/safe/1", "A: b\r\nC:  d \r\n") +
-				 post("/book?x=1", "body of it") +
-				 "POST /chunks HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
-				 "chunked\r\n\r\n4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nT: "
-				 "v\r\n\r\n" +
-				 "HEAD /safe/2 HTTP/1.1\r\nHost: h\r\n\r\n" +
-				 get("/last");
+	const std::string text =
+	    get("/safe/1", "A: b\r\nC:  d \r\n") + post("/book?x=1", "body of it") +
+	    "POST /chunks HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+	    "chunked\r\n\r\n4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nT: "
+	    "v\r\n\r\n" +
+	    "HEAD /safe/2 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/last");
 	std::vector<std::string> seen;
 
 	on_begin = [&](Request *request) {
@@ -403,7 +402,7 @@
 		seen.push_back(line);
 		request->answer = "ok";
 		request->answer_ended = true;
-		exchange_answer(request->exchange, &given);
+		exchange_answer_start(request->exchange, &given);
 	};
 	for (size_t split = 0; split <= text.size(); split++) {
 		auto caller = connect_caller();
@@ -413,11 +412,10 @@
 		caller->write(text.substr(0, split));
 		run(5);
 		caller->write(text, split);
-		ASSERT_TRUE(run_until(
-		    [&] { return requests.size() == 5 && running() == 0; }))
-		    << split;
-		EXPECT_EQ(seen, (std::vector<std::string>{
-				    "GET /safe/1 Host=h A=b C=d",
+		ASSERT_TRUE(run_until([&] {
+			return requests.size() == 5 && running() == 0;
+		})) << split;
+		EXPECT_EQ(seen, (std::vector<std::string>{"GET /safe/1 Host=h A=b C=d",
 				    "POST /book?x=1 Host=h Content-Length=10",
 				    "POST /chunks Host=h Transfer-Encoding=chunked",
 				    "HEAD /safe/2 Host=h", "GET /last Host=h"}))
