Count pipelined requests, timeouts and the limit of callers' connections

Cause: the callers' server has bounds (16 pipelined requests, connections, timeouts) whose reaching had no counter, and the log gave requests behind a closing answer as left by their callers. Change: caller_counters_t, published by the entry; outcome "not-read".

--- a/src/caller_connection.c
+++ b/src/caller_connection.c
@@ -70,8 +70,10 @@
 	if (!may_start(connection, exchange))
 		return;
 	exchange->state = EXCHANGE_STARTED;
+	connection->shared->counters.ahead += exchange_first_open(connection) != exchange;
 	connection->ahead_bytes += exchange->ahead_bytes;
-	exchange->owner = connection->owner->begin(connection->owner->state, exchange);
+	exchange->owner =
+	    connection->shared->owner.begin(connection->shared->owner.state, exchange);
 	if (exchange->owner == NULL)
 		connection->phase = CALLER_CLOSED;
 	else if (exchange->head.expects && exchange->head.has_body &&
@@ -98,12 +100,15 @@
 		exchange->read = true;
 	} else {
 		connection->reading = exchange;
-		exchange->ahead_bytes = connection->owner->ahead_bytes(
-		    connection->owner->state, &exchange->head);
+		exchange->ahead_bytes = connection->shared->owner.ahead_bytes(
+		    connection->shared->owner.state, &exchange->head);
 	}
 	if (exchange->read || !exchange->head.keep_alive)
 		connection->input_ended = true;
 	exchange_start(connection, exchange);
+	connection->shared->counters.held += exchange->state == EXCHANGE_HELD;
+	connection->shared->counters.pipeline_full +=
+	    connection->exchange_count == CALLER_PIPELINE_MAX;
 	return exchange->state != EXCHANGE_HELD && connection->phase != CALLER_CLOSED;
 }
 
@@ -116,7 +121,7 @@
 
 	if (body->size == 0 || exchange == NULL || exchange->state == EXCHANGE_HELD)
 		return body->size == 0;
-	buffer_consume(body, connection->owner->body(
+	buffer_consume(body, connection->shared->owner.body(
 				 exchange->owner, (const char *)body->data, body->size));
 	return body->size == 0;
 }
@@ -125,7 +130,8 @@
 body_event(void *state, const char *data, size_t size)
 {
 	caller_connection_t *connection = state;
-	size_t consumed = connection->owner->body(connection->reading->owner, data, size);
+	size_t consumed =
+	    connection->shared->owner.body(connection->reading->owner, data, size);
 
 	if (consumed < size && buffer_append(&connection->body, data + consumed,
 				   size - consumed) != MASTICPITCH_OK)
@@ -141,7 +147,7 @@
 
 	connection->reading = NULL;
 	exchange->read = true;
-	connection->owner->body_end(exchange->owner);
+	connection->shared->owner.body_end(exchange->owner);
 	return !connection->input_ended &&
 	       connection->exchange_count < CALLER_PIPELINE_MAX;
 }
@@ -263,7 +269,8 @@
 		    exchange->end_offset > written)
 			return;
 		connection->exchange_count--;
-		connection->owner->end(exchange->owner, !exchange->cut);
+		connection->shared->owner.end(exchange->owner,
+		    exchange->cut ? EXCHANGE_END_CUT : EXCHANGE_END_DELIVERED);
 		exchange_destroy(exchange);
 	}
 }
@@ -276,10 +283,11 @@
 		exchange_t *last = exchange_last(connection);
 
 		connection->exchange_count--;
+		connection->shared->counters.dropped++;
 		if (connection->reading == last)
 			connection->reading = NULL;
 		if (last->owner != NULL)
-			connection->owner->end(last->owner, false);
+			connection->shared->owner.end(last->owner, EXCHANGE_END_DROPPED);
 		exchange_destroy(last);
 	}
 }
@@ -315,8 +323,8 @@
 			return;
 		}
 		ended = exchange->aborted ||
-			exchange_output(
-			    exchange, connection->owner->read, &connection->output);
+			exchange_output(exchange, connection->shared->owner.read,
+			    &connection->output);
 		connection->output_total += connection->output.size - before;
 		if (!ended)
 			return;
@@ -392,22 +400,22 @@
 		writable = output_write(connection, now);
 		exchanges_finish(connection);
 		/* There is room for more output, or for another request. */
-	} while (writable &&
-		 (connection->output_total - connection->output.size != written ||
-		     connection->exchange_count < count));
+	} while (
+	    writable && (connection->output_total - connection->output.size != written ||
+			    connection->exchange_count < count));
 	close_advance(connection);
 	if (connection->phase == CALLER_CLOSED) {
-		ev_io_stop(connection->loop, &connection->read_watcher);
-		ev_io_stop(connection->loop, &connection->write_watcher);
+		ev_io_stop(connection->shared->loop, &connection->read_watcher);
+		ev_io_stop(connection->shared->loop, &connection->write_watcher);
 		exchange_wake(&connection->wakeup);
 		return;
 	}
 	if (connection->exchange_count == 0 && connection->output.size == 0)
 		buffer_free(&connection->output);
-	watcher_set(connection->loop, &connection->read_watcher,
+	watcher_set(connection->shared->loop, &connection->read_watcher,
 	    !caller_connection_is_blocked(connection));
-	watcher_set(
-	    connection->loop, &connection->write_watcher, connection->output.size > 0);
+	watcher_set(connection->shared->loop, &connection->write_watcher,
+	    connection->output.size > 0);
 }
 
 static void
@@ -423,8 +431,7 @@
 }
 
 caller_connection_t *
-caller_connection_create(struct ev_loop *loop, int fd, const caller_owner_t *owner,
-    list_t *woken, defer_t *defer)
+caller_connection_create(caller_shared_t *shared, int fd)
 {
 	static const request_events_t events = {
 	    .head = head_event, .body = body_event, .end = end_event};
@@ -437,13 +444,12 @@
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	connection->fd = fd;
-	connection->loop = loop;
-	connection->owner = owner;
+	connection->shared = shared;
 	list_init(&connection->link);
 	list_init(&connection->exchanges);
 	list_init(&connection->wakeup.link);
-	connection->wakeup.queue = woken;
-	connection->wakeup.defer = defer;
+	connection->wakeup.queue = &shared->woken;
+	connection->wakeup.defer = &shared->defer;
 	connection->progress_at = os_clock_monotonic();
 	request_parser_init(&connection->parser, &events, connection);
 	buffer_init(&connection->input, CALLER_READ_BYTES);
@@ -453,7 +459,7 @@
 	connection->read_watcher.data = connection;
 	ev_io_init(&connection->write_watcher, write_callback, fd, EV_WRITE);
 	connection->write_watcher.data = connection;
-	ev_io_start(loop, &connection->read_watcher);
+	ev_io_start(shared->loop, &connection->read_watcher);
 	return connection;
 }
 
@@ -462,13 +468,13 @@
 {
 	static const struct linger reset = {.l_onoff = 1, .l_linger = 0};
 
-	ev_io_stop(connection->loop, &connection->read_watcher);
-	ev_io_stop(connection->loop, &connection->write_watcher);
+	ev_io_stop(connection->shared->loop, &connection->read_watcher);
+	ev_io_stop(connection->shared->loop, &connection->write_watcher);
 	while (!list_is_empty(&connection->exchanges)) {
 		exchange_t *exchange = exchange_last(connection);
 
 		if (exchange->owner != NULL)
-			connection->owner->end(exchange->owner, false);
+			connection->shared->owner.end(exchange->owner, EXCHANGE_END_LEFT);
 		exchange_destroy(exchange);
 	}
 	if (connection->reset)
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -18,11 +18,19 @@
 	CALLER_CLOSED	/* to be destroyed */
 } caller_phase_t;
 
+/* What the connections of a server share; must outlive them. */
+typedef struct caller_shared {
+	struct ev_loop *loop;
+	caller_owner_t owner;
+	caller_counters_t counters;
+	list_t woken;  /* connections that have something to do */
+	defer_t defer; /* runs them */
+} caller_shared_t;
+
 typedef struct caller_connection {
 	list_t link;
 	int fd;
-	struct ev_loop *loop;
-	const caller_owner_t *owner;
+	caller_shared_t *shared;
 	exchange_wakeup_t wakeup;
 	caller_phase_t phase;
 	bool reset; /* close by a reset, so that an answer without a length is not
@@ -43,12 +51,8 @@
 	uint64_t head_at;     /* arrival of the head that is being read; 0: none */
 } caller_connection_t;
 
-/*
- * Takes ownership of the socket, also on error (NULL: no memory). Connections that have
- * something to do are appended to woken, which defer runs.
- */
-caller_connection_t *caller_connection_create(struct ev_loop *loop, int fd,
-    const caller_owner_t *owner, list_t *woken, defer_t *defer);
+/* Takes ownership of the socket, also on error (NULL: no memory). */
+caller_connection_t *caller_connection_create(caller_shared_t *shared, int fd);
 /* Ends all requests as not delivered and closes the socket. */
 void caller_connection_destroy(caller_connection_t *connection);
 /* Reads, parses, answers and writes as far as possible. */
--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -11,8 +11,7 @@
 #define ACCEPTS_PER_CALL 64
 
 struct caller_server {
-	struct ev_loop *loop;
-	caller_owner_t owner;
+	caller_shared_t shared;
 	caller_options_t options;
 	uint64_t idle_ns; /* of a connection without a request */
 	uint64_t head_ns; /* of a head that is not complete */
@@ -20,8 +19,6 @@
 	ev_timer ticker;
 	list_t connections;
 	unsigned connection_count;
-	list_t woken;
-	defer_t defer;
 };
 
 static void
@@ -31,9 +28,9 @@
 	caller_connection_destroy(connection);
 	if (server->listener.fd >= 0 &&
 	    server->connection_count < server->options.connections_max)
-		ev_io_start(server->loop, &server->listener);
+		ev_io_start(server->shared.loop, &server->listener);
 	if (server->connection_count == 0)
-		ev_timer_stop(server->loop, &server->ticker);
+		ev_timer_stop(server->shared.loop, &server->ticker);
 }
 
 static void
@@ -43,7 +40,7 @@
 	uint64_t now = os_clock_monotonic();
 	list_t *node;
 
-	while ((node = list_take_first(&server->woken)) != NULL) {
+	while ((node = list_take_first(&server->shared.woken)) != NULL) {
 		caller_connection_t *connection =
 		    LIST_ENTRY(node, caller_connection_t, wakeup.link);
 
@@ -91,9 +88,12 @@
 		caller_connection_t *connection =
 		    LIST_ENTRY(node, caller_connection_t, link);
 
-		if ((caller_connection_is_blocked(connection) &&
-			caller_has_left(connection)) ||
-		    now >= connection_deadline(server, connection))
+		bool late = now >= connection_deadline(server, connection);
+
+		server->shared.counters.timeouts +=
+		    late && connection->phase != CALLER_LINGER;
+		if (late || (caller_connection_is_blocked(connection) &&
+				caller_has_left(connection)))
 			connection_remove(server, connection);
 	}
 }
@@ -101,15 +101,14 @@
 static void
 connection_add(caller_server_t *server, int fd)
 {
-	caller_connection_t *connection = caller_connection_create(
-	    server->loop, fd, &server->owner, &server->woken, &server->defer);
+	caller_connection_t *connection = caller_connection_create(&server->shared, fd);
 
 	if (connection == NULL)
 		return;
 	list_append(&server->connections, &connection->link);
 	server->connection_count++;
 	if (!ev_is_active(&server->ticker))
-		ev_timer_again(server->loop, &server->ticker);
+		ev_timer_again(server->shared.loop, &server->ticker);
 }
 
 static void
@@ -121,6 +120,7 @@
 		int fd;
 
 		if (server->connection_count >= server->options.connections_max) {
+			server->shared.counters.limited++;
 			ev_io_stop(loop, watcher);
 			return;
 		}
@@ -139,13 +139,13 @@
 
 	if (server == NULL)
 		return MASTICPITCH_E_NOMEM;
-	server->loop = loop;
-	server->owner = *owner;
+	server->shared.loop = loop;
+	server->shared.owner = *owner;
 	server->options = *options;
 	caller_server_timeouts_set(server, 0, 0);
 	list_init(&server->connections);
-	list_init(&server->woken);
-	defer_init(&server->defer, loop, woken_run, server);
+	list_init(&server->shared.woken);
+	defer_init(&server->shared.defer, loop, woken_run, server);
 	ev_timer_init(&server->ticker, tick_callback, 0., CALLER_TICK_MS / 1e3);
 	server->ticker.data = server;
 	ev_io_init(&server->listener, listen_callback, options->listen_fd, EV_READ);
@@ -163,8 +163,8 @@
 	caller_server_stop_listening(server);
 	LIST_FOREACH_SAFE (node, &server->connections)
 		connection_remove(server, LIST_ENTRY(node, caller_connection_t, link));
-	ev_timer_stop(server->loop, &server->ticker);
-	defer_stop(&server->defer);
+	ev_timer_stop(server->shared.loop, &server->ticker);
+	defer_stop(&server->shared.defer);
 	free(server);
 }
 
@@ -183,7 +183,7 @@
 
 	if (listen_fd < 0)
 		return;
-	ev_io_stop(server->loop, &server->listener);
+	ev_io_stop(server->shared.loop, &server->listener);
 	/* Connections left in the backlog would be reset with their requests unread. */
 	while ((fd = accept4(listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
 		connection_add(server, fd);
@@ -191,6 +191,12 @@
 	server->listener.fd = -1;
 }
 
+const caller_counters_t *
+caller_server_counters(const caller_server_t *server)
+{
+	return &server->shared.counters;
+}
+
 unsigned
 caller_server_connections(const caller_server_t *server)
 {
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -44,10 +44,19 @@
 	size_t (*body)(void *owner, const char *data, size_t size);
 	void (*body_end)(void *owner);
 	exchange_read_t read;
-	/* The last call for a request. delivered: the answer was written completely. */
-	void (*end)(void *owner, bool delivered);
+	/* The last call for a request. */
+	void (*end)(void *owner, exchange_end_t end);
 } caller_owner_t;
 
+typedef struct caller_counters {
+	uint64_t ahead;		/* requests started before an answer ahead of them */
+	uint64_t held;		/* requests that waited for the answers ahead of them */
+	uint64_t dropped;	/* requests behind an answer that ended the connection */
+	uint64_t pipeline_full; /* times that CALLER_PIPELINE_MAX was reached */
+	uint64_t timeouts;	/* connections closed by a timeout */
+	uint64_t limited;	/* times that connections_max was reached */
+} caller_counters_t;
+
 typedef struct caller_options {
 	int listen_fd; /* owned by the server */
 	unsigned connections_max;
@@ -72,6 +81,7 @@
  * call changes nothing.
  */
 void caller_server_stop_listening(caller_server_t *server);
+const caller_counters_t *caller_server_counters(const caller_server_t *server);
 /* Number of open connections. */
 unsigned caller_server_connections(const caller_server_t *server);
 
--- a/src/entry_callers.c
+++ b/src/entry_callers.c
@@ -52,18 +52,34 @@
 }
 
 static void
-request_end(void *owner, bool delivered)
+counters_publish(const entry_t *entry)
+{
+	const caller_counters_t *counters = caller_server_counters(entry->callers);
+	metrics_t *metrics = kernel_metrics(entry->kernel);
+
+	metrics_set(metrics, METRIC_CALLER_CONNECTIONS, entry_connections(entry));
+	metrics_set(metrics, METRIC_CALLERS_AHEAD, counters->ahead);
+	metrics_set(metrics, METRIC_CALLERS_HELD, counters->held);
+	metrics_set(metrics, METRIC_CALLERS_DROPPED, counters->dropped);
+	metrics_set(metrics, METRIC_CALLERS_PIPELINE_FULL, counters->pipeline_full);
+	metrics_set(metrics, METRIC_CALLER_TIMEOUTS, counters->timeouts);
+	metrics_set(metrics, METRIC_CALLER_LIMITED, counters->limited);
+}
+
+static void
+request_end(void *owner, exchange_end_t end)
 {
 	entry_request_t *request = owner;
 	metrics_t *metrics = kernel_metrics(request->entry->kernel);
 
-	entry_request_log(request, delivered);
+	entry_request_log(request, end);
 	if (request->answer_cut)
 		metrics_add(metrics, METRIC_ANSWERS_CUT, 1);
-	else if (!delivered)
+	else if (end == EXCHANGE_END_LEFT || end == EXCHANGE_END_CUT)
 		metrics_add(metrics, METRIC_CALLER_HANGUPS, 1);
-	else if (request->answer != NULL)
+	else if (end == EXCHANGE_END_DELIVERED && request->answer != NULL)
 		metrics_add(metrics, METRIC_ANSWERS, 1);
+	counters_publish(request->entry);
 	metrics_observe(metrics, HISTOGRAM_REQUEST,
 	    kernel_now(request->entry->kernel) - request->accepted_at);
 	entry_request_destroy(request);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -187,7 +187,7 @@
 
 /* entry_report.c */
 /* Logs the outcome of the request in one line. */
-void entry_request_log(const entry_request_t *request, bool delivered);
+void entry_request_log(const entry_request_t *request, exchange_end_t end);
 /* Answers an operator's query with MESSAGE_REPORT. */
 void entry_report(entry_t *entry, const message_t *query);
 
--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -10,17 +10,19 @@
 }
 
 void
-entry_request_log(const entry_request_t *request, bool delivered)
+entry_request_log(const entry_request_t *request, exchange_end_t end)
 {
+	bool delivered = end == EXCHANGE_END_DELIVERED;
 	const entry_t *entry = request->entry;
 	const call_head_t *head = request->head;
 	uint64_t now = kernel_now(entry->kernel);
 	bool refused = request->refusal.reason != REASON_NONE;
-	const char *outcome = refused		    ? "refused"
-			      : request->answer_cut ? "cut"
-			      : !delivered	    ? "caller-left"
-			      : request->answer_end ? "answered"
-						    : "unfinished";
+	const char *outcome = end == EXCHANGE_END_DROPPED ? "not-read"
+			      : refused			  ? "refused"
+			      : request->answer_cut	  ? "cut"
+			      : !delivered		  ? "caller-left"
+			      : request->answer_end	  ? "answered"
+							  : "unfinished";
 	bool served = delivered && !refused && !request->answer_cut &&
 		      request->answer != NULL && request->answer->status < 500;
 	char node[17];
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -66,6 +66,14 @@
 	uint64_t end_offset; /* of the answer in the connection's output */
 } exchange_t;
 
+/* How an exchange ended. */
+typedef enum exchange_end {
+	EXCHANGE_END_DELIVERED, /* the answer was written completely */
+	EXCHANGE_END_CUT,
+	EXCHANGE_END_LEFT,   /* the caller or the server closed the connection before */
+	EXCHANGE_END_DROPPED /* an answer before it ended the connection */
+} exchange_end_t;
+
 /* An answer without its body. */
 typedef struct exchange_answer {
 	int status;
--- a/test/test_caller_server.cc
+++ b/test/test_caller_server.cc
@@ -14,7 +14,7 @@
 struct Request {
 	exchange_t *exchange;
 	std::string path, body;
-	bool body_ended = false, ended = false, delivered = false;
+	bool body_ended = false, ended = false, delivered = false, dropped = false;
 	std::string answer; // not read by the server yet
 	bool answer_ended = false, answer_cut = false;
 };
@@ -192,13 +192,14 @@
 		return request->answer_ended ? EXCHANGE_READ_END : 0;
 	}
 	static void
-	end(void *owner, bool delivered)
+	end(void *owner, exchange_end_t how)
 	{
 		Request *request = (Request *)owner;
 
 		EXPECT_FALSE(request->ended);
 		request->ended = true;
-		request->delivered = delivered;
+		request->delivered = how == EXCHANGE_END_DELIVERED;
+		request->dropped = how == EXCHANGE_END_DROPPED;
 	}
 };
 
@@ -328,7 +329,7 @@
 		EXPECT_EQ(caller->has("Connection: close"), kind == "close") << kind;
 		EXPECT_FALSE(caller->has("third")) << kind;
 		EXPECT_TRUE(behind->ended) << kind;
-		EXPECT_FALSE(behind->delivered) << kind;
+		EXPECT_TRUE(behind->dropped) << kind;
 		caller->finish();
 		ASSERT_TRUE(run_until([&] { return running() == 0; })) << kind;
 		requests.clear();
