--- a/test/test_member.cc
+++ b/test/test_member.cc
@@ -461,3 +461,63 @@
 	EXPECT_TRUE(list_is_empty(&actions));
 	chunk_release(content);
 }
+
+// Time until every node has heard of a new version by membership datagrams alone, if each
+// node that hears of it has it in force 250 ms later (a pull of a large version on a
+// narrow link). Guards against hosts that miss all announcements and learn of a version
+// too late to have it in force in time; the bounds are those of docs/design.md section 6.
+TEST(Member, VersionIsHeardWithoutAnnouncements)
+{
+	const struct {
+		size_t nodes;
+		int zones;
+		uint64_t bound_ms;
+	} meshes[] = {{87, 3, 2000}, {300, 5, 2300}, {1900, 5, 3000}};
+	uint64_t largest = environment("MASTICPITCH_NODES", 300);
+
+	for (const auto &size : meshes) {
+		for (double loss : {0.0, 0.05}) {
+			if (size.nodes > largest)
+				continue;
+			VirtualMesh mesh(size.nodes, size.zones, 11);
+			std::vector<uint64_t> heard_at(size.nodes, 0);
+			std::multimap<uint64_t, int> adopted_at;
+			uint64_t start, last = 0;
+			size_t heard = 1;
+
+			ASSERT_TRUE(start_converged(mesh));
+			mesh.run(2000);
+			mesh.loss = loss;
+			mesh.on_action = [&](int of, const member_action_t *action) {
+				if (action->type != MEMBER_ACTION_VERSION_RECEIVED ||
+				    action->u.version.version != 12 ||
+				    heard_at[(size_t)of] != 0)
+					return;
+				heard_at[(size_t)of] = last = mesh.now;
+				heard++;
+				adopted_at.insert({mesh.now + 250 * MS, of});
+			};
+			start = heard_at[0] = mesh.now;
+			adopted_at.insert({start, 0});
+			while (heard < size.nodes && mesh.now < start + 10 * NS_PER_S) {
+				while (!adopted_at.empty() &&
+				       adopted_at.begin()->first <= mesh.now) {
+					int node = adopted_at.begin()->second;
+
+					adopted_at.erase(adopted_at.begin());
+					mesh.perform_on(node,
+					    [&](member_table_t *table, list_t *actions) {
+						    member_set_version(
+							table, 12, mesh.now, actions);
+					    });
+				}
+				mesh.run(5);
+			}
+			EXPECT_EQ(heard, size.nodes);
+			EXPECT_LE((last - start) / MS, size.bound_ms)
+			    << size.nodes << " nodes, loss " << loss;
+			printf("%zu nodes, loss %.2f: all have heard after %lu ms\n",
+			    size.nodes, loss, (last - start) / MS);
+		}
+	}
+}
