Count the wait for earlier answers against a request's deadline

A pipelined request that isn't idempotent waits for the answers ahead of it, and its deadline was counted from its start, so that it got the caller's whole time again. Requests were started behind an answer that will close the connection. A slow head ended the requests before it. Change: accepted_at is the time at which the head was read; nothing starts behind a closing answer; the head timeout holds without requests only.

--- a/src/caller_connection.c
+++ b/src/caller_connection.c
@@ -55,8 +55,10 @@
 	LIST_FOREACH (node, &connection->exchanges) {
 		const exchange_t *other = LIST_ENTRY(node, exchange_t, link);
 
-		if (other != exchange && other->state != EXCHANGE_ANSWERED &&
-		    other->ahead_bytes == 0)
+		if (other == exchange || other->state == EXCHANGE_ANSWERED)
+			continue;
+		/* Behind a closing answer it would run for nothing. */
+		if (other->ahead_bytes == 0 || other->close)
 			return false;
 	}
 	return exchange->ahead_bytes != 0 &&
@@ -87,8 +89,8 @@
 head_event(void *state, request_head_t *head)
 {
 	caller_connection_t *connection = state;
-	exchange_t *exchange =
-	    exchange_create(&connection->wakeup, &connection->exchanges, head);
+	exchange_t *exchange = exchange_create(
+	    &connection->wakeup, &connection->exchanges, head, os_clock_monotonic());
 
 	connection->head_at = 0;
 	if (exchange == NULL) {
--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -70,7 +70,8 @@
 
 	if (connection->phase == CALLER_LINGER)
 		return connection->linger_until;
-	if (connection->head_at != 0)
+	/* While requests run, their answers go first. */
+	if (connection->head_at != 0 && connection->exchange_count == 0)
 		return connection->head_at + server->head_ns;
 	if (caller_connection_is_idle(connection))
 		return connection->progress_at + server->idle_ns;
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -55,7 +55,8 @@
 	request->entry = entry;
 	request->exchange = exchange;
 	request->state = REQUEST_BODY;
-	request->accepted_at = kernel_now(entry->kernel);
+	/* A pipelined request may have waited for the answers ahead of it. */
+	request->accepted_at = exchange->received_at;
 	request->body_kept = true;
 	buffer_init(&request->kept_body, RETRY_BODY_MAX_BYTES);
 	chunk_queue_init(&request->unsent);
@@ -102,6 +103,12 @@
 	       request->exchange->head.expects;
 }
 
+static double
+time_left_s(uint64_t deadline, uint64_t now)
+{
+	return deadline > now ? (double)(deadline - now) / (double)NS_PER_S : 0.0;
+}
+
 void
 entry_request_begin(entry_request_t *request)
 {
@@ -114,7 +121,7 @@
 		    request->head->route_class, &request->permit);
 	if (reason == REASON_NONE)
 		timeout_s =
-		    (double)(request->head->deadline - request->accepted_at) / 1e9 +
+		    time_left_s(request->head->deadline, kernel_now(entry->kernel)) +
 		    (double)ENTRY_DEADLINE_GRACE_MS / 1000.0;
 	ev_timer_set(&request->deadline, timeout_s, 0.0);
 	ev_timer_start(kernel_loop(entry->kernel), &request->deadline);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -17,13 +17,15 @@
 #define DATE_BYTES 40
 
 exchange_t *
-exchange_create(exchange_wakeup_t *wakeup, list_t *exchanges, request_head_t *head)
+exchange_create(
+    exchange_wakeup_t *wakeup, list_t *exchanges, request_head_t *head, uint64_t now)
 {
 	exchange_t *exchange = calloc(1, sizeof(*exchange));
 
 	if (exchange == NULL)
 		return NULL;
 	exchange->wakeup = wakeup;
+	exchange->received_at = now;
 	exchange->head = *head;
 	request_head_init(head);
 	list_append(exchanges, &exchange->link);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -54,9 +54,10 @@
 	void *owner; /* the owner's request */
 	request_head_t head;
 	exchange_state_t state;
-	bool read;  /* the request was read completely */
-	bool close; /* the connection ends after the answer */
-	bool cut;   /* the answer ended incomplete */
+	uint64_t received_at; /* when the head was read */
+	bool read;	      /* the request was read completely */
+	bool close;	      /* the connection ends after the answer */
+	bool cut;	      /* the answer ended incomplete */
 	bool aborted;
 	size_t ahead_bytes; /* counted for an answer that waits for earlier ones */
 
@@ -88,7 +89,7 @@
 void exchange_wake(exchange_wakeup_t *wakeup);
 /* Takes over the content of the head and appends to the exchanges; NULL: no memory. */
 exchange_t *exchange_create(
-    exchange_wakeup_t *wakeup, list_t *exchanges, request_head_t *head);
+    exchange_wakeup_t *wakeup, list_t *exchanges, request_head_t *head, uint64_t now);
 /* NULL is allowed. */
 void exchange_destroy(exchange_t *exchange);
 /*
--- a/test/test_caller_server.cc
+++ b/test/test_caller_server.cc
@@ -336,6 +336,44 @@
 	}
 }
 
+// Guards against a head that takes too long and ends the requests before it.
+TEST_F(CallerServer, SlowHeadDoesNotEndTheRequestsBeforeIt)
+{
+	auto caller = connect_caller();
+	uint64_t end = os_clock_monotonic() + 800 * NS_PER_MS;
+
+	caller_server_timeouts_set(server, 0, 200 * NS_PER_MS);
+	send_all(*caller, get("/safe/1") + "GET /safe/2 HTT");
+	ASSERT_TRUE(run_until([&] { return os_clock_monotonic() > end; }));
+	answer("/safe/1", "first");
+	ASSERT_TRUE(run_until([&] {
+		caller->read();
+		return caller->closed;
+	}));
+	EXPECT_TRUE(caller->has("first"));
+	EXPECT_EQ(requests.size(), 1u);
+}
+
+// Guards against requests that run although the answer ahead of them will close the
+// connection.
+TEST_F(CallerServer, NothingStartsBehindAClosingAnswer)
+{
+	auto caller = connect_caller();
+
+	send_all(*caller, get("/safe/1") + get("/safe/2"));
+	answer("/safe/2", "second", true);
+	send_all(*caller, get("/safe/3"));
+	EXPECT_EQ(find("/safe/3"), nullptr);
+	answer("/safe/1", "first");
+	ASSERT_TRUE(run_until([&] {
+		caller->read();
+		return caller->closed;
+	}));
+	EXPECT_TRUE(caller->has("first"));
+	EXPECT_TRUE(caller->has("second"));
+	EXPECT_EQ(requests.size(), 2u);
+}
+
 TEST_F(CallerServer, LeavingCallerEndsAllItsRequests)
 {
 	auto caller = connect_caller(), blocked = connect_caller();
--- a/test/test_entry.cc
+++ b/test/test_entry.cc
@@ -58,6 +58,28 @@
 	EXPECT_LT(caller->input.find("first"), caller->input.find("second"));
 }
 
+// Guards against a booking that is given its full time again after it has waited for the
+// answer ahead of it, and runs when its caller has given up.
+TEST_F(Entry, WaitingForAnEarlierAnswerCountsAgainstTheDeadline)
+{
+	std::unique_ptr<RawConnection> caller;
+	Attempt first;
+	uint64_t end;
+
+	ready();
+	caller = send_request(get("/katalogo/1") +
+			      "POST /katalogo/book/1 HTTP/1.1\r\nHost: h\r\n"
+			      "Masticpitch-Deadline-Ms: 100\r\nContent-Length: "
+			      "1\r\n\r\nx");
+	first = attempt("/katalogo/1");
+	end = os_clock_monotonic() + 150 * NS_PER_MS;
+	ASSERT_TRUE(run_until([&] { return os_clock_monotonic() > end; }));
+	answer(first, "first", 5);
+	ASSERT_TRUE(run_until([&] { return caller->has("}"); }));
+	EXPECT_TRUE(caller->has("Masticpitch-Run: no\r\n")) << caller->input;
+	EXPECT_EQ(gate->count(MESSAGE_CALL_OPEN), 1u);
+}
+
 // Guards against request smuggling: programs that find the end of a body at
 // different places see different requests.
 TEST_F(Entry, AmbiguousFramingIsRefusedAndEndsTheConnection)
