--- a/src/spread_accept.c
+++ b/src/spread_accept.c
@@ -76,7 +76,7 @@
 }
 
 bool
-spread_candidate_is_transferred(const spread_t *spread)
+spread_candidate_is_in_transfer(const spread_t *spread)
 {
 	const spread_candidate_t *candidate = &spread->candidate;
 
@@ -98,7 +98,7 @@
 		return false;
 	}
 	/* The platform has the parts of its newest head. */
-	if (source != SOURCE_PLATFORM && spread_candidate_is_transferred(spread))
+	if (source != SOURCE_PLATFORM && spread_candidate_is_in_transfer(spread))
 		return false;
 	return candidate->head == NULL || head->version > candidate->head->version;
 }
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -184,7 +184,7 @@
  * heads are pulled afterwards, since their parts are replaced quickly in a sequence of
  * versions.
  */
-bool spread_candidate_is_transferred(const spread_t *spread);
+bool spread_candidate_is_in_transfer(const spread_t *spread);
 /* Accepts the candidate if it is complete, else requests the missing parts. */
 void spread_candidate_advance(spread_t *spread, uint64_t now);
 void spread_candidate_drop(spread_t *spread);
--- a/src/spread_push.c
+++ b/src/spread_push.c
@@ -138,7 +138,7 @@
 	const record_head_t *candidate = spread->candidate.head;
 
 	if ((candidate != NULL && candidate->version >= version) ||
-	    spread_candidate_is_transferred(spread) ||
+	    spread_candidate_is_in_transfer(spread) ||
 	    is_refused_version(spread, version, now))
 		return;
 	if (pull->version != 0) {
