--- a/test/test_caller_server.cc
+++ b/test/test_caller_server.cc
@@ -5,6 +5,7 @@
 #include "common_request.h"
 
 #include <map>
+#include <sys/resource.h>
 
 namespace
 {
@@ -442,15 +443,21 @@
 {
 	std::vector<int> taken;
 	auto caller = connect_caller();
+	struct rlimit limit, few;
 	int fd;
 
-	while ((fd = dup(0)) >= 0)
+	ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	few = limit;
+	few.rlim_cur = 256;
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &few), 0);
+	while ((fd = dup(caller->fd)) >= 0)
 		taken.push_back(fd);
 	run();
 	EXPECT_EQ(caller_server_counters(server)->limited, 1u);
 	EXPECT_EQ(caller_server_connections(server), 0u);
 	for (int descriptor : taken)
 		close(descriptor);
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
 	ASSERT_TRUE(run_until([&] { return caller_server_connections(server) == 1; }));
 }
 
