--- a/src/dialect.c
+++ b/src/dialect.c
@@ -14,6 +14,8 @@
     .reason = HEADER_REASON,
     .run = HEADER_RUN,
     .final = HEADER_FINAL,
+    .rate_limit = HEADER_RATE_LIMIT,
+    .leaving = HEADER_LEAVING,
 };
 
 const header_names_t *
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -30,6 +30,9 @@
 	const char *caller_service; /* request: service of the host that sends it */
 	const char *signature;	    /* answer: proof that the instance made it */
 	const char *load;	    /* answer: running, waiting, slots */
+	/* Answer: calls/s that the backend server takes from all nodes together. */
+	const char *rate_limit;
+	const char *leaving; /* answer: 1 if the backend server leaves */
 } header_names_t;
 
 const header_names_t *dialect_headers(dialect_t dialect);
--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -105,6 +105,7 @@
 
 	if (restarted) {
 		gate_backend_crashed(gate, "announced under a new boot id");
+		gate_rate_reset(gate);
 		ev_timer_stop(kernel_loop(gate->kernel), &gate->drain);
 	}
 	/* Computed after the crash has withdrawn the instance. */
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -87,6 +87,19 @@
 		call->gate->idle_s = (uint32_t)seconds;
 }
 
+/*
+ * Reads what the backend server says of itself. An answer that states that the
+ * request was not run need not name a limit, so it ends none.
+ */
+static void
+backend_state_read(const gate_call_t *call)
+{
+	const char *rate_limit = answer_field(call, call->gate->names->rate_limit);
+
+	if (rate_limit != NULL || !call->shed)
+		gate_rate_update(call->gate, rate_limit);
+}
+
 /* Posts the complete head, unless the call was shed or the answer is not genuine. */
 static void
 answer_head_post(gate_call_t *call)
@@ -101,6 +114,8 @@
 	if (answer_is_not_run(call)) {
 		call->shed = true;
 		call->misdirected = answer->status == 421;
+		if (!call->misdirected)
+			backend_state_read(call);
 		return;
 	}
 	if (!answer_is_genuine(call)) {
@@ -108,6 +123,7 @@
 		return;
 	}
 	keep_alive_read(call);
+	backend_state_read(call);
 	headers_strip(&answer->headers);
 	if (final)
 		headers_add(&answer->headers, final_name, "1");
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -4,8 +4,9 @@
  * gate.c: service, streams and message dispatch. gate_announce.c: announcements
  * of the backend server. gate_admit.c: admission and queue. gate_exchange.c:
  * HTTP exchange of one call with the backend server. gate_fields.c: header
- * fields of an exchange. gate_ticket.c: idempotency tickets. gate_death.c:
- * detection of backend server crashes, crash reports.
+ * fields of an exchange. gate_rate.c: rate limit that the backend server names.
+ * gate_ticket.c: idempotency tickets. gate_death.c: detection of backend server
+ * crashes, crash reports.
  */
 #ifndef MASTICPITCH_GATE_INTERNAL_H
 #define MASTICPITCH_GATE_INTERNAL_H
@@ -18,6 +19,7 @@
 #include "limit.h"
 #include "quarantine.h"
 #include "queue.h"
+#include "rate_limit.h"
 #include "snapshot.h"
 #include "stream_table.h"
 #include "throttle.h"
@@ -76,6 +78,7 @@
 	list_t calls;  /* all calls, by arrival */
 	queue_t queue; /* queued calls */
 	limit_gate_t limit;
+	rate_limit_t rate_limit;
 	throttle_t throttle;
 	pressure_t pressure;
 	bool naive;
@@ -183,6 +186,12 @@
 /* Calls that may run concurrently; 0 without a backend server. */
 uint32_t gate_limit(const gate_t *gate);
 
+/* gate_rate.c */
+/* Applies the rate limit that an answer names; text NULL: the answer names none. */
+void gate_rate_update(gate_t *gate, const char *text);
+/* Forgets the rate limit of a backend server that has ended. */
+void gate_rate_reset(gate_t *gate);
+
 /* gate_ticket.c */
 /* Answers a request for a ticket. True if the call was one; it is freed then. */
 bool gate_ticket_issue(gate_call_t *call);
--- a/src/headers.h
+++ b/src/headers.h
@@ -24,6 +24,8 @@
 #define HEADER_REASON "Masticpitch-Reason"
 #define HEADER_RUN "Masticpitch-Run"
 #define HEADER_FINAL "Masticpitch-Final"
+#define HEADER_RATE_LIMIT "Masticpitch-Rate-Limit"
+#define HEADER_LEAVING "Masticpitch-Leaving"
 #define HEADER_TICKET "Idempotency-Key"
 #define HEADER_TRACE "traceparent"
 
