Keep to the rate limit that a backend server names

Callers of a service with instances in need saw no difference, but those instances got up to 178 calls in 4 s where they had named a limit of 20.7 a second (LIMIT). Change: the gate of the instance's host, through which the calls of all nodes pass, starts calls at most at the named rate, with a burst of 250 ms (generic cell rate algorithm). The queue counts the turn at the rate limit in the expected wait and so refuses at once what would come too late; load reports give the concurrency at the limit. Ruled out: a limit applied per entry (the sum over all nodes exceeds it, and a frozen entry acts on an old one).

--- a/src/gate.c
+++ b/src/gate.c
@@ -378,6 +378,7 @@
 	    &gate->limit, 1, !gate->naive && !settings->fixed_limit, kernel_now(kernel));
 	throttle_init(&gate->throttle);
 	gate_crash_init(gate);
+	gate_rate_open(gate);
 	error = stream_table_init(&gate->streams);
 	if (error == MASTICPITCH_OK)
 		error = quarantine_create(&gate->quarantine);
@@ -411,6 +412,7 @@
 		gate_call_free(call);
 	}
 	gate_announce_close(gate);
+	gate_rate_close(gate);
 	gate_crash_close(gate);
 	gate_exchange_close(gate);
 	ticket_table_destroy(gate->tickets);
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -7,7 +7,7 @@
 {
 	if (!gate->backend.live)
 		return 0;
-	return limit_gate_total_max(&gate->limit);
+	return gate_rate_concurrency(gate, limit_gate_total_max(&gate->limit));
 }
 
 void
@@ -98,6 +98,7 @@
 	call->started_at = kernel_now(gate->kernel);
 	gate->running++;
 	limit_gate_start(&gate->limit, call->head->route_class, call->started_at);
+	rate_limit_start(&gate->rate_limit, call->started_at);
 	call->running_at_start = limit_gate_non_uploads(&gate->limit);
 	run_post(call, true);
 	gate_crash_start(call);
@@ -121,7 +122,7 @@
 		waiting = route_class == ROUTE_UPLOAD
 			      ? queue_uploads(&gate->queue)
 			      : waiting - queue_uploads(&gate->queue);
-	return waiting == 0 && gate->backend.live &&
+	return waiting == 0 && gate->backend.live && gate_rate_admits(gate) &&
 	       limit_gate_admits(&gate->limit, route_class);
 }
 
@@ -131,7 +132,9 @@
 	gate_t *gate = call->gate;
 	queue_item_t *shed = NULL;
 	queue_capacity_t capacity = {.uploads = limit_gate_uploads_max(&gate->limit),
-	    .non_uploads = limit_gate_non_uploads_max(&gate->limit)};
+	    .non_uploads = limit_gate_non_uploads_max(&gate->limit),
+	    .start_at = rate_limit_next(&gate->rate_limit),
+	    .interval = rate_limit_interval(&gate->rate_limit)};
 	reason_t reason;
 
 	call->item.route_class = call->head->route_class;
@@ -142,6 +145,7 @@
 		return reason;
 	call->state = GATE_CALL_QUEUED;
 	gauges_update(gate);
+	gate_rate_timer_start(gate);
 	if (shed != NULL)
 		gate_call_refuse(LIST_ENTRY(shed, gate_call_t, item), REASON_QUEUE_SHED,
 		    RUN_NO, false);
@@ -189,6 +193,8 @@
 		call_start(call);
 		return;
 	}
+	if (!gate_rate_admits(gate))
+		metrics_add(kernel_metrics(gate->kernel), METRIC_GATE_RATE_LIMITED, 1);
 	reason = call_queue(call, now);
 	pressure_update(call, reason != REASON_NONE, now);
 	if (reason != REASON_NONE)
@@ -234,7 +240,7 @@
 	gate->in_queue_run = true;
 	now = kernel_now(gate->kernel);
 	queue_expire_late(gate, now);
-	while (gate->backend.live) {
+	while (gate->backend.live && gate_rate_admits(gate)) {
 		queue_item_t *item =
 		    queue_pop(&gate->queue, limit_gate_admits(&gate->limit, ROUTE_UPLOAD),
 			limit_gate_admits(&gate->limit, ROUTE_LOOKUP), now);
@@ -245,9 +251,38 @@
 		    kernel_metrics(gate->kernel), HISTOGRAM_QUEUE, now - item->queued_at);
 		call_start(LIST_ENTRY(item, gate_call_t, item));
 	}
+	gate_rate_timer_start(gate);
 	gate->in_queue_run = false;
 }
 
+void
+gate_queue_recheck(gate_t *gate)
+{
+	uint64_t now = kernel_now(gate->kernel);
+	list_t waiting;
+	queue_item_t *item;
+
+	list_init(&waiting);
+	while ((item = queue_drain(&gate->queue)) != NULL)
+		list_append(&waiting, &item->link);
+	/* Refusing a call would otherwise start calls from the queue that is rebuilt. */
+	gate->in_queue_run = true;
+	LIST_FOREACH_SAFE (node, &waiting) {
+		gate_call_t *call =
+		    LIST_ENTRY(LIST_ENTRY(node, queue_item_t, link), gate_call_t, item);
+		reason_t reason;
+
+		list_remove(node);
+		reason = call_queue(call, now);
+		if (reason == REASON_NONE)
+			continue;
+		metrics_add(kernel_metrics(gate->kernel), METRIC_GATE_RATE_LIMITED, 1);
+		gate_call_refuse(call, reason, RUN_NO, false);
+	}
+	gate->in_queue_run = false;
+	gate_queue_run(gate);
+}
+
 void
 gate_queue_refuse(gate_t *gate, reason_t reason)
 {
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -92,6 +92,7 @@
 	bool leaving;
 	ev_timer announce_timeout;
 	ev_timer drain; /* when the queue of a leaving backend server is refused */
+	ev_timer rate;	/* when the rate limit allows the next queued call */
 	const header_names_t *names;
 	uint32_t idle_s; /* how long the backend server keeps idle connections, s */
 
@@ -179,6 +180,8 @@
 void gate_call_admit(gate_call_t *call);
 /* Starts queued calls while the limits admit them. */
 void gate_queue_run(gate_t *gate);
+/* Refuses the queued calls that a lower rate limit delays for too long. */
+void gate_queue_recheck(gate_t *gate);
 /* Refuses every queued call as not run. */
 void gate_queue_refuse(gate_t *gate, reason_t reason);
 /* Removes a call from the queue or from the running calls. */
@@ -191,6 +194,14 @@
 void gate_rate_update(gate_t *gate, const char *text);
 /* Forgets the rate limit of a backend server that has ended. */
 void gate_rate_reset(gate_t *gate);
+/* Whether the rate limit allows another call to start now. */
+bool gate_rate_admits(const gate_t *gate);
+/* Calls that run concurrently at the rate limit, from 1 to concurrency. */
+uint32_t gate_rate_concurrency(const gate_t *gate, uint32_t concurrency);
+/* Runs the queue when the rate limit allows the next call, if any is waiting. */
+void gate_rate_timer_start(gate_t *gate);
+void gate_rate_open(gate_t *gate);
+void gate_rate_close(gate_t *gate);
 
 /* gate_ticket.c */
 /* Answers a request for a ticket. True if the call was one; it is freed then. */
--- a/src/gate_rate.c
+++ b/src/gate_rate.c
@@ -17,6 +17,59 @@
 	    LOG_NUMBER("queued", queue_length(&gate->queue)));
 }
 
+bool
+gate_rate_admits(const gate_t *gate)
+{
+	return gate->naive ||
+	       rate_limit_next(&gate->rate_limit) <= kernel_now(gate->kernel);
+}
+
+uint32_t
+gate_rate_concurrency(const gate_t *gate, uint32_t concurrency)
+{
+	uint64_t interval = rate_limit_interval(&gate->rate_limit);
+	double latency_ns = (double)limit_gate_latency_us(&gate->limit) * NS_PER_US;
+
+	if (gate->naive || interval == 0 ||
+	    latency_ns >= (double)(concurrency * interval))
+		return concurrency;
+	/* Little's law: the mean number in service is rate times latency. */
+	return MAX_OF((uint32_t)(latency_ns / (double)interval), 1);
+}
+
+static void
+timer_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	gate_queue_run(watcher->data);
+}
+
+void
+gate_rate_timer_start(gate_t *gate)
+{
+	struct ev_loop *loop = kernel_loop(gate->kernel);
+	uint64_t now = kernel_now(gate->kernel);
+	uint64_t next = rate_limit_next(&gate->rate_limit);
+
+	ev_timer_stop(loop, &gate->rate);
+	if (next <= now || queue_length(&gate->queue) == 0)
+		return;
+	ev_timer_set(&gate->rate, (double)(next - now) / (double)NS_PER_S, 0.0);
+	ev_timer_start(loop, &gate->rate);
+}
+
+void
+gate_rate_open(gate_t *gate)
+{
+	ev_timer_init(&gate->rate, timer_callback, 0.0, 0.0);
+	gate->rate.data = gate;
+}
+
+void
+gate_rate_close(gate_t *gate)
+{
+	ev_timer_stop(kernel_loop(gate->kernel), &gate->rate);
+}
+
 void
 gate_rate_update(gate_t *gate, const char *text)
 {
@@ -35,8 +88,11 @@
 		    LOG_TEXT("value", text));
 		return;
 	}
-	if (rate_limit_set(&gate->rate_limit, per_s, now))
-		rate_show(gate, "backend server names a rate limit");
+	if (!rate_limit_set(&gate->rate_limit, per_s, now))
+		return;
+	rate_show(gate, "backend server names a rate limit");
+	if (!gate->naive)
+		gate_queue_recheck(gate);
 }
 
 void
--- a/src/queue.c
+++ b/src/queue.c
@@ -146,6 +146,7 @@
 queue_wait_expected(const queue_t *queue, route_class_t route_class, uint64_t deadline,
     queue_capacity_t capacity, uint64_t now)
 {
+	uint64_t rate_wait = capacity.start_at > now ? capacity.start_at - now : 0;
 	double wait = 0;
 
 	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
@@ -160,10 +161,11 @@
 		/* One more, for the remaining time of the running calls. */
 		wait += (ahead + (own ? 1 : 0)) * class_service_time(class, now) /
 			MAX_OF(running, 1);
+		rate_wait += ahead * capacity.interval;
 		if (own)
 			break;
 	}
-	return (uint64_t)wait;
+	return MAX_OF((uint64_t)wait, rate_wait);
 }
 
 /*
--- a/src/queue.h
+++ b/src/queue.h
@@ -62,10 +62,14 @@
 	bool prioritized; /* false (naive policy): first come first served, no shedding */
 } queue_t;
 
-/* Calls that may run concurrently; 0 counts as 1. */
+/* What a gate can run. */
 typedef struct queue_capacity {
+	/* Calls that may run concurrently; 0 counts as 1. */
 	uint32_t uploads;
 	uint32_t non_uploads; /* calls of the other classes together */
+	/* Rate limit: earliest start of the next call, time between two starts, ns. */
+	uint64_t start_at;
+	uint64_t interval; /* 0: no limit */
 } queue_capacity_t;
 
 /*
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -3,6 +3,7 @@
 // host leaves, and buffers beyond the window.
 #include "common_request.h"
 #include "gate.h"
+#include "rate_limit.h"
 
 namespace
 {
@@ -669,4 +670,74 @@
 	}));
 }
 
+// Answers every complete request that the server has received; returns their number.
+size_t
+requests_answer(RawServer *server, const std::string &answer)
+{
+	size_t answered = 0;
+
+	server->poll();
+	for (auto &connection : server->connections) {
+		if (connection->fd < 0 ||
+		    connection->input.find("\r\n\r\n") == std::string::npos)
+			continue;
+		connection->input.clear();
+		connection->write(answer);
+		answered++;
+	}
+	return answered;
+}
+
+std::string
+answer_with(const std::string &fields)
+{
+	return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + fields + "\r\nok";
+}
+
+// LIMIT: guards against more calls from all nodes together than the backend server
+// names in its answers.
+TEST_F(Gate, CallsKeepToTheRateThatTheServerNames)
+{
+	const double per_s = 20;
+	const std::string answer = answer_with("Masticpitch-Rate-Limit: 20\r\n");
+	uint64_t named_at = 0;
+	double elapsed_s;
+	size_t started = 0;
+
+	ASSERT_EQ(announce("ready", 1), 200);
+	for (uint64_t stream = 1; stream <= 15; stream++) {
+		FakeService &from = stream % 2 == 0 ? *peer : *entry;
+
+		from.post("gate", call(stream % 2 == 0 ? 9 : 0, stream, "GET", "/k/x"));
+		ASSERT_TRUE(
+		    run_until([&] { return requests_answer(server.get(), answer) > 0; }));
+		ASSERT_TRUE(
+		    run_until([&] { return from.ended(MESSAGE_ANSWER_DATA, stream); }));
+		if (named_at == 0)
+			named_at = os_clock_monotonic();
+		else
+			started++;
+	}
+	elapsed_s = (double)(os_clock_monotonic() - named_at) / NS_PER_S;
+	EXPECT_LE((double)started, per_s * (elapsed_s + RATE_LIMIT_BURST_MS / 1e3) + 1);
+	EXPECT_EQ(metric(METRIC_GATE_RATE_LIMIT), 1200u);
+}
+
+// Guards against queued calls that wait until their deadlines after the backend server
+// has named a limit at which their turn comes too late.
+TEST_F(Gate, QueuedCallsThatARateLimitDelaysTooLongAreRefusedImmediately)
+{
+	ASSERT_EQ(announce("ready", 1), 200);
+	for (uint64_t stream = 1; stream <= 5; stream++)
+		entry->post("gate", call(0, stream, "GET", "/k/x", 0, 3000));
+	ASSERT_TRUE(run_until([&] {
+		return requests_answer(server.get(),
+			   answer_with("Masticpitch-Rate-Limit: 0\r\n")) > 0;
+	}));
+	/* Two may start before their deadlines, the calls behind them may not. */
+	ASSERT_TRUE(run_until([&] { return entry->count(MESSAGE_REFUSAL) >= 2; }));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 5, REASON_DEADLINE_TOO_SHORT, RUN_NO);
+	EXPECT_GT(metric(METRIC_GATE_RATE_LIMITED), 0u);
+}
+
 } // namespace
--- a/test/test_queue.cc
+++ b/test/test_queue.cc
@@ -372,4 +372,27 @@
 	EXPECT_EQ(push(item), REASON_TARGET_MISSED);
 }
 
+// Guards against calls that wait at a rate limit until their deadlines, though it is
+// known on arrival that their turn comes too late.
+TEST_F(Queue, RateLimitCountsInTheExpectedWait)
+{
+	queue_capacity_t capacity = {10, 10, now + 50 * NS_PER_MS, 100 * NS_PER_MS};
+	queue_item_t *shed;
+
+	for (int i = 0; i < 3; i++)
+		ASSERT_EQ(
+		    queue_push(&queue, make(ROUTE_LOOKUP, 1000), capacity, now, &shed),
+		    REASON_NONE);
+	EXPECT_EQ(queue_wait_expected(
+		      &queue, ROUTE_LOOKUP, now + 1000 * NS_PER_MS, capacity, now),
+	    350 * NS_PER_MS);
+	EXPECT_EQ(queue_push(&queue, make(ROUTE_LOOKUP, 300), capacity, now, &shed),
+	    REASON_NONE);
+	EXPECT_EQ(queue_push(&queue, make(ROUTE_UPLOAD, 400), capacity, now, &shed),
+	    REASON_DEADLINE_TOO_SHORT);
+	/* A call of a higher class does not wait for the lookups. */
+	EXPECT_EQ(
+	    queue_push(&queue, make(ROUTE_CALL, 60), capacity, now, &shed), REASON_NONE);
+}
+
 } // namespace
