Refuse late calls immediately if the rate limit leaves them no turn

Cause: a call that would miss its target waits in the late queue, which is sized by slots; at a rate limit with steady work its turn never comes. Change: such a call is queued only if its turn at the rate limit comes before it would be given up.

--- a/src/queue.c
+++ b/src/queue.c
@@ -187,13 +187,31 @@
 	return item->target != 0 && now + needed > item->target;
 }
 
+static uint64_t
+late_give_up_at(const queue_item_t *item, uint64_t now)
+{
+	return now + (item->deadline - now) / 100 * QUEUE_LATE_WAIT_PERCENT;
+}
+
+/* Whether another late item would get its turn at the rate limit before it is given up.
+ */
+static bool
+late_turn_suffices(const queue_t *queue, const queue_item_t *item,
+    queue_capacity_t capacity, uint64_t now)
+{
+	uint64_t turn =
+	    MAX_OF(capacity.start_at, now) + queue_length(queue) * capacity.interval;
+
+	return capacity.interval == 0 || turn <= late_give_up_at(item, now);
+}
+
 static void
 late_insert(queue_t *queue, queue_item_t *item, uint64_t now)
 {
 	item->queued_at = now;
 	item->queued = true;
 	item->late = true;
-	item->give_up_at = now + (item->deadline - now) / 100 * QUEUE_LATE_WAIT_PERCENT;
+	item->give_up_at = late_give_up_at(item, now);
 	items_insert(&queue->late, item);
 	queue->late_count++;
 }
@@ -245,7 +263,8 @@
 	if (needed > item->deadline - now)
 		return REASON_DEADLINE_TOO_SHORT;
 	if (item_is_late(item, needed, now)) {
-		if (queue->late_count >= queue->late_limit)
+		if (queue->late_count >= queue->late_limit ||
+		    !late_turn_suffices(queue, item, capacity, now))
 			return REASON_TARGET_MISSED;
 		late_insert(queue, item, now);
 		return REASON_NONE;
--- a/src/queue.h
+++ b/src/queue.h
@@ -87,8 +87,8 @@
  * Otherwise the item is not queued and is to be refused as not run:
  * REASON_DEADLINE_PASSED; REASON_DEADLINE_TOO_SHORT: the expected wait and run do
  * not fit before its deadline; REASON_QUEUE_FULL: the queue is full and the item
- * has the lowest priority; REASON_TARGET_MISSED: the item would be late and the
- * late queue is full.
+ * has the lowest priority; REASON_TARGET_MISSED: the item would be late, and the
+ * late queue is full or its turn at the rate limit comes after it is given up.
  */
 reason_t queue_push(queue_t *queue, queue_item_t *item, queue_capacity_t capacity,
     uint64_t now, queue_item_t **shed);
--- a/test/test_queue.cc
+++ b/test/test_queue.cc
@@ -395,4 +395,27 @@
 	    queue_push(&queue, make(ROUTE_CALL, 60), capacity, now, &shed), REASON_NONE);
 }
 
+// Guards against late calls that are held for a quarter of their time at a rate limit
+// that leaves no turn for them.
+TEST_F(Queue, LateCallWithoutATurnAtTheRateLimitIsRefusedImmediately)
+{
+	queue_capacity_t capacity = {10, 10, now, 100 * NS_PER_MS};
+	queue_item_t *shed;
+	size_t late = 0;
+
+	for (int i = 0; i < 4; i++)
+		ASSERT_EQ(
+		    queue_push(&queue, make(ROUTE_CALL, 1000), capacity, now, &shed),
+		    REASON_NONE);
+	for (int i = 0; i < 5; i++) {
+		queue_item_t *item = make(ROUTE_LOOKUP, 2400);
+
+		item->target = now + 300 * NS_PER_MS;
+		late += queue_push(&queue, item, capacity, now, &shed) == REASON_NONE;
+	}
+	/* Given up after 600 ms: there is time for six turns, and four are taken. */
+	EXPECT_EQ(late, 3u);
+	EXPECT_EQ(queue_length(&queue), 7u);
+}
+
 } // namespace
