Stop new calls to a backend server that leaves by its answers

Callers may have been sent to an instance more than drainMs after it had said that it leaves: one that says so in its answers (Server-Leaving: 1) was withdrawn only by its own announcement, which may be late or lost. Cause: as for the rate limit, nothing read the field. Change: the gate treats such an answer as the announcement that the instance leaves: it refuses new calls as not run, spreads the state urgently and refuses the queue before drainMs is over. A late announcement of the same process does not make it ready again. Measured: test_gate ServerThatSaysInAnAnswerThatItLeavesGetsNoNewCalls; before, calls 2 and 3 reach the server.

--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -97,17 +97,37 @@
 	ev_timer_start(kernel_loop(gate->kernel), &gate->drain);
 }
 
+void
+gate_backend_leave(gate_t *gate)
+{
+	gate->backend_said_leaving = true;
+	if (!gate->backend.live || gate->backend.state == INSTANCE_LEAVING)
+		return;
+	gate->backend.state = INSTANCE_LEAVING;
+	backend_log(
+	    gate, LOG_LEVEL_INFO, "backend server leaves", "says so in an answer");
+	drain_start(gate);
+	gate_instance_post(gate);
+}
+
+/* Another process takes the place of the backend server known so far. */
+static void
+backend_replace(gate_t *gate, const char *cause)
+{
+	gate_backend_crashed(gate, cause);
+	gate->backend_said_leaving = false;
+	gate_rate_reset(gate);
+	ev_timer_stop(kernel_loop(gate->kernel), &gate->drain);
+}
+
 static void
 backend_update(gate_t *gate, const gate_backend_t *announced, bool restarted)
 {
 	static const char *const states[] = {"none", "starting", "ready", "leaving"};
 	bool changed;
 
-	if (restarted) {
-		gate_backend_crashed(gate, "announced under a new boot id");
-		gate_rate_reset(gate);
-		ev_timer_stop(kernel_loop(gate->kernel), &gate->drain);
-	}
+	if (restarted)
+		backend_replace(gate, "announced under a new boot id");
 	/* Computed after the crash has withdrawn the instance. */
 	changed = backend_changed(&gate->backend, announced);
 	gate->backend = *announced;
@@ -183,7 +203,7 @@
 		    strcmp(gate->backend.instance, announced->instance) != 0)
 			return;
 		if (announced->started_ms != 0) {
-			gate_backend_crashed(gate, "deregistered under a new boot id");
+			backend_replace(gate, "deregistered under a new boot id");
 			gate->backend = *announced;
 			return;
 		}
@@ -220,8 +240,9 @@
 		break;
 	case ANNOUNCEMENT_SAME:
 		/* A started process that is leaving does not become ready again. */
-		if (gate->settings->dialect == DIALECT_HOSTED &&
-		    gate->backend.state == INSTANCE_LEAVING)
+		if (gate->backend_said_leaving ||
+		    (gate->settings->dialect == DIALECT_HOSTED &&
+			gate->backend.state == INSTANCE_LEAVING))
 			accepted.state = INSTANCE_LEAVING;
 		backend_update(gate, &accepted, false);
 		break;
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -94,10 +94,14 @@
 static void
 backend_state_read(const gate_call_t *call)
 {
-	const char *rate_limit = answer_field(call, call->gate->names->rate_limit);
+	gate_t *gate = call->gate;
+	const char *rate_limit = answer_field(call, gate->names->rate_limit);
+	const char *leaving = answer_field(call, gate->names->leaving);
 
 	if (rate_limit != NULL || !call->shed)
-		gate_rate_update(call->gate, rate_limit);
+		gate_rate_update(gate, rate_limit);
+	if (leaving != NULL && strcmp(leaving, "1") == 0)
+		gate_backend_leave(gate);
 }
 
 /* Posts the complete head, unless the call was shed or the answer is not genuine. */
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -88,6 +88,7 @@
 	snapshot_t *snapshot; /* may be NULL */
 	uint32_t running;
 	gate_backend_t backend;
+	bool backend_said_leaving; /* in an answer */
 	uint32_t sequence;
 	bool leaving;
 	ev_timer announce_timeout;
@@ -168,6 +169,8 @@
 void gate_announce_close(gate_t *gate);
 /* Posts the state of the local instance to membership and entry. */
 void gate_instance_post(gate_t *gate);
+/* The backend server says in an answer that it leaves. */
+void gate_backend_leave(gate_t *gate);
 /* Withdraws the instance and refuses queued calls. */
 void gate_backend_drop(gate_t *gate, const char *cause);
 
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -740,4 +740,24 @@
 	EXPECT_GT(metric(METRIC_GATE_RATE_LIMITED), 0u);
 }
 
+// DRAIN: guards against new calls to a backend server that says only in its answers
+// that it leaves, and against a late announcement that makes it ready again.
+TEST_F(Gate, ServerThatSaysInAnAnswerThatItLeavesGetsNoNewCalls)
+{
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/k/x"));
+	ASSERT_TRUE(run_until([&] {
+		return requests_answer(
+			   server.get(), answer_with("Masticpitch-Leaving: 1\r\n")) > 0;
+	}));
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	entry->post("gate", call(0, 2, "GET", "/k/x"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_LEAVING, RUN_NO);
+	ASSERT_TRUE(run_until([&] { return membership->messages.size() == 2; }));
+	EXPECT_EQ(membership->messages[1].instance.state, INSTANCE_LEAVING);
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 3, "GET", "/k/x"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 3, REASON_LEAVING, RUN_NO);
+}
+
 } // namespace
