Ignore what an ended backend server's answers say of it

Cause: after a pause of a node, answers of its backend server's last process can be unread while the next process has been announced. Their rate limit or leaving would then apply to that process, and leaving for good. Change: an answer counts only if its call started under the process that is announced now.

--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -115,6 +115,7 @@
 backend_replace(gate_t *gate, const char *cause)
 {
 	gate_backend_crashed(gate, cause);
+	gate->backend_since = kernel_now(gate->kernel);
 	gate->backend_said_leaving = false;
 	gate_rate_reset(gate);
 	ev_timer_stop(kernel_loop(gate->kernel), &gate->drain);
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -98,6 +98,9 @@
 	const char *rate_limit = answer_field(call, gate->names->rate_limit);
 	const char *leaving = answer_field(call, gate->names->leaving);
 
+	/* After a pause of this process, answers of an earlier one may be unread. */
+	if (call->started_at < gate->backend_since)
+		return;
 	if (rate_limit != NULL || !call->shed)
 		gate_rate_update(gate, rate_limit);
 	if (leaving != NULL && strcmp(leaving, "1") == 0)
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -88,6 +88,8 @@
 	snapshot_t *snapshot; /* may be NULL */
 	uint32_t running;
 	gate_backend_t backend;
+	/* Calls started before went to another process of the backend server. */
+	uint64_t backend_since;
 	bool backend_said_leaving; /* in an answer */
 	uint32_t sequence;
 	bool leaving;
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -760,4 +760,25 @@
 	expect_refusal(*entry, MESSAGE_REFUSAL, 3, REASON_LEAVING, RUN_NO);
 }
 
+// Guards against a backend server that is taken out of use, or slowed down, by an answer
+// of the process before it.
+TEST_F(Gate, StartedServerIsNotBoundByAnAnswerOfTheProcessBefore)
+{
+	ASSERT_EQ(announce("ready", 1, "b1"), 200);
+	entry->post("gate", call(0, 1, "GET", "/k/x"));
+	ASSERT_TRUE(
+	    run_until([&] { return server->connection_with("\r\n\r\n") != nullptr; }));
+	ASSERT_EQ(announce("ready", 1, "b2"), 200);
+	ASSERT_GT(
+	    requests_answer(server.get(),
+		answer_with("Masticpitch-Leaving: 1\r\nMasticpitch-Rate-Limit: 0\r\n")),
+	    0u);
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	entry->post("gate", call(0, 2, "GET", "/k/x"));
+	ASSERT_TRUE(run_until(
+	    [&] { return requests_answer(server.get(), answer_with("")) > 0; }));
+	ASSERT_TRUE(run_until([&] { return has_ended(2); }));
+	EXPECT_EQ(metric(METRIC_GATE_RATE_LIMIT), 0u);
+}
+
 } // namespace
