Run few calls before the first answer of a backend server

An instance with a limit near 1 a second got 13 requests in 4 s where 11 are allowed (LIMIT), after the node beside it had been killed and started again. Cause: a node that has just started does not know the limit; it started as many calls as there are slots before the first answer told it. Evidence: trace of the starts on a scratch copy, limits kept until the kill at 9.0 s, 9 calls at once at 9.7 s. Change: at most 2 calls run before the first answer. The queue is updated from the event loop, since libcurl accepts no exchange from within its callbacks. Ruled out: spreading the limits by gossip, which costs every node bytes for a state that the first answer gives within 0.2 s. Measured: test_gate FewCallsRunBeforeTheFirstAnswer, 9 connections before, 2 now.

--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -94,8 +94,9 @@
 	uint32_t sequence;
 	bool leaving;
 	ev_timer announce_timeout;
-	ev_timer drain; /* when the queue of a leaving backend server is refused */
-	ev_timer rate;	/* when the rate limit allows the next queued call */
+	ev_timer drain;	   /* when the queue of a leaving backend server is refused */
+	ev_timer rate;	   /* when the rate limit allows the next queued call */
+	bool rate_changed; /* the queue is to be checked against another rate limit */
 	const header_names_t *names;
 	uint32_t idle_s; /* how long the backend server keeps idle connections, s */
 
--- a/src/gate_rate.c
+++ b/src/gate_rate.c
@@ -20,8 +20,12 @@
 bool
 gate_rate_admits(const gate_t *gate)
 {
-	return gate->naive ||
-	       rate_limit_next(&gate->rate_limit) <= kernel_now(gate->kernel);
+	if (gate->naive)
+		return true;
+	if (!gate->rate_limit.known &&
+	    limit_gate_non_uploads(&gate->limit) >= RATE_LIMIT_UNKNOWN_CALLS_MAX)
+		return false;
+	return rate_limit_next(&gate->rate_limit) <= kernel_now(gate->kernel);
 }
 
 uint32_t
@@ -40,7 +44,31 @@
 static void
 timer_callback(struct ev_loop *loop, ev_timer *watcher, int events)
 {
-	gate_queue_run(watcher->data);
+	gate_t *gate = watcher->data;
+
+	if (gate->rate_changed) {
+		gate->rate_changed = false;
+		gate_queue_recheck(gate);
+	} else {
+		gate_queue_run(gate);
+	}
+}
+
+/*
+ * Updates the queue from the event loop, since an answer is read in a callback of
+ * libcurl, which must not start another exchange.
+ */
+static void
+queue_update_start(gate_t *gate)
+{
+	struct ev_loop *loop = kernel_loop(gate->kernel);
+
+	if (gate->naive)
+		return;
+	gate->rate_changed = true;
+	ev_timer_stop(loop, &gate->rate);
+	ev_timer_set(&gate->rate, 0.0, 0.0);
+	ev_timer_start(loop, &gate->rate);
 }
 
 void
@@ -50,6 +78,8 @@
 	uint64_t now = kernel_now(gate->kernel);
 	uint64_t next = rate_limit_next(&gate->rate_limit);
 
+	if (gate->rate_changed)
+		return;
 	ev_timer_stop(loop, &gate->rate);
 	if (next <= now || queue_length(&gate->queue) == 0)
 		return;
@@ -74,11 +104,14 @@
 gate_rate_update(gate_t *gate, const char *text)
 {
 	uint64_t now = kernel_now(gate->kernel);
+	bool known = gate->rate_limit.known;
 	double per_s;
 
 	if (text == NULL) {
 		if (rate_limit_release(&gate->rate_limit, now))
 			rate_show(gate, "backend server names no rate limit any more");
+		if (!known)
+			queue_update_start(gate);
 		return;
 	}
 	if (rate_limit_parse(text, &per_s) != MASTICPITCH_OK) {
@@ -91,15 +124,15 @@
 	if (!rate_limit_set(&gate->rate_limit, per_s, now))
 		return;
 	rate_show(gate, "backend server names a rate limit");
-	if (!gate->naive)
-		gate_queue_recheck(gate);
+	queue_update_start(gate);
 }
 
 void
 gate_rate_reset(gate_t *gate)
 {
-	if (!gate->rate_limit.limited)
-		return;
+	bool limited = gate->rate_limit.limited;
+
 	rate_limit_reset(&gate->rate_limit);
-	rate_show(gate, "rate limit ended with the backend server");
+	if (limited)
+		rate_show(gate, "rate limit ended with the backend server");
 }
--- a/src/rate_limit.c
+++ b/src/rate_limit.c
@@ -38,6 +38,7 @@
 {
 	bool changed = !limit->limited || limit->per_s != per_s;
 
+	limit->known = true;
 	limit->limited = true;
 	limit->per_s = per_s;
 	limit->held_until = now + RATE_LIMIT_HOLD_MS * NS_PER_MS;
@@ -49,6 +50,7 @@
 bool
 rate_limit_release(rate_limit_t *limit, uint64_t now)
 {
+	limit->known = true;
 	if (!limit->limited || now < limit->held_until)
 		return false;
 	limit->limited = false;
--- a/src/rate_limit.h
+++ b/src/rate_limit.h
@@ -31,11 +31,17 @@
  * that the limit has ended.
  */
 #define RATE_LIMIT_MIN_PER_S 0.5
+/*
+ * Calls that may run concurrently before the first answer: a node that has just
+ * started does not know the limit yet.
+ */
+#define RATE_LIMIT_UNKNOWN_CALLS_MAX 2
 /* Highest rate that is accepted from a backend server, calls/s. */
 #define RATE_LIMIT_MAX_PER_S 1e6
 
-/* Embedded in the gate; all zero: no limit. */
+/* Embedded in the gate; all zero: no answer yet. */
 typedef struct rate_limit {
+	bool known; /* an answer has said whether there is a limit */
 	bool limited;
 	double per_s;	     /* as named, calls/s; valid if limited */
 	uint64_t held_until; /* the limit does not end before */
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -723,6 +723,43 @@
 	EXPECT_EQ(metric(METRIC_GATE_RATE_LIMIT), 1200u);
 }
 
+// LIMIT: guards against a node that starts as many calls as there are slots after its
+// restart, before an answer tells it the limit.
+TEST_F(Gate, FewCallsRunBeforeTheFirstAnswer)
+{
+	const std::string answer = answer_with("Masticpitch-Rate-Limit: 0\r\n");
+
+	ASSERT_EQ(announce("ready", 9), 200);
+	for (uint64_t stream = 1; stream <= 9; stream++)
+		entry->post("gate", call(0, stream, "GET", "/k/x", 0, 1500));
+	ASSERT_TRUE(run_until([&] {
+		server->poll();
+		return server->connections.size() == RATE_LIMIT_UNKNOWN_CALLS_MAX;
+	}));
+	run_until_idle();
+	EXPECT_EQ(metric(METRIC_GATE_RUNNING), RATE_LIMIT_UNKNOWN_CALLS_MAX);
+	ASSERT_TRUE(run_until([&] { return requests_answer(server.get(), answer) > 0; }));
+	/* The first one of the queue starts; the turn of the others comes too late. */
+	ASSERT_TRUE(run_until([&] {
+		return entry->count(MESSAGE_REFUSAL) >=
+		       9 - 1 - RATE_LIMIT_UNKNOWN_CALLS_MAX;
+	}));
+	EXPECT_EQ(metric(METRIC_GATE_ADMITTED), 1u + RATE_LIMIT_UNKNOWN_CALLS_MAX);
+}
+
+// Guards against calls that stay queued after an answer without a limit.
+TEST_F(Gate, AllSlotsAreUsedAfterAnAnswerWithoutALimit)
+{
+	ASSERT_EQ(announce("ready", 4), 200);
+	for (uint64_t stream = 1; stream <= 5; stream++)
+		entry->post("gate", call(0, stream, "GET", "/k/x"));
+	ASSERT_TRUE(
+	    run_until([&] { return server->connection_with("\r\n\r\n") != nullptr; }));
+	server->connection_with("\r\n\r\n")->write(answer_with(""));
+	ASSERT_TRUE(run_until([&] { return metric(METRIC_GATE_RUNNING) == 4; }));
+	EXPECT_EQ(entry->count(MESSAGE_REFUSAL), 0u);
+}
+
 // Guards against queued calls that wait until their deadlines after the backend server
 // has named a limit at which their turn comes too late.
 TEST_F(Gate, QueuedCallsThatARateLimitDelaysTooLongAreRefusedImmediately)
