Keep to the rate limit while it changes with each answer

Cause: a changed limit moved the time of the next call to one interval from now at the latest, so each change admitted the calls of a new burst. An instance that names another limit in each answer would have got any number. Change: the time until the next call changes in proportion to the interval. Found by reading. Measured: test_rate_limit ChangesOfTheRateGiveNoFurtherCalls, far above the rate before, within it now.

--- a/src/queue.c
+++ b/src/queue.c
@@ -193,8 +193,7 @@
 	return now + (item->deadline - now) / 100 * QUEUE_LATE_WAIT_PERCENT;
 }
 
-/* Whether another late item would get its turn at the rate limit before it is given up.
- */
+/* Whether a late item gets its turn at the rate limit before it is given up. */
 static bool
 late_turn_suffices(const queue_t *queue, const queue_item_t *item,
     queue_capacity_t capacity, uint64_t now)
--- a/src/rate_limit.c
+++ b/src/rate_limit.c
@@ -33,17 +33,33 @@
 	return (uint64_t)((double)NS_PER_S / MAX_OF(limit->per_s, RATE_LIMIT_MIN_PER_S));
 }
 
+/*
+ * The time until the next call is due changes in proportion to the interval. A shorter
+ * one would let a limit that changes with each answer admit calls without bound.
+ */
+static void
+due_rescale(rate_limit_t *limit, uint64_t old_interval, uint64_t now)
+{
+	double ratio = (double)rate_limit_interval(limit) / (double)old_interval;
+
+	if (limit->due_at > now)
+		limit->due_at = now + (uint64_t)((double)(limit->due_at - now) * ratio);
+}
+
 bool
 rate_limit_set(rate_limit_t *limit, double per_s, uint64_t now)
 {
-	bool changed = !limit->limited || limit->per_s != per_s;
+	uint64_t old_interval = rate_limit_interval(limit);
+	bool changed = old_interval == 0 || limit->per_s != per_s;
 
 	limit->known = true;
 	limit->limited = true;
 	limit->per_s = per_s;
 	limit->held_until = now + RATE_LIMIT_HOLD_MS * NS_PER_MS;
-	if (changed)
-		limit->due_at = MIN_OF(limit->due_at, now + rate_limit_interval(limit));
+	if (old_interval == 0)
+		limit->due_at = now;
+	else if (changed)
+		due_rescale(limit, old_interval, now);
 	return changed;
 }
 
--- a/test/test_rate_limit.cc
+++ b/test/test_rate_limit.cc
@@ -58,6 +58,25 @@
 	}
 }
 
+// Guards against a limit that admits calls without bound because it changes with each
+// answer.
+TEST(RateLimit, ChangesOfTheRateGiveNoFurtherCalls)
+{
+	rate_limit_t limit = {};
+	std::vector<uint64_t> started;
+
+	for (uint64_t now = START; now < START + 20 * NS_PER_S; now += NS_PER_MS) {
+		rate_limit_set(&limit, now / NS_PER_MS % 2 == 0 ? 10 : 10.1, now);
+		if (rate_limit_next(&limit) > now)
+			continue;
+		rate_limit_start(&limit, now);
+		started.push_back(now);
+	}
+	EXPECT_LE(most_in_window(started, 4 * NS_PER_S),
+	    10.1 * (4 + RATE_LIMIT_BURST_MS / 1000.0) + 1);
+	EXPECT_GE(started.size(), 199u);
+}
+
 // Guards against a rate that is lost when calls come in groups.
 TEST(RateLimit, CallsThatWereNotUsedAreAdmittedShortlyAfter)
 {
