Use all slots after an answer with an invalid rate limit

Cause: the gate runs few calls until an answer has told it the limit, and a value that is no number did not count as such an answer. A faulty instance would have had 2 calls at a time for good. Change: after such an answer the limit before it, or none, holds. Queued calls start as soon as a limit ends, not at the next end of a call. Found by reading. Measured: test_gate AllSlotsAreUsedAfterAnAnswerWithAnInvalidLimit, not reached before.

--- a/src/gate_rate.c
+++ b/src/gate_rate.c
@@ -100,31 +100,39 @@
 	ev_timer_stop(kernel_loop(gate->kernel), &gate->rate);
 }
 
-void
-gate_rate_update(gate_t *gate, const char *text)
+/* Applies the field; returns true if the queue has to be updated. */
+static bool
+rate_apply(gate_t *gate, const char *text, uint64_t now)
 {
-	uint64_t now = kernel_now(gate->kernel);
-	bool known = gate->rate_limit.known;
 	double per_s;
 
 	if (text == NULL) {
-		if (rate_limit_release(&gate->rate_limit, now))
-			rate_show(gate, "backend server names no rate limit any more");
-		if (!known)
-			queue_update_start(gate);
-		return;
+		if (!rate_limit_release(&gate->rate_limit, now))
+			return false;
+		rate_show(gate, "backend server names no rate limit any more");
+		return true;
 	}
 	if (rate_limit_parse(text, &per_s) != MASTICPITCH_OK) {
+		rate_limit_keep(&gate->rate_limit);
 		log_warning(kernel_log(gate->kernel),
 		    "rate limit is invalid; ignoring it",
 		    LOG_TEXT("instance", gate->backend.instance),
 		    LOG_TEXT("value", text));
-		return;
+		return false;
 	}
 	if (!rate_limit_set(&gate->rate_limit, per_s, now))
-		return;
+		return false;
 	rate_show(gate, "backend server names a rate limit");
-	queue_update_start(gate);
+	return true;
+}
+
+void
+gate_rate_update(gate_t *gate, const char *text)
+{
+	bool known = gate->rate_limit.known;
+
+	if (rate_apply(gate, text, kernel_now(gate->kernel)) || !known)
+		queue_update_start(gate);
 }
 
 void
--- a/src/rate_limit.c
+++ b/src/rate_limit.c
@@ -63,6 +63,12 @@
 	return changed;
 }
 
+void
+rate_limit_keep(rate_limit_t *limit)
+{
+	limit->known = true;
+}
+
 bool
 rate_limit_release(rate_limit_t *limit, uint64_t now)
 {
--- a/src/rate_limit.h
+++ b/src/rate_limit.h
@@ -55,6 +55,8 @@
 int rate_limit_parse(const char *text, double *per_s);
 /* An answer names a limit. True if it is another one than before. */
 bool rate_limit_set(rate_limit_t *limit, double per_s, uint64_t now);
+/* An answer names a limit that cannot be read; the one before it, or none, holds. */
+void rate_limit_keep(rate_limit_t *limit);
 /* An answer names none. True if that ended a limit. */
 bool rate_limit_release(rate_limit_t *limit, uint64_t now);
 /* Forgets the limit; used when another backend server takes the place of this one. */
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -760,6 +760,20 @@
 	EXPECT_EQ(entry->count(MESSAGE_REFUSAL), 0u);
 }
 
+// Guards against a faulty value that keeps the gate at few calls for good.
+TEST_F(Gate, AllSlotsAreUsedAfterAnAnswerWithAnInvalidLimit)
+{
+	ASSERT_EQ(announce("ready", 4), 200);
+	for (uint64_t stream = 1; stream <= 5; stream++)
+		entry->post("gate", call(0, stream, "GET", "/k/x"));
+	ASSERT_TRUE(
+	    run_until([&] { return server->connection_with("\r\n\r\n") != nullptr; }));
+	server->connection_with("\r\n\r\n")
+	    ->write(answer_with("Masticpitch-Rate-Limit: none\r\n"));
+	ASSERT_TRUE(run_until([&] { return metric(METRIC_GATE_RUNNING) == 4; }));
+	EXPECT_EQ(metric(METRIC_GATE_RATE_LIMIT), 0u);
+}
+
 // Guards against queued calls that wait until their deadlines after the backend server
 // has named a limit at which their turn comes too late.
 TEST_F(Gate, QueuedCallsThatARateLimitDelaysTooLongAreRefusedImmediately)
