--- a/test/standin_backend.c
+++ b/test/standin_backend.c
@@ -6,9 +6,9 @@
  *   end ID done|gone|late MS
  * Options: --listen IP:PORT --announce IP:PORT (or none) --entry IP:PORT
  * --service NAME --instance NAME --slots N --connections N --work-ms N
- * --cold-ms N --lag-ms N --load-lie X --seed N.
+ * --cold-ms N --lag-ms N --load-lie X --rate-limit X --seed N.
  * --cold-ms delays the state "ready", --lag-ms makes the announced load that old,
- * --load-lie announces a fixed load instead.
+ * --load-lie announces a fixed load instead, --rate-limit is named in answers.
  * Arguments of a request's URI: id, once=1, size (bytes of filler), work_ms,
  * inner (path of a nested call through the host's node), levels (depth of nested
  * calls). A path that contains "/crash" ends the process with abort().
@@ -50,7 +50,8 @@
 	unsigned connections;
 	double work_ms;
 	double lag_ms;
-	double load_override; /* announced instead of the load; below 0: none */
+	double load_override;	/* announced instead of the load; below 0: none */
+	const char *rate_limit; /* named in answers, calls/s; NULL: none */
 	char boot[40];
 	uint64_t ready_at;
 	atomic_uint running;
@@ -361,7 +362,9 @@
 	if (standin_answer(method, request->uri, request->body_size, &digest, &body) ==
 	    MASTICPITCH_OK)
 		result = standin_reply(connection, MHD_HTTP_OK, (const char *)body.data,
-		    body.size, "Standin-Instance", backend->instance);
+		    body.size,
+		    backend->rate_limit != NULL ? "Masticpitch-Rate-Limit" : NULL,
+		    backend->rate_limit);
 	else
 		result = MHD_NO;
 	buffer_free(&body);
@@ -461,6 +464,7 @@
 	backend->work_ms = standin_option_number(argc, argv, "work-ms", 1);
 	backend->lag_ms = standin_option_number(argc, argv, "lag-ms", 2000);
 	backend->load_override = standin_option_number(argc, argv, "load-lie", -1);
+	backend->rate_limit = standin_option(argc, argv, "rate-limit", NULL);
 	backend->ready_at =
 	    os_clock_monotonic() +
 	    (uint64_t)(standin_option_number(argc, argv, "cold-ms", 0) * 1e6);
