--- a/src/config.c
+++ b/src/config.c
@@ -1,5 +1,6 @@
 #include "config.h"
 
+#include "config_report.h"
 #include "document.h"
 #include "http_client.h"
 #include "json_text.h"
@@ -29,8 +30,8 @@
 	ev_timer join_timer;
 	bool joining; /* listing of relays is scheduled or in progress */
 	list_t calls;
-	spread_status_t reported; /* status last reflected in metrics and log */
-	document_t document;	  /* last one read; hosted dialect only */
+	config_report_t report;
+	document_t document; /* last one read; hosted dialect only */
 };
 
 /* One platform call on behalf of spread. */
@@ -97,6 +98,7 @@
 	config_t *config = call->config;
 	platform_answer_t answer = *read;
 
+	config_report_answer(&config->report, call->kind, &answer);
 	document_translate(config, call->kind, &answer);
 	spread_platform_answer(config->spread, call->kind, &call->digest, &answer,
 	    kernel_now(config->kernel));
@@ -278,37 +280,6 @@
 	}
 }
 
-/* Reports changes of the status since the last call to metrics and log. */
-static void
-status_changes_report(config_t *config)
-{
-	spread_status_t status = spread_status(config->spread);
-	const spread_counters_t *now = &status.counters;
-	const spread_counters_t *old = &config->reported.counters;
-	metrics_t *metrics = kernel_metrics(config->kernel);
-	log_t *log = kernel_log(config->kernel);
-
-	metrics_add(metrics, METRIC_CONFIG_APPLIED, now->applied - old->applied);
-	metrics_add(metrics, METRIC_CONFIG_REFUSED, now->refused - old->refused);
-	metrics_add(metrics, METRIC_CONFIG_STALE, now->stale - old->stale);
-	metrics_add(metrics, METRIC_CONFIG_PULLS, now->pulls - old->pulls);
-	metrics_add(metrics, METRIC_CONFIG_PUSHES, now->pushes - old->pushes);
-	metrics_add(metrics, METRIC_CONFIG_DROPPED, now->dropped - old->dropped);
-	metrics_set(metrics, METRIC_CONFIG_VERSION, status.version);
-	metrics_set(metrics, METRIC_CONFIG_RELAY, status.relay);
-	metrics_set(metrics, METRIC_PLATFORM_REGRESSED, status.regressed);
-	if (status.regressed && !config->reported.regressed)
-		log_warning(log,
-		    "platform regressed: it holds an older configuration than this node",
-		    LOG_NUMBER("version", status.accepted));
-	if (!status.regressed && config->reported.regressed)
-		log_info(log, "platform holds the newest configuration again");
-	if (status.relay != config->reported.relay)
-		log_info(log, status.relay ? "assumed the relay role of the zone"
-					   : "gave up the relay role of the zone");
-	config->reported = status;
-}
-
 static void
 timer_set(config_t *config)
 {
@@ -330,12 +301,15 @@
 config_run(config_t *config)
 {
 	spread_action_t *action;
+	spread_status_t status;
 
 	while ((action = spread_action_take(config->spread)) != NULL) {
 		action_perform(config, action);
 		spread_action_destroy(action);
 	}
-	status_changes_report(config);
+	status = spread_status(config->spread);
+	config_report_changes(
+	    &config->report, &status, platform_health(config->platform));
 	timer_set(config);
 }
 
@@ -410,72 +384,12 @@
 	ev_timer_start(loop, &config->join_timer);
 }
 
-static uint64_t
-age_ms(uint64_t now, uint64_t at)
-{
-	return at != 0 && now > at ? (now - at) / NS_PER_MS : 0;
-}
-
-static void
-alarms_add(const spread_status_t *status, bool reachable, struct json_object *report)
-{
-	struct json_object *alarms = json_object_new_array();
-
-	if (status->regressed)
-		json_object_array_add(
-		    alarms, json_object_new_string("platform-regressed"));
-	if (status->refused[0] != '\0')
-		json_object_array_add(
-		    alarms, json_object_new_string("configuration-refused"));
-	if (!reachable)
-		json_object_array_add(
-		    alarms, json_object_new_string("platform-unreachable"));
-	if (status->version == 0)
-		json_object_array_add(alarms, json_object_new_string("no-configuration"));
-	json_object_object_add(report, "alarms", alarms);
-}
-
-static struct json_object *
-status_json(const config_t *config)
-{
-	spread_status_t status = spread_status(config->spread);
-	platform_health_t health = platform_health(config->platform);
-	uint64_t now = kernel_now(config->kernel);
-	/* A node that has not called the platform does not report it unreachable. */
-	bool reachable = health.reachable || health.failures == 0;
-	struct json_object *report = json_object_new_object();
-	struct json_object *platform = json_object_new_object();
-
-	json_object_object_add(report, "version", json_object_new_uint64(status.version));
-	json_object_object_add(report, "preset", json_object_new_string(status.preset));
-	json_object_object_add(report, "version_age_ms",
-	    json_object_new_uint64(age_ms(now, status.accepted_at)));
-	if (status.confirmed_at != 0)
-		json_object_object_add(report, "confirmed_age_ms",
-		    json_object_new_uint64(age_ms(now, status.confirmed_at)));
-	json_object_object_add(
-	    report, "version_floor", json_object_new_uint64(status.floor));
-	json_object_object_add(
-	    report, "version_max", json_object_new_uint64(status.version_max));
-	json_object_object_add(platform, "reachable", json_object_new_boolean(reachable));
-	if (health.last_answer_at != 0)
-		json_object_object_add(platform, "last_answer_ms",
-		    json_object_new_uint64(age_ms(now, health.last_answer_at)));
-	json_object_object_add(
-	    platform, "regressed", json_object_new_boolean(status.regressed));
-	json_object_object_add(report, "platform", platform);
-	json_object_object_add(report, "relay", json_object_new_boolean(status.relay));
-	if (status.refused[0] != '\0')
-		json_object_object_add(
-		    report, "refused", json_object_new_string(status.refused));
-	alarms_add(&status, reachable, report);
-	return report;
-}
-
 static void
 status_query_answer(config_t *config, const message_t *query)
 {
-	struct json_object *report = status_json(config);
+	spread_status_t status = spread_status(config->spread);
+	struct json_object *report = config_report_status(
+	    &status, platform_health(config->platform), kernel_now(config->kernel));
 	const char *text = json_object_to_json_string_ext(report, JSON_C_TO_STRING_PLAIN);
 	message_t *answer = message_create(MESSAGE_REPORT, 0, query->stream);
 
@@ -581,6 +495,8 @@
 		return MASTICPITCH_E_NOMEM;
 	config->kernel = kernel;
 	config->settings = settings;
+	config->report.log = kernel_log(kernel);
+	config->report.metrics = kernel_metrics(kernel);
 	list_init(&config->calls);
 	document_init(&config->document);
 	list_init(&config->service.link);
--- a/src/platform.h
+++ b/src/platform.h
@@ -59,6 +59,11 @@
 	uint64_t revision; /* of the key: get, watch, put; current one on conflict */
 	/* Get, list, watch: revision of the complete store; 0: not given. */
 	uint64_t store_revision;
+	/*
+	 * Incarnation of the store, greater each time it is restored from a copy;
+	 * revisions and leases of different ones are not comparable. 0: not given.
+	 */
+	uint64_t store_epoch;
 	uint64_t lease;			 /* lease create */
 	const platform_entry_t *entries; /* list */
 	size_t entry_count;
--- a/src/platform_codec.h
+++ b/src/platform_codec.h
@@ -80,6 +80,8 @@
 struct json_object *platform_body_parse(const http_answer_t *http, size_t size_max);
 /* Reads a non-negative integer of an object; false: absent or malformed. */
 bool platform_number_read(struct json_object *object, const char *key, uint64_t *value);
+/* Reads a decimal header of an answer; false: absent or malformed. */
+bool platform_header_read(const http_answer_t *http, const char *name, uint64_t *value);
 
 #ifdef __cplusplus
 }
--- a/src/platform_native.c
+++ b/src/platform_native.c
@@ -52,6 +52,16 @@
 	       MASTICPITCH_OK;
 }
 
+bool
+platform_header_read(const http_answer_t *http, const char *name, uint64_t *value)
+{
+	const char *text =
+	    http->headers != NULL ? headers_find(http->headers, name) : NULL;
+
+	return text != NULL &&
+	       string_parse_uint(text, INT64_MAX, value) == MASTICPITCH_OK;
+}
+
 platform_outcome_t
 platform_outcome_of_failure(int status)
 {
@@ -123,16 +133,6 @@
 	return MASTICPITCH_OK;
 }
 
-/* Reads a decimal header; false if it is absent or malformed. */
-static bool
-header_number(const http_answer_t *http, const char *name, uint64_t *value)
-{
-	const char *text = headers_find(http->headers, name);
-
-	return text != NULL &&
-	       string_parse_uint(text, INT64_MAX, value) == MASTICPITCH_OK;
-}
-
 static bool
 body_number(const http_answer_t *http, const char *key, uint64_t *value)
 {
@@ -209,8 +209,8 @@
 	switch (request->kind) {
 	case PLATFORM_CALL_GET:
 	case PLATFORM_CALL_WATCH:
-		valid = header_number(http, "Revision", &answer->revision);
-		header_number(http, "Store-Revision", &answer->store_revision);
+		valid = platform_header_read(http, "Revision", &answer->revision);
+		platform_header_read(http, "Store-Revision", &answer->store_revision);
 		answer->value = http->body;
 		answer->size = http->body_size;
 		break;
@@ -237,6 +237,7 @@
 {
 	platform_answer_t *answer = &decoded->answer;
 
+	platform_header_read(http, "Store-Epoch", &answer->store_epoch);
 	switch (http->status) {
 	case 200:
 		answer->outcome = success_read(request, http, decoded);
--- a/src/spread.c
+++ b/src/spread.c
@@ -344,6 +344,7 @@
 spread_platform_answer(spread_t *spread, spread_call_t call, const digest_t *digest,
     const platform_answer_t *answer, uint64_t now)
 {
+	spread->store_epoch = MAX_OF(spread->store_epoch, answer->store_epoch);
 	switch (call) {
 	case SPREAD_CALL_GET_HEAD:
 	case SPREAD_CALL_WATCH_HEAD:
@@ -383,6 +384,7 @@
 	    .version_max = spread->version_max,
 	    .preset = head != NULL && spread->in_force ? head->in_force : "",
 	    .accepted_at = spread->accepted.accepted_at,
+	    .store_epoch = spread->store_epoch,
 	    .regressed = spread->regressed,
 	    .refused = spread->refused,
 	    .refused_version = spread->refused_version,
@@ -395,6 +397,7 @@
 		const spread_relay_t *relay = &spread->variant.u.relay;
 
 		status.relay = relay->active;
+		status.lease = relay->lease;
 		status.lease_held =
 		    relay->phase == RELAY_HELD || relay->phase == RELAY_RENEWING;
 	}
--- a/src/spread.h
+++ b/src/spread.h
@@ -178,7 +178,9 @@
 	uint64_t confirmed_at; /* the platform last had the accepted version; 0: never */
 	bool relay;
 	bool lease_held;
-	bool regressed; /* the platform has an older head than this node */
+	uint64_t lease;	      /* of the relay's key; 0: none */
+	uint64_t store_epoch; /* highest in the platform's answers; 0: none given */
+	bool regressed;	      /* the platform has an older head than this node */
 	/* Reason of the last refusal; "" once a newer record is accepted. */
 	const char *refused;
 	uint64_t refused_version;
