Use no revision or lease of the platform's store from before a restore

Cause: revisions and leases go back when the store is restored from a copy, and are given out again. A watch goes on from a revision of the store before; once the store has given it out again, it leaves out what was written below it. A renewal succeeds for a lease that is another node's. Class of fault: identifiers used outside the incarnation that gave them. Change: an answer with a higher epoch ends the waiting watch and has the head read again, and drops the lease without ending it; an answer of an earlier epoch counts as none (platform_outdated_total). Evidence: test_spread_platform.

--- a/src/config_report.c
+++ b/src/config_report.c
@@ -17,8 +17,7 @@
 	    [SPREAD_CALL_RELAY_GET] = "relay-get",
 	};
 
-	log_debug(report->log, "answer of the platform",
-	    LOG_TEXT("call", calls[call]),
+	log_debug(report->log, "answer of the platform", LOG_TEXT("call", calls[call]),
 	    LOG_TEXT("outcome", platform_outcome_text(answer->outcome)),
 	    LOG_NUMBER("status", answer->status),
 	    LOG_NUMBER("revision", answer->revision),
@@ -60,6 +59,7 @@
 	metrics_add(metrics, METRIC_CONFIG_PULLS, now->pulls - old->pulls);
 	metrics_add(metrics, METRIC_CONFIG_PUSHES, now->pushes - old->pushes);
 	metrics_add(metrics, METRIC_CONFIG_DROPPED, now->dropped - old->dropped);
+	metrics_add(metrics, METRIC_PLATFORM_OUTDATED, now->outdated - old->outdated);
 	metrics_set(metrics, METRIC_CONFIG_VERSION, status->version);
 	metrics_set(metrics, METRIC_CONFIG_RELAY, status->relay);
 	metrics_set(metrics, METRIC_PLATFORM_REGRESSED, status->regressed);
@@ -72,19 +72,18 @@
 	if (status->store_epoch != reported->store_epoch) {
 		metrics_set(metrics, METRIC_PLATFORM_STORE_EPOCH, status->store_epoch);
 		log_info(log,
-		    reported->store_epoch != 0
-			? "platform store was restored from a copy"
-			: "platform store names its epoch",
+		    reported->store_epoch != 0 ? "platform store was restored from a copy"
+					       : "platform store names its epoch",
 		    LOG_NUMBER("store_epoch", status->store_epoch));
 	}
 	if (status->lease_held != reported->lease_held)
 		log_info(log,
 		    status->lease_held ? "holds the relay lease"
-				      : "no longer holds the relay lease",
+				       : "no longer holds the relay lease",
 		    LOG_NUMBER("lease", status->lease));
 	if (status->relay != reported->relay)
 		log_info(log, status->relay ? "assumed the relay role of the zone"
-					   : "gave up the relay role of the zone");
+					    : "gave up the relay role of the zone");
 	reachability_report(report, platform);
 	report->reported = *status;
 }
@@ -123,7 +122,8 @@
 	struct json_object *report = json_object_new_object();
 	struct json_object *platform = json_object_new_object();
 
-	json_object_object_add(report, "version", json_object_new_uint64(status->version));
+	json_object_object_add(
+	    report, "version", json_object_new_uint64(status->version));
 	json_object_object_add(report, "preset", json_object_new_string(status->preset));
 	json_object_object_add(report, "version_age_ms",
 	    json_object_new_uint64(age_ms(now, status->accepted_at)));
@@ -148,4 +148,3 @@
 	alarms_add(status, reachable, report);
 	return report;
 }
-
--- a/src/spread.c
+++ b/src/spread.c
@@ -340,11 +340,36 @@
 	spread_update(spread, now);
 }
 
+/*
+ * Compares the store's epoch in an answer with the one known. Revisions and leases go
+ * back when the store is restored from a copy and are given out again, so none is used in
+ * another epoch.
+ */
+static void
+store_epoch_record(spread_t *spread, uint64_t epoch, uint64_t now)
+{
+	bool restored = spread->store_epoch != 0 && epoch > spread->store_epoch;
+
+	spread->store_epoch = MAX_OF(spread->store_epoch, epoch);
+	if (!restored)
+		return;
+	spread_reader_restart(spread, now);
+	if (spread->variant.kind == CONFIG_SOURCE_RELAY)
+		spread_relay_restart(spread, now);
+}
+
 void
 spread_platform_answer(spread_t *spread, spread_call_t call, const digest_t *digest,
-    const platform_answer_t *answer, uint64_t now)
+    const platform_answer_t *received, uint64_t now)
 {
-	spread->store_epoch = MAX_OF(spread->store_epoch, answer->store_epoch);
+	const platform_answer_t outdated = {.outcome = PLATFORM_UNKNOWN};
+	const platform_answer_t *answer = received;
+
+	store_epoch_record(spread, received->store_epoch, now);
+	if (received->store_epoch != 0 && received->store_epoch < spread->store_epoch) {
+		spread->counters.outdated++;
+		answer = &outdated;
+	}
 	switch (call) {
 	case SPREAD_CALL_GET_HEAD:
 	case SPREAD_CALL_WATCH_HEAD:
--- a/src/spread.h
+++ b/src/spread.h
@@ -166,6 +166,8 @@
 	uint64_t pulls;
 	uint64_t pushes;  /* including announcements */
 	uint64_t dropped; /* events lost to a full table, or unexpected messages */
+	/* Answers that the platform's store gave before it was restored from a copy. */
+	uint64_t outdated;
 } spread_counters_t;
 
 typedef struct spread_status_state {
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -231,6 +231,8 @@
 /* True if this node watches the platform, as a relay or watcher of its zone. */
 bool spread_reader_is_continuous(spread_t *spread);
 void spread_reader_run(spread_t *spread, uint64_t now);
+/* The store was restored: its revisions are void, so the head is read again. */
+void spread_reader_restart(spread_t *spread, uint64_t now);
 void spread_reader_answer(
     spread_t *spread, spread_call_t call, const platform_answer_t *answer, uint64_t now);
 /* Queries peers and schedules reads of the platform until a version is in force. */
@@ -242,6 +244,8 @@
 
 /* spread_relay.c */
 void spread_relay_run(spread_t *spread, uint64_t now);
+/* The store was restored: the lease is void, and its number may be another node's. */
+void spread_relay_restart(spread_t *spread, uint64_t now);
 void spread_relay_answer(
     spread_t *spread, spread_call_t call, const platform_answer_t *answer, uint64_t now);
 
--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -121,6 +121,19 @@
 	waiters_answer(spread, sent, now);
 }
 
+void
+spread_reader_restart(spread_t *spread, uint64_t now)
+{
+	spread_reader_t *reader = &spread->reader;
+
+	if (reader->watch_pending)
+		(void)spread_action_add(spread, SPREAD_WATCH_CANCEL);
+	reader->watch_pending = false;
+	reader->get_before_watch = true;
+	reader->revision = 0;
+	reader->next_at = now;
+}
+
 void
 spread_reader_answer(
     spread_t *spread, spread_call_t call, const platform_answer_t *answer, uint64_t now)
--- a/src/spread_relay.c
+++ b/src/spread_relay.c
@@ -126,6 +126,20 @@
 	}
 }
 
+void
+spread_relay_restart(spread_t *spread, uint64_t now)
+{
+	spread_relay_t *relay = &spread->variant.u.relay;
+
+	relay->lease = 0;
+	relay->expect = 0;
+	/* Calls in flight start over when they are answered, see restart_if_revoked(). */
+	if (relay->phase == RELAY_HELD || relay->phase == RELAY_NONE) {
+		relay->phase = RELAY_NONE;
+		relay->next_at = now;
+	}
+}
+
 /* Parses the node id in the value of relay/ZONE; 0: malformed. */
 static uint64_t
 holder_parse(const platform_answer_t *answer)
--- /dev/null
+++ b/test/test_spread_platform.cc
@@ -0,0 +1,126 @@
+// Guards the reads of the platform against a store that is restored from a copy: its
+// revisions and leases go back and are given out again.
+#include "restorable_store.h"
+
+namespace
+{
+
+const uint64_t MS = NS_PER_MS;
+// Time from a write to the version in force, as the operators are promised.
+const uint64_t APPLY_NS = 2000 * NS_PER_MS;
+
+// A host with version 1 in force that watches on from a revision to which other writes
+// have brought the store since its copy was taken.
+class RestoredStore : public testing::Test
+{
+      protected:
+	RestorableStore world;
+	size_t host = 0;
+
+	void
+	SetUp() override
+	{
+		world.write(1);
+		host = world.host_start("zone-a");
+		world.run(4000 * MS);
+		ASSERT_EQ(world.version(host), 1u);
+		world.copy_take();
+	}
+	// Time from the write of a version until the host has it in force, ns.
+	uint64_t
+	lag(uint64_t version)
+	{
+		auto found = world.hosts[host].in_force_at.find(version);
+
+		return found == world.hosts[host].in_force_at.end()
+			   ? TIME_NEVER
+			   : found->second - world.written_at[version];
+	}
+};
+
+// CONFIG: a watch that goes on from a revision which the restored store has given out
+// again leaves out the version written below that revision.
+TEST_F(RestoredStore, WatchesLeaveOutNoVersionAfterRevisionsAreGivenOutAgain)
+{
+	for (int i = 0; i < 5; i++)
+		world.write_other();
+	world.run(2500 * MS); // the host watches from the last of them
+	world.freeze(host, 1500 * MS);
+	world.copy_restore();
+	world.run(500 * MS);
+	world.write(2);
+	for (int i = 0; i < 9; i++)
+		world.write_other();
+	world.run(1000 * MS + 2 * APPLY_NS);
+	EXPECT_EQ(world.version(host), 2u);
+	EXPECT_LE(lag(2), 1000 * MS + APPLY_NS);
+}
+
+// CONFIG: while a watch waits on a connection that has gone silent, another call shows
+// that the store was restored; a version written meanwhile waits for the watch's timeout.
+TEST_F(RestoredStore, RestoreSeenByAnotherCallEndsTheWaitingWatch)
+{
+	uint64_t watches = world.hosts[host].calls[SPREAD_CALL_WATCH_HEAD];
+
+	while (world.hosts[host].calls[SPREAD_CALL_WATCH_HEAD] == watches)
+		world.run(MS);
+	world.watches_are_silent = true;
+	world.run(10 * MS);
+	world.copy_restore();
+	world.write(2);
+	world.run(APPLY_NS + 100 * MS);
+	EXPECT_EQ(world.version(host), 2u);
+	/* The relay's lease is renewed within this time. */
+	EXPECT_LE(lag(2), SPREAD_LEASE_RENEW_INTERVAL_NS + 50 * MS);
+}
+
+// A relay that goes on with a lease number of the store before it was restored: the lease
+// belongs to another zone's relay now, its own key is gone, and its stop ends the other's.
+TEST_F(RestoredStore, LeasesOfTheStoreBeforeAreNeitherRenewedNorEnded)
+{
+	size_t other = world.host_start("zone-b");
+	uint64_t lease;
+
+	world.run(4000 * MS);
+	lease = spread_status(world.hosts[other].spread).lease;
+	ASSERT_NE(world.store.keys.count("relay/zone-b"), 0u);
+	ASSERT_NE(lease, 0u);
+	world.copy_restore(); // the copy has neither that lease nor the key
+	ASSERT_EQ(world.store.keys.count("relay/zone-b"), 0u);
+	/* A third zone's relay gets the same number. */
+	ASSERT_EQ(world.store.lease_create(60 * NS_PER_S, world.now).answer.lease, lease);
+	world.store.put("relay/zone-c", "", 0, lease);
+	world.run(3000 * MS);
+	EXPECT_NE(world.store.keys.count("relay/zone-b"), 0u);
+	EXPECT_NE(world.store.keys["relay/zone-b"].lease, lease);
+	spread_leave(world.hosts[other].spread, world.now);
+	world.drain(other);
+	world.run(100 * MS);
+	EXPECT_NE(world.store.keys.count("relay/zone-c"), 0u);
+	for (uint64_t revoked : world.hosts[other].revoked)
+		EXPECT_NE(revoked, lease);
+}
+
+// CONFIG: an answer that the store gave before it was restored arrives after one given
+// since, and the next watch goes on from its revision.
+TEST_F(RestoredStore, LateAnswerOfTheStoreBeforeIsIgnored)
+{
+	spread_message_t *query = spread_message_create(SPREAD_ASK_VERSION, 0);
+
+	for (int i = 0; i < 5; i++)
+		world.write_other();
+	world.head_answer_delay = 2500 * MS;
+	world.message(77, host, query); // has the relay read the document again
+	spread_message_release(query);
+	world.run(10 * MS);
+	world.head_answer_delay = RestorableStore::LATENCY_NS;
+	world.copy_restore();
+	world.write(2);
+	for (int i = 0; i < 9; i++)
+		world.write_other();
+	world.run(2500 * MS + APPLY_NS);
+	EXPECT_EQ(world.version(host), 2u);
+	EXPECT_LE(lag(2), 2500 * MS + 100 * MS);
+}
+
+} // namespace
