Start with the newest version known, not with an older one of a restored store

What callers see: a host that starts while the store is older than its peers routes by the older version for a moment, or answers 503 for 3 s. Cause: a version counts as confirmed if the platform names it as its newest, whatever peers have in force; and a store that is older than the accepted version confirms nothing, so that the start waits as if there were none. Change: for the first second a start waits for a newer version that a peer has, and pulls it without the pause for its own watch; a head older than the accepted one confirms that the platform has none newer. Evidence: test_spread_platform StartAfterRestore.

--- a/src/spread_accept.c
+++ b/src/spread_accept.c
@@ -162,6 +162,10 @@
 	}
 	spread->version_max = MAX_OF(spread->version_max, head->version);
 	if (!head_is_wanted(spread, head, source)) {
+		/* A platform restored from a copy has none newer than the accepted one.
+		 */
+		if (source == SOURCE_PLATFORM)
+			spread_confirm(spread, head->version, at);
 		free(head);
 		return;
 	}
@@ -255,13 +259,12 @@
 		candidate->source = source;
 }
 
-/* True if a member that can be asked has a newer version than the candidate. */
+/* True if a member that can be asked has a newer version than that one. */
 static bool
-newer_is_known(spread_t *spread)
+newer_is_known(spread_t *spread, uint64_t version)
 {
 	return spread->variant.kind == CONFIG_SOURCE_RELAY &&
-	       spread_members_source(&spread->members, &spread->rng,
-		   spread->candidate.head->version + 1, 0) != 0;
+	       spread_members_source(&spread->members, &spread->rng, version + 1, 0) != 0;
 }
 
 void
@@ -274,7 +277,7 @@
 	if (now >= candidate->deadline) {
 		/* Sources that have accepted a newer version lack the older parts. */
 		if (++candidate->attempts > SPREAD_PULL_ATTEMPTS ||
-		    newer_is_known(spread)) {
+		    newer_is_known(spread, candidate->head->version)) {
 			spread_candidate_drop(spread);
 			spread->reader.get_before_watch = true;
 			if (spread->variant.kind == CONFIG_SOURCE_RELAY)
@@ -314,7 +317,7 @@
 }
 
 static bool
-may_activate(const spread_t *spread, uint64_t now)
+may_activate(spread_t *spread, uint64_t now)
 {
 	uint64_t accepted_version = spread_accepted_version(spread);
 	bool confirmed = spread->confirmed_at > spread->startup.started_at &&
@@ -322,6 +325,13 @@
 
 	if (accepted_version == 0 || accepted_version < spread->floor)
 		return false;
+	/*
+	 * A platform restored from a copy may have confirmed a version that is older than
+	 * the one in force elsewhere, which is being pulled.
+	 */
+	if (now < spread->startup.started_at + SPREAD_FLOOR_WAIT_NS &&
+	    newer_is_known(spread, accepted_version))
+		return false;
 	switch (spread->variant.kind) {
 	case CONFIG_SOURCE_RELAY:
 		return (confirmed && floor_answers_suffice(spread, now)) ||
--- a/src/spread_push.c
+++ b/src/spread_push.c
@@ -158,6 +158,9 @@
 uint64_t
 spread_pull_delay(spread_t *spread)
 {
+	/* What a starting node has read of the platform shows that it has none newer. */
+	if (!spread->in_force && spread_accepted_version(spread) != 0)
+		return 0;
 	/* On a narrow link the parts that peers send arrive before the document. */
 	return spread->watchers > 1 && spread_reader_is_continuous(spread) &&
 		       spread_document_transfer(spread) < SPREAD_PULL_DELAY_WATCHER_NS
--- a/test/test_spread_platform.cc
+++ b/test/test_spread_platform.cc
@@ -123,4 +123,52 @@
 	EXPECT_LE(lag(2), 2500 * MS + 100 * MS);
 }
 
+// A host starts after the restore: the copy has version 1, its peer has version 3 in
+// force.
+class StartAfterRestore : public RestoredStore
+{
+      protected:
+	uint64_t started_at = 0;
+	std::map<uint64_t, uint64_t> in_force_at; // by version
+
+	void
+	start_in_zone(const char *zone)
+	{
+		size_t started;
+
+		world.write(2);
+		world.run(100 * MS);
+		world.write(3);
+		world.run(100 * MS);
+		ASSERT_EQ(world.version(host), 3u);
+		world.copy_restore();
+		world.run(2500 * MS);
+		started_at = world.now;
+		started = world.host_start(zone);
+		world.member(started, host);
+		world.member(host, started);
+		world.run(SPREAD_PLATFORM_WAIT_NS + 500 * MS);
+		in_force_at = world.hosts[started].in_force_at;
+		ASSERT_EQ(in_force_at.count(3), 1u);
+	}
+};
+
+// CONFIG: a relay that starts reads the copy before it has the newer version from its
+// peer, and puts the older one in force for a moment.
+TEST_F(StartAfterRestore, TheCopysVersionIsNotPutInForceBeforeTheNewerOneOfPeers)
+{
+	world.message_latency = 100 * MS;
+	start_in_zone("zone-b");
+	EXPECT_EQ(in_force_at.count(1), 0u);
+}
+
+// A host waits as long as without the platform, since the copy does not confirm the
+// version that its peer has in force.
+TEST_F(StartAfterRestore, TheVersionOfPeersIsInForceWithoutTheCopysConfirmation)
+{
+	start_in_zone("zone-a");
+	EXPECT_LE(in_force_at[3],
+	    started_at + SPREAD_FLOOR_WAIT_NS + SPREAD_START_JITTER_NS);
+}
+
 } // namespace
