Watch on from the store's revision, not from that of the document

Cause: a read sets the reader back to the document's own revision, and the store refuses a watch from a revision that its history no longer has, which is followed by a read. Change: watches go on from the store's revision in the answer, also after a read that finds no document.

--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -109,7 +109,11 @@
 	spread_reader_t *reader = &spread->reader;
 	chunk_t *text = chunk_copy(answer->value, answer->size);
 
-	reader->revision = answer->revision;
+	/*
+	 * The head is the newest at the store's revision too. From its own revision a
+	 * watch is refused once the store has dropped that part of its history.
+	 */
+	reader->revision = MAX_OF(answer->revision, answer->store_revision);
 	reader->backoff_ns = SPREAD_BACKOFF_MIN_NS;
 	if (text == NULL) {
 		reader_failed(spread, now);
@@ -160,7 +164,7 @@
 		/* No head yet, or it was lost; the watch returns once there is one. */
 		reader->get_requested = false;
 		reader->get_before_watch = false;
-		reader->revision = 0;
+		reader->revision = answer->store_revision;
 		reader->backoff_ns = SPREAD_BACKOFF_MIN_NS;
 		spread->waiter_count = 0;
 		spread->regressed =
--- a/test/restorable_store.h
+++ b/test/restorable_store.h
@@ -47,7 +47,10 @@
 	uint64_t message_latency = LATENCY_NS;	 // between hosts
 	std::map<uint64_t, uint64_t> written_at; // by version
 
-	RestorableStore() { record_parts_init(&parts); }
+	RestorableStore()
+	{
+		record_parts_init(&parts);
+	}
 	~RestorableStore()
 	{
 		events.clear();
@@ -188,6 +191,7 @@
 			    [this](spread_t *spread) { spread_tick(spread, now); });
 		});
 	}
+
       private:
 	uint64_t order = 0;
 	std::map<std::pair<uint64_t, uint64_t>, std::function<void()>> events;
@@ -329,7 +333,8 @@
 				result = store.lease_revoke(lease);
 			changed(false);
 			answer(index, kind, digest, stamped(result),
-			    kind == SPREAD_CALL_GET_HEAD ? head_answer_delay : LATENCY_NS);
+			    kind == SPREAD_CALL_GET_HEAD ? head_answer_delay
+							 : LATENCY_NS);
 		});
 	}
 	void
--- a/test/test_hosted_store.cc
+++ b/test/test_hosted_store.cc
@@ -40,10 +40,15 @@
 	}
 	platform_outcome_t
 	decode(platform_call_kind_t kind, const char *key, int status,
-	    const std::string &body)
+	    const std::string &body, const char *epoch = nullptr)
 	{
 		http_answer_t http = {};
+		headers_t headers;
 
+		headers_init(&headers);
+		if (epoch != nullptr)
+			headers_add(&headers, "store-era", epoch);
+		http.headers = &headers;
 		http.status = status;
 		http.body = body.c_str();
 		http.body_size = body.size();
@@ -51,6 +56,7 @@
 		snprintf(request.key, sizeof(request.key), "%s", key);
 		platform_decoded_free(&decoded);
 		hosted_store_decode(&request, &http, &decoded);
+		headers_free(&headers);
 		return decoded.answer.outcome;
 	}
 };
@@ -124,6 +130,23 @@
 	EXPECT_EQ(decoded.answer.store_revision, 0u);
 }
 
+// Guards: an answer of the store after a restore passes for one before, and a watch for a
+// key that is absent starts from a revision that the history no longer has.
+TEST_F(HostedStore, EpochAndRevisionOfTheStoreAreReadFromEveryAnswer)
+{
+	for (int status : {200, 404, 410, 412, 429, 503}) {
+		decode(PLATFORM_CALL_WATCH, "head", status, "{}", "7");
+		EXPECT_EQ(decoded.answer.store_epoch, 7u) << status;
+	}
+	for (const char *malformed : {"", "x", "-1", "1.5"}) {
+		decode(PLATFORM_CALL_GET, "head", 503, "", malformed);
+		EXPECT_EQ(decoded.answer.store_epoch, 0u) << malformed;
+	}
+	EXPECT_EQ(
+	    decode(PLATFORM_CALL_GET, "head", 404, R"({"at":9})"), PLATFORM_NOT_FOUND);
+	EXPECT_EQ(decoded.answer.store_revision, 9u);
+}
+
 // Guards: a write with an unknown outcome is reported as done or as not done.
 TEST_F(HostedStore, OutcomesOfWrites)
 {
--- a/test/test_spread_platform.cc
+++ b/test/test_spread_platform.cc
@@ -75,7 +75,8 @@
 }
 
 // A relay that goes on with a lease number of the store before it was restored: the lease
-// belongs to another zone's relay now, its own key is gone, and its stop ends the other's.
+// belongs to another zone's relay now, its own key is gone, and its stop ends the
+// other's.
 TEST_F(RestoredStore, LeasesOfTheStoreBeforeAreNeitherRenewedNorEnded)
 {
 	size_t other = world.host_start("zone-b");
@@ -167,8 +168,38 @@
 TEST_F(StartAfterRestore, TheVersionOfPeersIsInForceWithoutTheCopysConfirmation)
 {
 	start_in_zone("zone-a");
-	EXPECT_LE(in_force_at[3],
-	    started_at + SPREAD_FLOOR_WAIT_NS + SPREAD_START_JITTER_NS);
+	EXPECT_LE(
+	    in_force_at[3], started_at + SPREAD_FLOOR_WAIT_NS + SPREAD_START_JITTER_NS);
+}
+
+// A watch from a revision whose history the store has dropped is asked again at once,
+// for as long as the document does not change: hundreds of calls in a calm minute.
+TEST(SpreadPlatform, WatchFollowsTheStoreWhileTheDocumentDoesNotChange)
+{
+	for (bool restored : {false, true}) {
+		RestorableStore world;
+		size_t host;
+		uint64_t before = 0;
+
+		world.write(1);
+		host = world.host_start("zone-a");
+		world.run(4000 * MS);
+		world.copy_take();
+		for (int i = 0; i < 60; i++) {
+			world.write_other();
+			world.run(1000 * MS);
+			if (i == 30)
+				before = world.hosts[host].calls[SPREAD_CALL_WATCH_HEAD];
+			if (i == 30 && restored)
+				world.copy_restore();
+		}
+		EXPECT_LE(world.hosts[host].calls[SPREAD_CALL_WATCH_HEAD] - before,
+		    29000 / SPREAD_WATCH_WAIT_RELAY_MS + 2);
+		EXPECT_LE(world.hosts[host].calls[SPREAD_CALL_GET_HEAD], 6u);
+		world.write(2);
+		world.run(50 * MS);
+		EXPECT_EQ(world.version(host), 2u);
+	}
 }
 
 } // namespace
