Read the head again after a version without its parts was given up

What callers see: requests handled by an older version until the next change (CONFIG), on a host that watches the platform while reads of parts fail. Cause: a candidate whose parts do not arrive is dropped and a read of the head requested for the time after the waiting watch; a watch that ends without a change, with a store revision, took that request back. The next watch then goes on from behind the version that was given up. Change: such an answer keeps the request. The fake store of the test ends a cancelled watch without an answer, as the HTTP client does.

--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -172,7 +172,7 @@
 		break;
 	case PLATFORM_UNCHANGED:
 		/* An answer with a store revision excludes a regression. */
-		reader->get_before_watch = answer->store_revision == 0;
+		reader->get_before_watch |= answer->store_revision == 0;
 		reader->revision = MAX_OF(reader->revision, answer->store_revision);
 		reader->backoff_ns = SPREAD_BACKOFF_MIN_NS;
 		break;
--- a/test/restorable_store.h
+++ b/test/restorable_store.h
@@ -43,6 +43,7 @@
 	uint64_t epoch = 1;
 	// The answer to a waiting watch is lost, as on a connection that went silent.
 	bool watches_are_silent = false;
+	bool parts_are_unavailable = false;
 	uint64_t head_answer_delay = LATENCY_NS; // of reads of the head
 	uint64_t message_latency = LATENCY_NS;	 // between hosts
 	std::map<uint64_t, uint64_t> written_at; // by version
@@ -272,9 +273,14 @@
 	    FakePlatform::Answer result, uint64_t delay = LATENCY_NS)
 	{
 		auto shared = std::make_shared<FakePlatform::Answer>(std::move(result));
+		uint64_t serial = hosts[index].watch_serial;
 
 		after(delay, [=, this] {
 			deliver(index, [=, this](spread_t *spread) {
+				// A cancelled watch has no answer.
+				if (kind == SPREAD_CALL_WATCH_HEAD &&
+				    hosts[index].watch_serial != serial)
+					return;
 				spread_platform_answer(spread, kind, &digest,
 				    fake_answer_set_pointers(shared.get()), now);
 			});
@@ -308,8 +314,11 @@
 			FakePlatform::Answer result;
 
 			ASSERT_NE(part, nullptr);
-			result.answer.outcome = PLATFORM_OK;
-			result.value.assign((const char *)part->data, part->size);
+			result.answer.outcome =
+			    parts_are_unavailable ? PLATFORM_REFUSED : PLATFORM_OK;
+			if (!parts_are_unavailable)
+				result.value.assign(
+				    (const char *)part->data, part->size);
 			answer(index, kind, digest, result, 1);
 			return;
 		}
--- a/test/test_spread_platform.cc
+++ b/test/test_spread_platform.cc
@@ -124,6 +124,19 @@
 	EXPECT_LE(lag(2), 2500 * MS + 100 * MS);
 }
 
+// CONFIG: the parts of a version cannot be read, and the host gives it up. The next watch
+// ends without a change, and the host does not read the version again until the next one.
+TEST_F(RestoredStore, VersionWithoutItsPartsIsReadAgain)
+{
+	world.parts_are_unavailable = true;
+	world.write(2);
+	world.run((SPREAD_PULL_ATTEMPTS + 1) * SPREAD_PULL_TIMEOUT_NS + 100 * MS);
+	ASSERT_EQ(world.version(host), 1u);
+	world.parts_are_unavailable = false;
+	world.run(SPREAD_WATCH_WAIT_RELAY_MS * MS + APPLY_NS);
+	EXPECT_EQ(world.version(host), 2u);
+}
+
 // A host starts after the restore: the copy has version 1, its peer has version 3 in
 // force.
 class StartAfterRestore : public RestoredStore
