Restore the store from copies in the simulation of distribution

Change: every second seed has a store that names its revision and epoch and goes back to its older lease numbers. A cancelled watch has no answer. Check: seed 6715 broke P1, version 2 after version 3. Trace: version 3 was replaced by an invalid one, and both nodes that had it were killed while the others were cut off, so neither the platform nor a node has it any more. The check's own rule allows that (the platform did not have that version), but it compared version numbers only; it now knows whether the newest version is valid. In all other cases it is as strict as before.

--- a/test/spread_sim.h
+++ b/test/spread_sim.h
@@ -63,8 +63,9 @@
 		uint64_t tick_at = TIME_NEVER;
 		uint64_t version = 0; // in force since the last start; 0: none
 		uint64_t version_max_in_force = 0; // largest ever in force
-		// Since the last start: the platform was unreachable or had a version
-		// below version_max_in_force; messages were lost, cut off or delayed.
+		// Since the last start: the platform was unreachable, had a version below
+		// version_max_in_force or only an invalid one; messages were lost, cut
+		// off or delayed.
 		bool platform_disturbed = false;
 		bool network_was_disturbed = false;
 		std::string state;
@@ -78,7 +79,9 @@
 	struct State {
 		std::map<std::string, FakePlatform::Entry> keys;
 		uint64_t revision;
+		uint64_t next_lease;
 		uint64_t version;
+		bool valid;
 		std::map<std::string, uint64_t> values;
 	};
 
@@ -94,7 +97,9 @@
 	FakePlatform platform;
 	bool outage = false;
 	uint64_t slow = 0;
-	int loss = 0;	   // percent
+	int loss = 0; // percent
+	// Incarnation of the platform's store; 0: its answers name none.
+	uint64_t store_epoch = 0;
 	int cut_zone = -1; // disconnected from the other zones; -1: none
 	bool cut_platform = false;
 	std::vector<Watch> watches;
@@ -106,6 +111,7 @@
 	uint64_t operation = 0;
 	uint64_t version_max = 0;  // largest ever committed
 	uint64_t head_version = 0; // on the platform now
+	bool head_is_valid = true; // false: no node may put the newest version in force
 	uint64_t final_at = 0;
 	size_t settled = 0;
 
@@ -130,6 +136,7 @@
 	void answer(size_t node, uint64_t epoch, spread_call_t kind, digest_t digest,
 	    FakePlatform::Answer answer, uint64_t delay);
 	void watch_start(size_t node, uint64_t after_revision, uint64_t wait_ms);
+	FakePlatform::Answer epoch_stamp(FakePlatform::Answer result) const;
 	void watches_notify();
 	void watches_fail();
 	void in_force(size_t node, const snapshot_t *snapshot);
--- a/test/spread_sim_platform.h
+++ b/test/spread_sim_platform.h
@@ -9,15 +9,31 @@
     FakePlatform::Answer result, uint64_t delay)
 {
 	auto shared = std::make_shared<FakePlatform::Answer>(std::move(result));
+	uint64_t serial = nodes[node].watch_serial;
 
 	after(delay, [=] {
 		event_deliver(node, epoch, [=](spread_t *spread) {
+			// A cancelled watch has no answer.
+			if (kind == SPREAD_CALL_WATCH_HEAD &&
+			    nodes[node].watch_serial != serial)
+				return;
 			spread_platform_answer(spread, kind, &digest,
 			    fake_answer_set_pointers(shared.get()), now);
 		});
 	});
 }
 
+// Adds the revision and epoch of the store as they are now, if it names them.
+FakePlatform::Answer
+Sim::epoch_stamp(FakePlatform::Answer result) const
+{
+	if (store_epoch != 0) {
+		result.answer.store_revision = platform.revision;
+		result.answer.store_epoch = store_epoch;
+	}
+	return result;
+}
+
 // Applies the effect of a call after a delay and delivers the answer after another
 // one; request and answer may be lost.
 void
@@ -37,7 +53,7 @@
 		bool lost = (int)random(100) < loss;
 		if (lost && random(2))
 			return answer(node, epoch, kind, digest, failed, 1000 * MS);
-		FakePlatform::Answer result = effect();
+		FakePlatform::Answer result = epoch_stamp(effect());
 		if (lost)
 			answer(node, epoch, kind, digest, failed, 1000 * MS);
 		else
@@ -137,7 +153,7 @@
 			nodes[watch.node].watching = false;
 			unchanged.answer.outcome = PLATFORM_UNCHANGED;
 			return answer(watch.node, watch.epoch, SPREAD_CALL_WATCH_HEAD, {},
-			    unchanged, MS);
+			    epoch_stamp(unchanged), MS);
 		}
 	});
 }
@@ -145,7 +161,7 @@
 void
 Sim::watches_notify()
 {
-	FakePlatform::Answer head = platform.get("head");
+	FakePlatform::Answer head = epoch_stamp(platform.get("head"));
 
 	for (size_t i = 0; i < watches.size();) {
 		Watch watch = watches[i];
@@ -255,9 +271,13 @@
 					head->in_force + " " +
 					std::to_string(values[head->in_force]));
 	head_version = head->version;
+	head_is_valid = valid;
 	version_max = std::max(version_max, head_version);
 	free(head);
-	saved.push_back({platform.keys, platform.revision, head_version, values});
+	saved.push_back({platform.keys, platform.revision, platform.next_lease,
+	    head_version, head_is_valid, values});
+	for (Node &node : nodes)
+		node.platform_disturbed |= !head_is_valid;
 	watches_notify();
 }
 
@@ -308,10 +328,16 @@
 
 	platform.keys = state.keys;
 	platform.revision = state.revision;
+	if (store_epoch != 0) {
+		platform.next_lease = state.next_lease;
+		store_epoch++;
+	}
 	values = state.values;
 	head_version = state.version;
+	head_is_valid = state.valid;
 	for (Node &node : nodes)
-		node.platform_disturbed |= head_version < node.version_max_in_force;
+		node.platform_disturbed |=
+		    !head_is_valid || head_version < node.version_max_in_force;
 	for (auto item = platform.keys.begin(); item != platform.keys.end();)
 		item =
 		    item->second.lease != 0 ? platform.keys.erase(item) : std::next(item);
--- a/test/test_spread.cc
+++ b/test/test_spread.cc
@@ -60,6 +60,7 @@
     : seed(seed_), script(script_), source(source_), stats(stats_)
 {
 	rng_init(&rng, seed * 2 + (source == CONFIG_SOURCE_RELAY));
+	store_epoch = seed % 2;
 	for (size_t i = 0; i < script.zones.size(); i++) {
 		Node node;
 
@@ -174,7 +175,8 @@
 	spread_create(&options, now, &node.spread);
 	node.version = 0;
 	node.platform_disturbed =
-	    !platform_reachable(index) || head_version < node.version_max_in_force;
+	    !platform_reachable(index) || !head_is_valid ||
+	    head_version < node.version_max_in_force;
 	node.network_was_disturbed = cut_zone != -1 || loss > 0;
 	for (const Node &other : nodes)
 		node.network_was_disturbed |= now < other.paused_until;
@@ -270,6 +272,7 @@
 			break;
 		case SPREAD_WATCH_CANCEL:
 			node.watching = false;
+			node.watch_serial++;
 			break;
 		case SPREAD_IN_FORCE:
 			in_force(index, action->snapshot);
@@ -573,6 +576,15 @@
 	    count ? strtoull(count, NULL, 10) : 2000);
 }
 
+// Seeds beyond those of DifferentialSeeds. 6715: an invalid version replaced the newest
+// one on the platform, every node that had it was killed, and one started with the older
+// version of the others: the check took the platform to have the newest one still.
+TEST(Spread, SeedsThatFailed)
+{
+	for (uint64_t seed : {6715u})
+		seeds_run(seed, 1);
+}
+
 // A host starts while the platform is down and no member is known. Guards against a node
 // that reads the document once after the platform is back and gets no further changes
 // until a peer answers it (seen in campanario-mesh trouble-3: two seconds too late).
