Restore the platform stand-in from copies in process tests and the soak

Change: the stand-in names its epoch in each answer and loses leases that are younger than the copy; process_platform test_restored kills the relays after the copy, restores it and has the numbers given out again; the soak restores the store at random moments and writes again what operators wrote.

--- a/test/common_store.c
+++ b/test/common_store.c
@@ -105,6 +105,19 @@
 	store->revision = MIN_OF(revision, store->revision);
 }
 
+void
+store_leases_restore(store_t *store, uint64_t last_lease)
+{
+	for (size_t i = store->item_count; i-- > 0;)
+		if (store->items[i].lease > last_lease)
+			item_remove(store, &store->items[i]);
+	for (size_t i = 0; i < LEASES_MAX; i++)
+		if (store->leases[i].id > last_lease)
+			store->leases[i].id = 0;
+	store->next_lease = MIN_OF(last_lease, store->next_lease);
+	store->epoch++;
+}
+
 void
 store_lease_end(store_t *store, lease_t *lease)
 {
@@ -152,6 +165,7 @@
 int
 store_init(store_t *store)
 {
+	store->epoch = 1;
 	store->history = calloc(HISTORY_MAX, sizeof(item_t));
 	return store->history != NULL ? MASTICPITCH_OK : MASTICPITCH_E_NOMEM;
 }
--- a/test/common_store.h
+++ b/test/common_store.h
@@ -37,6 +37,7 @@
 	lease_t leases[LEASES_MAX];
 	uint64_t revision;
 	uint64_t next_lease;
+	uint64_t epoch; /* rises with each store_leases_restore() */
 } store_t;
 
 /* The store must be zeroed. Errors: MASTICPITCH_E_NOMEM. */
@@ -48,6 +49,11 @@
 void store_delete(store_t *store, item_t *item);
 /* Restores the contents that the store had at a revision, like restoring a backup. */
 void store_regress(store_t *store, uint64_t revision);
+/*
+ * Completes a restore after store_regress(): leases above the given number are lost and
+ * their numbers are given out again.
+ */
+void store_leases_restore(store_t *store, uint64_t last_lease);
 /* NULL: the table is full. */
 lease_t *store_lease_create(store_t *store, uint64_t ttl_ns, uint64_t now);
 /* NULL: no such lease. */
--- a/test/process_platform.py
+++ b/test/process_platform.py
@@ -1,8 +1,12 @@
 """The platform is unavailable, slow, loses answers or is restored from a backup."""
 
+import json
+
 from common_process import VersionMonitor, check, check_equal, check_outcomes, run, \
     start_mesh, wait_for
 
+CONVERGENCE_LIMIT_S = 3.0
+
 
 def test_outage(fleet):
     """Guards against nodes that stop routing or drop their configuration during an outage
@@ -74,4 +78,33 @@
         check_equal(host.version(), version, f"version of {host.name}")
 
 
-run(test_outage, test_slow, test_answers_lost, test_regressed)
+def test_restored(fleet):
+    """Guards against relays that go on with leases, and watches that go on with revisions,
+    from before the platform's store was restored from a copy."""
+    start_mesh(fleet, hosts_per_zone=2, backends=False)
+    monitor = VersionMonitor(fleet)
+    before = fleet.counts()
+    # Each zone's relay key gets a lease that is younger than the copy.
+    keys = [f"masticpitch/relay/{zone}" for zone in fleet.zones]
+    old = {key: wait_for(lambda key=key: fleet.key_read(key)[1], key) for key in keys}
+    relays = [host for host in fleet.hosts
+              if any(json.loads(value)["address"] == host.peers for value in old.values())]
+    copy = {"restore_to_lease": before["last_lease"],
+            "regress_to_revision": before["revision"]}
+    for relay in relays:
+        relay.node.kill()
+    wait_for(lambda: all(fleet.key_read(key)[1] not in (None, old[key]) for key in keys),
+             "other relays", 40)
+    fleet.use("peak")
+    fleet.faults(**copy)
+    # Others get the numbers of the lost leases, and the revisions are given out again.
+    for _ in keys:
+        fleet.lease_create(60000)
+    for number in range(40):
+        fleet.key_write(f"masticpitch/other/{number}", "x")
+    monitor.wait(fleet.use("maintenance"), timeout=CONVERGENCE_LIMIT_S)
+    wait_for(lambda: monitor.poll() and all(fleet.key_read(key)[1] not in (None, old[key])
+                                            for key in keys), "the zones' relay keys", 10)
+
+
+run(test_restored, test_outage, test_slow, test_answers_lost, test_regressed)
--- a/test/standin_platform.c
+++ b/test/standin_platform.c
@@ -117,38 +117,50 @@
 }
 
 static enum MHD_Result
-reply_json(struct MHD_Connection *connection, unsigned status, json_object *object)
+reply_text(struct MHD_Connection *connection, const platform_t *platform, unsigned status,
+    const char *text, size_t size)
+{
+	char epoch[24];
+
+	snprintf(epoch, sizeof(epoch), "%llu", (unsigned long long)platform->store.epoch);
+	return standin_reply(connection, status, text, size, "Store-Epoch", epoch);
+}
+
+static enum MHD_Result
+reply_json(struct MHD_Connection *connection, const platform_t *platform, unsigned status,
+    json_object *object)
 {
 	const char *text = json_object_to_json_string_ext(
 	    object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
 	enum MHD_Result result =
-	    standin_reply(connection, status, text, strlen(text), NULL, NULL);
+	    reply_text(connection, platform, status, text, strlen(text));
 
 	json_object_put(object);
 	return result;
 }
 
 static enum MHD_Result
-reply_number(
-    struct MHD_Connection *connection, unsigned status, const char *name, uint64_t number)
+reply_number(struct MHD_Connection *connection, const platform_t *platform,
+    unsigned status, const char *name, uint64_t number)
 {
 	json_object *object = json_object_new_object();
 
 	json_object_object_add(object, name, json_object_new_uint64(number));
-	return reply_json(connection, status, object);
+	return reply_json(connection, platform, status, object);
 }
 
 static enum MHD_Result
-reply_empty(struct MHD_Connection *connection, unsigned status)
+reply_empty(
+    struct MHD_Connection *connection, const platform_t *platform, unsigned status)
 {
-	return standin_reply(connection, status, "", 0, NULL, NULL);
+	return reply_text(connection, platform, status, "", 0);
 }
 
 /* Answers with a key's value; called under the lock. */
 static enum MHD_Result
 reply_item(struct MHD_Connection *connection, platform_t *platform, const item_t *item)
 {
-	char revision[24], store[24];
+	char revision[24], store[24], epoch[24];
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 	    item->value->size, item->value->data, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result result;
@@ -160,7 +172,9 @@
 	    store, sizeof(store), "%llu", (unsigned long long)platform->store.revision);
 	platform->bytes_out += item->value->size;
 	(void)MHD_add_response_header(response, "Revision", revision);
+	snprintf(epoch, sizeof(epoch), "%llu", (unsigned long long)platform->store.epoch);
 	(void)MHD_add_response_header(response, "Store-Revision", store);
+	(void)MHD_add_response_header(response, "Store-Epoch", epoch);
 	result = MHD_queue_response(connection, MHD_HTTP_OK, response);
 	MHD_destroy_response(response);
 	return result;
@@ -202,7 +216,7 @@
 	json_object_object_add(object, "entries", entries);
 	json_object_object_add(
 	    object, "store_revision", json_object_new_uint64(platform->store.revision));
-	return reply_json(connection, MHD_HTTP_OK, object);
+	return reply_json(connection, platform, MHD_HTTP_OK, object);
 }
 
 /* Answers a write that took effect, or drops the answer if that fault is set. */
@@ -214,7 +228,7 @@
 		platform->lost_answers++;
 		return MHD_NO;
 	}
-	return reply_number(connection, MHD_HTTP_OK, name, number);
+	return reply_number(connection, platform, MHD_HTTP_OK, name, number);
 }
 
 static enum MHD_Result
@@ -227,12 +241,13 @@
 
 	if (argument_number(connection, "expect", current) != current) {
 		platform->conflicts++;
-		return reply_number(connection, MHD_HTTP_CONFLICT, "revision", current);
+		return reply_number(
+		    connection, platform, MHD_HTTP_CONFLICT, "revision", current);
 	}
 	if (is_delete && item == NULL)
-		return reply_empty(connection, MHD_HTTP_NOT_FOUND);
+		return reply_empty(connection, platform, MHD_HTTP_NOT_FOUND);
 	if (lease != 0 && store_lease_find(&platform->store, lease) == NULL)
-		return reply_empty(connection, MHD_HTTP_NOT_FOUND);
+		return reply_empty(connection, platform, MHD_HTTP_NOT_FOUND);
 	if (is_delete)
 		store_delete(&platform->store, item);
 	else
@@ -254,16 +269,16 @@
 		uint64_t ttl_ns = argument_number(connection, "ttl_ms", 0) * NS_PER_MS;
 
 		if (ttl_ns == 0)
-			return reply_empty(connection, MHD_HTTP_BAD_REQUEST);
+			return reply_empty(connection, platform, MHD_HTTP_BAD_REQUEST);
 		lease = store_lease_create(&platform->store, ttl_ns, now);
 		if (lease != NULL)
 			return reply_written(connection, platform, "lease", lease->id);
-		return reply_empty(connection, MHD_HTTP_INSUFFICIENT_STORAGE);
+		return reply_empty(connection, platform, MHD_HTTP_INSUFFICIENT_STORAGE);
 	}
 	id = strtoull(path + strlen("/v1/leases/"), NULL, 10);
 	lease = store_lease_find(&platform->store, id);
 	if (lease == NULL)
-		return reply_empty(connection, MHD_HTTP_NOT_FOUND);
+		return reply_empty(connection, platform, MHD_HTTP_NOT_FOUND);
 	if (strcmp(method, "DELETE") == 0)
 		store_lease_end(&platform->store, lease);
 	else
@@ -291,7 +306,8 @@
 		struct timespec wake_at;
 
 		if (platform->outage) {
-			result = reply_empty(connection, MHD_HTTP_SERVICE_UNAVAILABLE);
+			result = reply_empty(
+			    connection, platform, MHD_HTTP_SERVICE_UNAVAILABLE);
 			break;
 		}
 		if (item != NULL && item->revision > after) {
@@ -299,7 +315,7 @@
 			break;
 		}
 		if (os_clock_monotonic() >= timeout_at) {
-			result = reply_empty(connection, MHD_HTTP_NO_CONTENT);
+			result = reply_empty(connection, platform, MHD_HTTP_NO_CONTENT);
 			break;
 		}
 		if (listener->cut || standin_disconnected(connection))
@@ -325,7 +341,7 @@
 
 	if (!json_object_is_type(object, json_type_object)) {
 		json_object_put(object);
-		return reply_empty(connection, MHD_HTTP_BAD_REQUEST);
+		return reply_empty(connection, platform, MHD_HTTP_BAD_REQUEST);
 	}
 	if (json_object_object_get_ex(object, "outage", &value))
 		platform->outage = json_object_get_boolean(value);
@@ -344,10 +360,12 @@
 				json_object_get_string(value)) == 0;
 	if (json_object_object_get_ex(object, "regress_to_revision", &value))
 		store_regress(&platform->store, json_object_get_uint64(value));
+	if (json_object_object_get_ex(object, "restore_to_lease", &value))
+		store_leases_restore(&platform->store, json_object_get_uint64(value));
 	json_object_put(object);
 	pthread_cond_broadcast(&platform->changed);
 	return reply_number(
-	    connection, MHD_HTTP_OK, "revision", platform->store.revision);
+	    connection, platform, MHD_HTTP_OK, "revision", platform->store.revision);
 }
 
 static enum MHD_Result
@@ -362,7 +380,9 @@
 	    {"waiting_watches", platform->waiting_watches},
 	    {"waiting_watches_max", platform->waiting_watches_max},
 	    {"bytes_out", platform->bytes_out}, {"bytes_in", platform->bytes_in},
-	    {"revision", platform->store.revision}, {"keys", platform->store.item_count}};
+	    {"revision", platform->store.revision},
+	    {"last_lease", platform->store.next_lease},
+	    {"keys", platform->store.item_count}};
 	json_object *object = json_object_new_object();
 	uint64_t total = 0, leases = 0;
 
@@ -378,7 +398,7 @@
 		json_object_object_add(
 		    object, counters[i].name, json_object_new_uint64(counters[i].value));
 	json_object_object_add(object, "calls", json_object_new_uint64(total));
-	return reply_json(connection, MHD_HTTP_OK, object);
+	return reply_json(connection, platform, MHD_HTTP_OK, object);
 }
 
 /* Errors: MASTICPITCH_E_INVALID for a call that is not part of the protocol. */
@@ -427,7 +447,7 @@
 	if (strcmp(path, "/standin/faults") == 0)
 		return handle_faults(connection, platform, request);
 	if (classify(path, method, &kind) != MASTICPITCH_OK)
-		return reply_empty(connection, MHD_HTTP_NOT_FOUND);
+		return reply_empty(connection, platform, MHD_HTTP_NOT_FOUND);
 	platform->counts[kind]++;
 	if (platform->slow_ms > 0) {
 		pthread_mutex_unlock(&platform->lock);
@@ -436,19 +456,20 @@
 	}
 	if (platform->outage) {
 		platform->refused_outage++;
-		return reply_empty(connection, MHD_HTTP_SERVICE_UNAVAILABLE);
+		return reply_empty(connection, platform, MHD_HTTP_SERVICE_UNAVAILABLE);
 	}
 	platform->bytes_in += request->body.size;
 	is_write = kind != CALL_GET && kind != CALL_LIST && kind != CALL_WATCH;
 	if (!bucket_take(is_write ? &platform->writes : &platform->reads)) {
 		platform->refused_rate++;
-		return reply_empty(connection, MHD_HTTP_TOO_MANY_REQUESTS);
+		return reply_empty(connection, platform, MHD_HTTP_TOO_MANY_REQUESTS);
 	}
 	switch (kind) {
 	case CALL_GET:
 		item = store_find(&platform->store, path + strlen("/v1/kv/"));
-		return item != NULL ? reply_item(connection, platform, item)
-				    : reply_empty(connection, MHD_HTTP_NOT_FOUND);
+		return item != NULL
+			   ? reply_item(connection, platform, item)
+			   : reply_empty(connection, platform, MHD_HTTP_NOT_FOUND);
 	case CALL_LIST:
 		return handle_list(connection, platform);
 	case CALL_PUT:
@@ -512,7 +533,7 @@
 		return MHD_YES;
 	}
 	if (request->too_large)
-		return reply_empty(connection, MHD_HTTP_CONTENT_TOO_LARGE);
+		return reply_empty(connection, platform, MHD_HTTP_CONTENT_TOO_LARGE);
 	if (listener->cut && strncmp(path, "/standin/", 9) != 0) {
 		standin_sleep(connection, CUT_CLOSE_DELAY_MS * NS_PER_MS);
 		return MHD_NO;
--- a/tools/harness.py
+++ b/tools/harness.py
@@ -302,6 +302,14 @@
             return 0, None
         raise HarnessError(f"GET {key}: status {status}")
 
+    def values_read(self, prefix):
+        """The values of all keys with that prefix, by key."""
+        status, _, body = http_call(
+            self.platform_address, "GET", f"/v1/kv?prefix={prefix}")
+        if status != 200:
+            raise HarnessError(f"list {prefix}: status {status}")
+        return {entry["key"]: entry["value"] for entry in json.loads(body)["entries"]}
+
     def key_write(self, key, value, expect=None):
         """The new revision, or None on a conflict with another write."""
         query = f"?expect={expect}" if expect is not None else ""
@@ -313,6 +321,14 @@
             raise HarnessError(f"PUT {key}: status {status}")
         return json.loads(body)["revision"] if status == 200 else None
 
+    def lease_create(self, ttl_ms):
+        """The number of a new lease on the platform."""
+        status, _, body = http_call(
+            self.platform_address, "POST", f"/v1/leases?ttl_ms={ttl_ms}", "")
+        if status != 200:
+            raise HarnessError(f"lease: status {status}")
+        return json.loads(body)["lease"]
+
     def head(self):
         _, value = self.key_read("masticpitch/head")
         return json.loads(value) if value else None
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -113,6 +113,22 @@
         self.schedule(self.random.uniform(0.5, 3.0), lambda: self.fleet.faults(
             **{name: normal}))
 
+    def platform_restore(self, _host):
+        """Restores the store from a copy; the operators write again what they wrote."""
+        copy = self.fleet.counts()
+
+        def restore():
+            try:
+                written = self.fleet.values_read("masticpitch/part/")
+                written["masticpitch/head"] = self.fleet.key_read("masticpitch/head")[1]
+                self.fleet.faults(regress_to_revision=copy["revision"],
+                                  restore_to_lease=copy["last_lease"])
+                for key, value in written.items():
+                    self.fleet.key_write(key, value)
+            except (OSError, HarnessError):
+                pass  # a platform fault is active
+        self.schedule(self.random.uniform(0.5, 4.0), restore)
+
     def proxy_fault(self, _host):
         proxy = self.random.choice(self.proxies)
         proxy.set(self.random.choice(Proxy.MODES), self.random.uniform(0.005, 0.05))
@@ -125,7 +141,7 @@
             pass  # a platform fault is active
 
     FAULTS = (node_kill, node_pause, node_restart, backend_kill, backend_pause,
-              backend_leave, platform_fault, proxy_fault, proxy_fault,
+              backend_leave, platform_fault, platform_restore, proxy_fault, proxy_fault,
               configuration_change, configuration_change)
 
     def run_scheduled(self, everything=False):
