Take no late refusal of another request for that of the call

What callers saw on other systems: "not run, try again" for requests that an instance had run or was running (REFUSED), or a second run (TWICE). Cause: the id in an answer was compared for successes only. A refusal that a faulty instance writes once more on a kept connection was read as the refusal of the next call. A request that returns to the instance that has refused it has the id of the late copy. Class of fault: an answer is assigned to a request by its position on the connection. Change: a refusal with another id, or without one on a connection that was used before, is no answer: the call's run state is unknown and the connection is closed. A refused request that returns goes on a new one. Evidence: test_gate_answer, moved to the hosted dialect with its fixture.

--- a/src/gate_exchange.c
+++ b/src/gate_exchange.c
@@ -157,6 +157,25 @@
 	gate_backend_crashed(gate, "the address belongs to another instance");
 }
 
+static void
+refused_record(gate_t *gate, const call_head_t *head)
+{
+	gate->refused[gate->refused_next] = hash_string(head->request_id);
+	gate->refused_next = (gate->refused_next + 1) % GATE_REFUSED_MAX;
+}
+
+static bool
+was_refused(const gate_t *gate, const call_head_t *head)
+{
+	uint64_t hash = hash_string(head->request_id);
+
+	for (size_t i = 0; i < GATE_REFUSED_MAX; i++) {
+		if (gate->refused[i] == hash)
+			return true;
+	}
+	return false;
+}
+
 /* Updates the concurrency limit and the service times after an exchange. */
 static void
 exchange_record(gate_call_t *call, uint64_t now)
@@ -189,6 +208,8 @@
 	metrics_add(kernel_metrics(call->gate->kernel), METRIC_BACKEND_CONNECTIONS,
 	    (uint64_t)MAX_OF(connects, 0));
 	exchange_record(call, kernel_now(call->gate->kernel));
+	if (call->shed)
+		refused_record(call->gate, call->head);
 	if (call->misdirected)
 		exchange_misdirected(call);
 	else if (call->shed)
@@ -261,6 +282,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->lines);
+	curl_easy_setopt(
+	    easy, CURLOPT_FRESH_CONNECT, (long)was_refused(call->gate, head));
 	/* A request on a connection that is being closed has an unknown outcome. */
 	curl_easy_setopt(
 	    easy, CURLOPT_MAXAGE_CONN, (long)MAX_OF(call->gate->idle_s, 2) - 1);
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -42,6 +42,24 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/*
+ * True if a refusal may be that of another request, which the backend server has written
+ * late. Backend servers of a dialect with signed answers name the request in each answer;
+ * without its id, only the first answer on a connection is known not to be late.
+ */
+static bool
+refusal_is_foreign(const gate_call_t *call)
+{
+	const header_names_t *names = call->gate->names;
+	const char *id = answer_field(call, names->request_id);
+	long connects = 0;
+
+	if (id != NULL)
+		return strcmp(id, call->head->request_id) != 0;
+	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return names->signature != NULL && connects == 0;
+}
+
 /*
  * True if the answer is the backend server's answer to this call: a late answer to
  * another request has that request's id, and a success is signed.
@@ -118,14 +136,14 @@
 	bool final = answer_field(call, final_name) != NULL;
 
 	call->shed_final = final;
-	if (answer_is_not_run(call)) {
+	if (answer_is_not_run(call) && !refusal_is_foreign(call)) {
 		call->shed = true;
 		call->misdirected = answer->status == 421;
 		if (!call->misdirected)
 			backend_state_read(call);
 		return;
 	}
-	if (!answer_is_genuine(call)) {
+	if (answer_is_not_run(call) || !answer_is_genuine(call)) {
 		call->foreign_answer = true;
 		return;
 	}
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -47,6 +47,8 @@
 #define GATE_IDLE_TIMEOUT_MAX_S 3600
 /* Pooled libcurl handles; creating one costs more than a short call. */
 #define GATE_HANDLES_MAX 64
+/* Requests that the backend server refused last; see gate_t.refused. */
+#define GATE_REFUSED_MAX 256
 /* Request body bytes consumed after which credit is returned. */
 #define GATE_CREDIT_BYTES (STREAM_WINDOW_BYTES / 4)
 /* Queued and running calls of a gate; further calls are refused. */
@@ -99,6 +101,12 @@
 	bool rate_changed; /* the queue is to be checked against another rate limit */
 	const header_names_t *names;
 	uint32_t idle_s; /* how long the backend server keeps idle connections, s */
+	/*
+	 * Hashes of the ids of refused requests, a ring. One that returns is sent on a
+	 * new connection: a late copy of its refusal would have its own id.
+	 */
+	uint64_t refused[GATE_REFUSED_MAX];
+	size_t refused_next;
 
 	/* Probe: checks whether the backend server still listens. */
 	int probe_fd; /* -1: no probe in progress */
--- /dev/null
+++ b/test/test_gate_answer.cc
@@ -0,0 +1,189 @@
+// Guards the gate against answers of a backend server that belong to no request or to
+// another one, or that end early.
+#include "common_gate.h"
+
+namespace
+{
+
+const char INSTANCE[] = "i-1";
+
+// A gate whose backend server speaks the hosted platform's dialect.
+class HostedGate : public Gate
+{
+      protected:
+	RawConnection *connection = nullptr; // of the first call
+
+	dialect_t
+	dialect() const override
+	{
+		return DIALECT_HOSTED;
+	}
+	void
+	SetUp() override
+	{
+		char address[ADDRESS_TEXT_BYTES];
+
+		Gate::SetUp();
+		address_format(&server_address, address);
+		ASSERT_EQ(
+		    announce_text(
+			std::string("{\"born\":1700000000000,\"address\":\"") + address +
+			    "\",\"info\":{\"service\":\"katalogo\",\"version\":"
+			    "\"v1\",\"zone\":\"cebu-a\",\"slots\":2},\"status\":"
+			    "{\"state\":\"ready\",\"seq\":1,\"coldLeftMs\":0}}",
+			std::string("/-/Instances.Heartbeat/") + INSTANCE),
+		    200);
+	}
+	// The head of an answer to the call with that id.
+	static std::string
+	head(const std::string &status, const std::string &id, const std::string &fields)
+	{
+		return "HTTP/1.1 " + status + "\r\nX-Masticpitch-Attempt-Id: " + id +
+		       "\r\n" + fields + "\r\n";
+	}
+	static std::string
+	refusal(const std::string &id)
+	{
+		return head("503 Service Unavailable", id,
+		    "X-Masticpitch-Not-Executed: 1\r\nContent-Length: 0\r\n");
+	}
+	static std::string
+	success(const std::string &id, const std::string &body)
+	{
+		return head("200 OK", id,
+			   "X-Masticpitch-Server-Stamp: s\r\nContent-Length: " +
+			       std::to_string(body.size()) + "\r\n") +
+		       body;
+	}
+	// Sends a call and returns the connection that it arrives on.
+	RawConnection *
+	call_arrives(uint64_t stream, const std::string &path, uint64_t id)
+	{
+		RawConnection *found = nullptr;
+		message_t *message = call(0, stream, "POST", path.c_str());
+
+		snprintf(message->u.call->request_id, REQUEST_ID_BYTES, "id-%llu",
+		    (unsigned long long)id);
+		entry->post("gate", message);
+		EXPECT_TRUE(run_until([&] {
+			found = server->connection_with(path + " HTTP");
+			return found != nullptr && found->has("\r\n\r\n");
+		}));
+		return found;
+	}
+	// A call that the backend server refuses; its connection is kept.
+	void
+	first_call_refused()
+	{
+		connection = call_arrives(1, "/katalogo/1", 1);
+		connection->write(refusal("id-1"));
+		expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_SHED, RUN_NO);
+	}
+};
+
+// REFUSED, TWICE: the backend server writes an earlier refusal once more, where the
+// answer to a request that it runs is expected.
+TEST_F(HostedGate, RefusalOfAnEarlierRequestDoesNotRefuseTheNextOne)
+{
+	first_call_refused();
+	ASSERT_EQ(call_arrives(2, "/katalogo/2", 2), connection);
+	connection->write(refusal("id-1") + success("id-2", "ok"));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN);
+}
+
+// The same, for a refusal that does not name its request.
+TEST_F(HostedGate, RefusalWithoutAnIdOnAKeptConnectionIsUnknown)
+{
+	const std::string unnamed = "HTTP/1.1 503 Service Unavailable\r\n"
+				    "X-Masticpitch-Not-Executed: 1\r\n"
+				    "Content-Length: 0\r\n\r\n";
+
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(unnamed);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_SHED, RUN_NO);
+	ASSERT_EQ(call_arrives(2, "/katalogo/2", 2), connection);
+	connection->write(unnamed);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN);
+}
+
+// The same, for a refused request that comes to this backend server again: a copy of its
+// refusal cannot be told from a second one.
+TEST_F(HostedGate, RefusedRequestThatReturnsIsSentOnANewConnection)
+{
+	RawConnection *second;
+
+	first_call_refused();
+	second = call_arrives(2, "/katalogo/again", 1);
+	ASSERT_NE(second, connection);
+	connection->write(refusal("id-1"));
+	second->write(success("id-1", "ok"));
+	ASSERT_TRUE(run_until([&] { return has_ended(2); }));
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 2), "ok");
+}
+
+// A second copy of an answer that arrives while no request is waiting.
+TEST_F(HostedGate, CopyOfAnAnswerBeforeTheNextRequestReachesNoCaller)
+{
+	RawConnection *second;
+
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(success("id-1", "first") + success("id-1", "first"));
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	second = call_arrives(2, "/katalogo/2", 2);
+	second->write(success("id-2", "second"));
+	ASSERT_TRUE(run_until([&] { return has_ended(2); }));
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 1), "first");
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 2), "second");
+}
+
+// MIXED, ORDER: the backend server stops in the head of its answer and closes; the
+// caller must not get a success with an empty or short body.
+TEST_F(HostedGate, AnswerThatEndsInItsHeadIsUnknown)
+{
+	const std::string body = "ok";
+	const std::string answer = success("id-1", body);
+	const size_t head_size = answer.size() - body.size();
+
+	for (size_t size = 0; size < head_size; size++) {
+		uint64_t stream = size + 1;
+		std::string path = "/katalogo/" + std::to_string(stream);
+		RawConnection *arrived = call_arrives(stream, path, 1);
+
+		arrived->write(answer.substr(0, size));
+		shutdown(arrived->fd, SHUT_WR);
+		ASSERT_TRUE(run_until([&] {
+			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
+			       entry->find(MESSAGE_ANSWER_HEAD, stream) != nullptr;
+		}));
+		ASSERT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr)
+		    << answer.substr(0, size);
+		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
+		arrived->finish();
+		server->connections.clear();
+	}
+}
+
+// The same with an answer whose body has no length and ends with its connection.
+TEST_F(HostedGate, AnswerWithoutALengthThatEndsInItsHeadIsUnknown)
+{
+	const std::string answer = head(
+	    "200 OK", "id-1", "X-Masticpitch-Server-Stamp: s\r\nConnection: close\r\n");
+
+	for (size_t size = answer.size() - 40; size < answer.size(); size++) {
+		uint64_t stream = size + 1;
+		std::string path = "/katalogo/" + std::to_string(stream);
+		RawConnection *arrived = call_arrives(stream, path, 1);
+
+		arrived->write(answer.substr(0, size));
+		shutdown(arrived->fd, SHUT_WR);
+		ASSERT_TRUE(run_until([&] {
+			return entry->find(MESSAGE_REFUSAL, stream) != nullptr;
+		})) << answer.substr(0, size);
+		EXPECT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr);
+		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
+		arrived->finish();
+		server->connections.clear();
+	}
+}
+
+} // namespace
