--- a/src/http_client.c
+++ b/src/http_client.c
@@ -28,6 +28,7 @@
 	buffer_t body;
 	bool sent;
 	bool over_limit;
+	bool head_complete; /* of the answer */
 	http_callback_t callback;
 	void *state;
 };
@@ -71,7 +72,8 @@
 static int
 call_error(const http_call_t *call, CURLcode result)
 {
-	if (result == CURLE_OK)
+	/* libcurl accepts an answer that ends in its head. */
+	if (result == CURLE_OK && call->head_complete)
 		return MASTICPITCH_OK;
 	if (call->over_limit)
 		return MASTICPITCH_E_LIMIT;
@@ -136,8 +138,11 @@
 	char line[1024];
 	char *value;
 
-	if (length > 5 && memcmp(data, "HTTP/", 5) == 0)
+	if (length > 5 && memcmp(data, "HTTP/", 5) == 0) {
 		headers_free(&call->headers);
+		call->head_complete = false;
+	}
+	call->head_complete |= length <= 2;
 	if (length >= sizeof(line))
 		return length;
 	memcpy(line, data, length);
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -271,6 +271,32 @@
 	close(listener);
 }
 
+// Guards against a write that counts as done, or a value that counts as empty, after an
+// answer that ended in its head.
+TEST_F(Http, AnswerThatEndsInItsHeadIsNoAnswer)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nRevision: 7\r\n"
+				 "Content-Length: 0\r\n\r\n";
+	RawServer raw(address);
+
+	for (size_t size = 0; size < head.size(); size++) {
+		RawConnection *connection = nullptr;
+		std::string path = "/" + std::to_string(size) + "/";
+		Answer answer;
+
+		start("PUT", path, "x", &answer);
+		run_until([&] {
+			connection = raw.connection_with(path);
+			return connection != nullptr && connection->has("\r\n\r\nx");
+		});
+		connection->write(head.substr(0, size));
+		shutdown(connection->fd, SHUT_WR);
+		run_until([&] { return answer.done; });
+		EXPECT_EQ(answer.error, MASTICPITCH_E_UNKNOWN) << head.substr(0, size);
+		raw.connections.clear();
+	}
+}
+
 TEST_F(Http, AddressInUseIsReported)
 {
 	http_server_t *second = nullptr;
