--- a/test/restorable_store.h
+++ b/test/restorable_store.h
@@ -317,8 +317,7 @@
 			result.answer.outcome =
 			    parts_are_unavailable ? PLATFORM_REFUSED : PLATFORM_OK;
 			if (!parts_are_unavailable)
-				result.value.assign(
-				    (const char *)part->data, part->size);
+				result.value.assign((const char *)part->data, part->size);
 			answer(index, kind, digest, result, 1);
 			return;
 		}
--- a/test/test_spread.cc
+++ b/test/test_spread.cc
@@ -174,9 +174,8 @@
 	options.fan_out = 2;
 	spread_create(&options, now, &node.spread);
 	node.version = 0;
-	node.platform_disturbed =
-	    !platform_reachable(index) || !head_is_valid ||
-	    head_version < node.version_max_in_force;
+	node.platform_disturbed = !platform_reachable(index) || !head_is_valid ||
+				  head_version < node.version_max_in_force;
 	node.network_was_disturbed = cut_zone != -1 || loss > 0;
 	for (const Node &other : nodes)
 		node.network_was_disturbed |= now < other.paused_until;
