Answer requests at the end of a planned stop's grace period, pass on no late ones

Cause: whether an attempt can end before the node does was not asked, and the end of the grace period only ended the loop. Class of fault: a permission to start work that does not end with the time in which the work can finish. Change: a leaving entry starts an attempt only if its deadline is within the grace period or a second of that is left; otherwise it refuses as not run. 300 ms before the end the node has its gate refuse queued calls as not run, then its entry answer what is left, with the run state of its attempts. Evidence: process_uploads test_stop_beside_a_silent_backend: on "Remote end closed connection without response", now 503 shutdown, unknown. test_entry_stream and test_gate: three new tests, each fails with its part of the change taken out.

--- a/src/entry.c
+++ b/src/entry.c
@@ -81,11 +81,24 @@
 		return;
 	entry->leaving = true;
 	entry->accept_deadline = now + entry->settings->shutdown_accept_ms * NS_PER_MS;
+	entry->grace_deadline = now + entry->settings->shutdown_grace_ms * NS_PER_MS;
 	entry->leave_deadline =
 	    now + MIN_OF(ENTRY_LEAVE_IDLE_NS,
 		      entry->settings->shutdown_grace_ms * NS_PER_MS / 2);
 }
 
+/* Requests that have no answer at the end of the grace period get one that is true. */
+static void
+entry_stop_waiting(entry_t *entry)
+{
+	LIST_FOREACH_SAFE (node, &entry->requests) {
+		entry_request_t *request = LIST_ENTRY(node, entry_request_t, link);
+
+		if (request->state != REQUEST_ANSWERING)
+			entry_request_expire(request, REASON_SHUTDOWN);
+	}
+}
+
 static void
 entry_receive(void *state, message_t *message)
 {
@@ -137,6 +150,9 @@
 	case MESSAGE_STOP_LISTENING:
 		caller_server_stop_listening(entry->callers);
 		break;
+	case MESSAGE_STOP_WAITING:
+		entry_stop_waiting(entry);
+		break;
 	default:
 		break;
 	}
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -82,6 +82,16 @@
 	return true;
 }
 
+/* True if an attempt that starts now would probably not end before the node does. */
+static bool
+attempt_is_too_late(const entry_request_t *request, uint64_t now)
+{
+	const entry_t *entry = request->entry;
+
+	return entry->leaving && request->head->deadline > entry->grace_deadline &&
+	       now + ENTRY_LEAVE_ATTEMPT_NS > entry->grace_deadline;
+}
+
 void
 entry_attempt_start(entry_request_t *request)
 {
@@ -95,6 +105,10 @@
 		attempt_give_up(request, REASON_DEADLINE_TOO_SHORT);
 		return;
 	}
+	if (attempt_is_too_late(request, now)) {
+		attempt_give_up(request, REASON_SHUTDOWN);
+		return;
+	}
 	if (!instance_choose(request, &node)) {
 		attempt_give_up(request, REASON_NO_INSTANCE);
 		return;
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -74,6 +74,12 @@
  * outcome.
  */
 #define ENTRY_LEAVE_IDLE_NS (5 * NS_PER_S)
+/*
+ * A leaving entry starts an attempt only this long before the end of its grace period, or
+ * if the attempt's deadline is before that end: an attempt that is still running then
+ * ends without an answer.
+ */
+#define ENTRY_LEAVE_ATTEMPT_NS (1 * NS_PER_S)
 /*
  * Share of the extra attempts in a window, as the platform allows them to all
  * nodes together, that the entries divide among themselves. The rest is a margin,
@@ -117,6 +123,7 @@
 	bool leaving;
 	uint64_t leave_deadline;  /* end of the wait for idle connections */
 	uint64_t accept_deadline; /* a leaving entry accepts new requests until then */
+	uint64_t grace_deadline;  /* a leaving entry ends then */
 	const header_names_t *names;
 	char caller_service[NAME_BYTES]; /* backend server's; may be empty */
 };
@@ -247,6 +254,11 @@
 /* Consumes body bytes; returns how many. */
 size_t entry_request_body(entry_request_t *request, const char *data, size_t size);
 void entry_request_body_end(entry_request_t *request);
+/*
+ * Answers without a result a request that has no answer yet; the run state is that of
+ * its attempts so far.
+ */
+void entry_request_expire(entry_request_t *request, reason_t reason);
 
 /* entry_callers.c */
 int entry_callers_open(entry_t *entry);
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -3,32 +3,37 @@
 #include <stdlib.h>
 #include <string.h>
 
+void
+entry_request_expire(entry_request_t *request, reason_t reason)
+{
+	if (request->stream_open)
+		request->run = MAX_OF(request->run, RUN_UNKNOWN);
+	if (request->refusal.reason == REASON_NONE)
+		entry_request_refuse(request, reason, request->run, false);
+	/* The rest of the body is not waited for. */
+	if (request->state == REQUEST_BODY) {
+		request->close = true;
+		entry_request_answer(request);
+	}
+}
+
 static void
 deadline_callback(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	entry_request_t *request = watcher->data;
 
-	if (request->stream_open) {
-		request->run = MAX_OF(request->run, RUN_UNKNOWN);
+	if (request->stream_open)
 		balance_attempt_failed(request->entry->balance, &request->attempt,
 		    kernel_now(request->entry->kernel));
-	}
-	if (request->state == REQUEST_ANSWERING) {
-		/* A caller may finish reading a complete answer after the deadline. */
-		if (!request->answer_end)
-			request->answer_cut = true;
-		entry_attempt_cancel(request);
-		entry_request_resume(request);
+	if (request->state != REQUEST_ANSWERING) {
+		entry_request_expire(request, REASON_DEADLINE_PASSED);
 		return;
 	}
-	if (request->refusal.reason == REASON_NONE)
-		entry_request_refuse(
-		    request, REASON_DEADLINE_PASSED, request->run, false);
-	/* The rest of the body is not waited for. */
-	if (request->state == REQUEST_BODY) {
-		request->close = true;
-		entry_request_answer(request);
-	}
+	/* A caller may finish reading a complete answer after the deadline. */
+	if (!request->answer_end)
+		request->answer_cut = true;
+	entry_attempt_cancel(request);
+	entry_request_resume(request);
 }
 
 static void
--- a/src/gate.c
+++ b/src/gate.c
@@ -340,6 +340,9 @@
 	case MESSAGE_LEAVE:
 		gate_leave(gate);
 		break;
+	case MESSAGE_STOP_WAITING:
+		gate_queue_refuse(gate, REASON_LEAVING);
+		break;
 	case MESSAGE_QUERY:
 		gate_report(gate, message);
 		break;
--- a/src/message.c
+++ b/src/message.c
@@ -131,6 +131,7 @@
 	case MESSAGE_QUERY:
 	case MESSAGE_LEAVE:
 	case MESSAGE_STOP_LISTENING:
+	case MESSAGE_STOP_WAITING:
 	case MESSAGE_JOIN_NEEDED:
 	case MESSAGE_JOIN_ADDRESS:
 		break;
--- a/src/message.h
+++ b/src/message.h
@@ -53,6 +53,7 @@
 	MESSAGE_REPORT,		  /* JSON text in answer to a query */
 	MESSAGE_LEAVE,		  /* from node: shutdown has begun */
 	MESSAGE_STOP_LISTENING,	  /* from node: no request is running any more */
+	MESSAGE_STOP_WAITING,	  /* from node: the shutdown's grace period ends */
 	MESSAGE_JOIN_NEEDED,	  /* membership to config: no seed answers */
 	MESSAGE_JOIN_ADDRESS /* config to membership: one more node to join through */
 } message_type_t;
--- a/src/node.c
+++ b/src/node.c
@@ -36,6 +36,12 @@
  */
 #define SHUTDOWN_CLOSE_DELAY_NS (100 * NS_PER_MS)
 
+/*
+ * Time before the end of the grace period at which requests that are still running are
+ * answered without a result.
+ */
+#define SHUTDOWN_ANSWER_NS (300 * NS_PER_MS)
+
 /* Allocations of at least this size use mmap(); half the size of a document. */
 #define MEMORY_MMAP_BYTES (32 * 1024)
 /* Free bytes that are kept at the top of the heap. */
@@ -58,6 +64,7 @@
 	ev_timer shutdown_poll;
 	bool leaving;
 	uint64_t grace_deadline;
+	size_t stopped_waiting; /* services that got MESSAGE_STOP_WAITING */
 	bool listening;
 	uint64_t next_stage_at; /* earliest time of the next step of the shutdown */
 	uint64_t withdraw_at; /* the instance accepts work from other nodes until then */
@@ -74,6 +81,12 @@
  */
 static const char *const withdraw_services[] = {"gate", "membership", "config"};
 
+/*
+ * Services that get MESSAGE_STOP_WAITING, one at each poll: the gate's refusals of queued
+ * calls reach the entry before the entry ends its requests as possibly run.
+ */
+static const char *const stop_waiting_services[] = {"gate", "entry"};
+
 static void
 services_post_leave(masticpitch_node_t *node, const char *const *names, size_t count)
 {
@@ -120,6 +133,26 @@
 	ev_timer_start(kernel_loop(kernel), &node->shutdown_poll);
 }
 
+/* Has the requests answered that will not end within the grace period. */
+static void
+node_stop_waiting(masticpitch_node_t *node)
+{
+	kernel_t *kernel = node->kernel;
+	uint64_t grace_ns = node->settings.shutdown_grace_ms * NS_PER_MS;
+
+	if (node->stopped_waiting == ARRAY_LENGTH(stop_waiting_services) ||
+	    kernel_now(kernel) + MIN_OF(SHUTDOWN_ANSWER_NS, grace_ns / 2) <
+		node->grace_deadline)
+		return;
+	if (node->stopped_waiting == 0)
+		log_warning(kernel_log(kernel),
+		    "shutdown: grace period ends, running requests get no result");
+	kernel_message_post(kernel, NULL,
+	    kernel_service_find(kernel, stop_waiting_services[node->stopped_waiting]),
+	    message_create(MESSAGE_STOP_WAITING, 0, 0));
+	node->stopped_waiting++;
+}
+
 static void
 shutdown_poll_callback(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -136,6 +169,7 @@
 		return;
 	}
 	node_withdraw(node);
+	node_stop_waiting(node);
 	if (!kernel_is_idle(node->kernel) || now < node->next_stage_at)
 		return;
 	if (node->listening) {
--- a/test/process_uploads.py
+++ b/test/process_uploads.py
@@ -1,6 +1,9 @@
-"""Every host is restarted, one after another, while uploads and calls run."""
+"""Hosts are stopped as planned while uploads and calls run."""
 
-from common_process import check, check_equal, check_outcomes, run, start_mesh
+from concurrent.futures import ThreadPoolExecutor
+
+from common_process import check, check_equal, check_outcomes, run, start_mesh, wait_for
+from harness import http_call
 
 
 def test_rolling_restart(fleet):
@@ -23,4 +26,28 @@
     check_outcomes(fleet)
 
 
-run(test_rolling_restart)
+def test_stop_beside_a_silent_backend(fleet):
+    """Guards against a planned stop that cuts a request at the end of the grace period in
+    place of answering it (LOST)."""
+    start_mesh(fleet, hosts_per_zone=1)
+    host = fleet.hosts[0]
+    for other in fleet.hosts:
+        other.backend.pause()
+    with ThreadPoolExecutor() as executor:
+        calls = [executor.submit(http_call, host.callers, method, path, body, timeout=10)
+                 for method, path, body in (("GET", "/katalogo/lookup/x?id=1", None),
+                                            ("POST", "/katalogo/call/x?id=2", "x"))]
+        wait_for(lambda: host.metrics()["requests_in_flight"] == 2, "the calls run")
+        host.node.terminate()
+        check_equal(host.node.wait(10), 0, "exit code")
+        for call in calls:
+            status, headers, _ = call.result()
+            check_equal((status, headers.get("Masticpitch-Reason"),
+                         headers.get("Masticpitch-Run")),
+                        (503, "shutdown", "unknown"), "answer at the end of the grace period")
+
+
+test_stop_beside_a_silent_backend.fleet = {"settings": {"shutdown.grace_ms": 1000}}
+
+
+run(test_rolling_restart, test_stop_beside_a_silent_backend)
--- a/test/test_entry_stream.cc
+++ b/test/test_entry_stream.cc
@@ -2,6 +2,7 @@
 // complete, buffers beyond the window, and calls that continue after their
 // caller has disconnected.
 #include "common_entry.h"
+#include "entry_internal.h"
 
 #include <json-c/json.h>
 
@@ -265,6 +266,51 @@
 	EXPECT_TRUE(uploading->has("Connection: close"));
 }
 
+// LOST: guards against a planned stop that passes on a request which cannot end before
+// the grace period does, and then cuts it.
+TEST_F(Entry, LeavingRefusesRequestsThatEndAfterTheGracePeriod)
+{
+	std::unique_ptr<RawConnection> nested;
+
+	settings.shutdown_grace_ms = ENTRY_LEAVE_ATTEMPT_NS / NS_PER_MS - 1;
+	settings.shutdown_accept_ms = 60000;
+	ready();
+	config->post("entry", message_create(MESSAGE_LEAVE, 0, 0));
+	run_until_idle();
+	expect_refused(answer_to(get("/katalogo/late")), 503, "shutdown", "no");
+	expect_refused(answer_to(get("/katalogo/nested", "Masticpitch-Depth: 1\r\n")),
+	    503, "shutdown", "no");
+	EXPECT_EQ(gate->count(MESSAGE_CALL_OPEN), 0u);
+	nested = send_request(get("/katalogo/short",
+	    "Masticpitch-Depth: 1\r\nMasticpitch-Deadline-Ms: 500\r\n"));
+	answer(attempt("/katalogo/short"), "inner", 5);
+	EXPECT_TRUE(run_until([&] { return nested->has("inner"); }));
+}
+
+// LOST: guards against a planned stop that cuts requests without an answer at the end of
+// the grace period.
+TEST_F(Entry, RequestsAreAnsweredAtTheEndOfTheGracePeriod)
+{
+	std::unique_ptr<RawConnection> running, uploading;
+
+	ready();
+	running = send_request(post("/katalogo/book/1", "x"));
+	attempt("/katalogo/book/1");
+	uploading = send_request("PUT /katalogo/up/1 HTTP/1.1\r\nHost: h\r\n"
+				 "Content-Length: 5010\r\n\r\nu");
+	run_until_idle();
+	config->post("entry", message_create(MESSAGE_LEAVE, 0, 0));
+	config->post("entry", message_create(MESSAGE_STOP_WAITING, 0, 0));
+	for (RawConnection *caller : {running.get(), uploading.get()}) {
+		ASSERT_TRUE(run_until([&] {
+			caller->read();
+			return caller->closed;
+		}));
+	}
+	expect_refused(running->input, 503, "shutdown", "unknown");
+	expect_refused(uploading->input, 503, "shutdown", "no");
+}
+
 // Guards against a planned stop that closes the connection behind the first answer of
 // several, so that the others are lost although their requests have run.
 TEST_F(Entry, LeavingAnswersAllPipelinedRequests)
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -434,6 +434,20 @@
 	EXPECT_TRUE(is_idle());
 }
 
+// LOST: guards against queued calls that count as possibly run when the host stops.
+TEST_F(Gate, QueuedCallsAreRefusedAsNotRunAtTheEndOfTheGracePeriod)
+{
+	ASSERT_EQ(announce("ready", 1), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/slow"));
+	entry->post("gate", call(0, 2, "GET", "/katalogo/queued"));
+	ASSERT_TRUE(
+	    run_until([&] { return server->connection_with("\r\n\r\n") != nullptr; }));
+	entry->post("gate", message_create(MESSAGE_LEAVE, 0, 0));
+	entry->post("gate", message_create(MESSAGE_STOP_WAITING, 0, 0));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_LEAVING, RUN_NO);
+	EXPECT_EQ(entry->find(MESSAGE_REFUSAL, 1), nullptr);
+}
+
 TEST_F(Gate, LateAndCrossedFramesAreDroppedAndCounted)
 {
 	ASSERT_EQ(announce("ready"), 200);
