End the grace period shortly before the operator's kill, whatever its bound

Cause: the deployment's grace period was 5.5 s, written for a bound of 6 s. Where the bound is 10 s, as on sites with deadlines of 5 s, a planned stop cut requests 4.5 s before the operator would have. Change: the bound is read with the others (bounds.kill_ms), and the grace period ends 500 ms before it at the latest. Evidence: test_settings GracePeriodEndsShortlyBeforeTheKill: 9,500 ms for a bound of 10 s, 300 for 600, and 3,000 where the setting is lower; there was no such bound before.

--- a/src/settings.c
+++ b/src/settings.c
@@ -403,6 +403,7 @@
 	read_number(reader, root, "bounds.retry_window_ms", 100, 3600000,
 	    &bounds->retry_window_ms);
 	read_number(reader, root, "bounds.retry_extra", 0, 1000000, &bounds->retry_extra);
+	read_number(reader, root, "bounds.kill_ms", 0, 86400000, &bounds->kill_ms);
 }
 
 static void
@@ -447,6 +448,8 @@
 	settings->log_level = LOG_LEVEL_INFO;
 }
 
+/* Time of a stop between the end of the grace period and the operator's kill, ms. */
+#define SETTINGS_KILL_MARGIN_MS 500
 #define SECTION_KEYS_MAX 16
 
 /* The keys of each section; "" is the top level. */
@@ -460,7 +463,8 @@
     {"listen", {"callers", "backend_servers", "peers", "operators", "readiness", NULL}},
     {"platform", {"url", "prefix", "timeout_ms", "dialect", "bounds", NULL}},
     {"backend_server", {"service", "address", "announce_ms", NULL}},
-    {"bounds", {"drain_ms", "retry_percent", "retry_window_ms", "retry_extra", NULL}},
+    {"bounds",
+	{"drain_ms", "retry_percent", "retry_window_ms", "retry_extra", "kill_ms", NULL}},
     {"mesh", {"seeds", "keys", NULL}},
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", "watchers", NULL}},
@@ -470,6 +474,17 @@
     {"log", {"level", NULL}},
 };
 
+/* Ends the grace period before the operator's bound does it by a kill. */
+static void
+grace_limit(settings_t *settings)
+{
+	uint32_t kill_ms = settings->bounds.kill_ms;
+
+	if (kill_ms != 0)
+		settings->shutdown_grace_ms = MIN_OF(settings->shutdown_grace_ms,
+		    kill_ms - MIN_OF(kill_ms / 2, SETTINGS_KILL_MARGIN_MS));
+}
+
 static void
 settings_read(reader_t *reader, struct json_object *root, settings_t *settings)
 {
@@ -504,6 +519,7 @@
 	    reader, root, "shutdown.grace_ms", 0, 86400000, &settings->shutdown_grace_ms);
 	read_number(reader, root, "shutdown.accept_ms", 0, 86400000,
 	    &settings->shutdown_accept_ms);
+	grace_limit(settings);
 	read_log_level(reader, root, settings);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -42,6 +42,7 @@
 	uint32_t retry_percent;	  /* retries, as a share of a service's requests */
 	uint32_t retry_window_ms; /* window over which the share applies */
 	uint32_t retry_extra;	  /* retries in a window beyond the share, all nodes */
+	uint32_t kill_ms;	  /* a stopped process is killed after it; 0: no bound */
 } settings_bounds_t;
 
 /* The backend server of this host, if the settings name it. */
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -51,6 +51,37 @@
 	EXPECT_STREQ(settings.platform_prefix, "masticpitch/");
 }
 
+// LOST: guards against a grace period that ends far before the operator's kill, so that
+// requests are cut which had time left, or behind it.
+TEST(Settings, GracePeriodEndsShortlyBeforeTheKill)
+{
+	const std::pair<std::string, uint32_t> cases[] = {
+	    {",\"bounds\":{\"kill_ms\":10000}", 9500},
+	    {",\"platform\":{\"url\":\"http://127.0.0.1:9000\","
+	     "\"bounds\":[\"graceS=10\"]}",
+		9500},
+	    {",\"bounds\":{\"kill_ms\":10000},\"shutdown\":{\"grace_ms\":3000}", 3000},
+	    {",\"bounds\":{\"kill_ms\":600}", 300},
+	    {",\"shutdown\":{\"grace_ms\":3000}", 3000},
+	};
+
+	for (const auto &item : cases) {
+		std::string text = settings_text_with(item.first);
+		char message[MASTICPITCH_MESSAGE_MAX];
+		size_t platform = text.find("\"platform\":{\"url\":");
+		settings_t settings;
+
+		/* The default of the text is replaced by that of the case. */
+		if (item.first.find("\"platform\"") != std::string::npos)
+			text.erase(platform, text.find("},", platform) + 2 - platform);
+		ASSERT_EQ(settings_parse("f", text.c_str(), text.size(), &settings,
+			      message, sizeof(message)),
+		    0)
+		    << message;
+		EXPECT_EQ(settings.shutdown_grace_ms, item.second) << item.first;
+	}
+}
+
 TEST(Settings, EachErrorNamesItsKey)
 {
 	const std::pair<std::string, std::string> cases[] = {
