Ask every known address that is not of a live member to join

Cause: a node with one live member counts as joined: it asked one random address every 10 s, most of them members already, and an address that was found later waited for that. Class of fault: "not alone" is taken for "in the group of all". Change: each address has a schedule of its own, 0.5 s, doubled up to 2 s, and 1 s while the node is alone, for as long as no live member has it. A new address is asked at the next tick. In groups above 8 the interval grows with the group: an address whose host is gone gets about 4 requests a second from any number of hosts.

--- a/src/member.c
+++ b/src/member.c
@@ -409,11 +409,12 @@
 	digest_update(table, table->self, now);
 	for (size_t i = 0; i < options->seed_count; i++)
 		member_add_join_address(table, &options->seeds[i]);
+	/* Jitter, so that nodes started together do not query one seed simultaneously. */
+	for (size_t i = 0; i < table->join_count; i++)
+		table->joins[i].next_at = now + rng_below(&table->rng, 100) * NS_PER_MS;
 	table->last_tick_at = now;
 	table->heard_any_at = now;
 	table->down_probe_at = now + MEMBER_DOWN_PROBE_MS * NS_PER_MS;
-	/* Jitter, so that nodes started together do not query one seed simultaneously. */
-	table->join_at = now + rng_below(&table->rng, 100) * NS_PER_MS;
 	table->join_needed_at = now + 1000 * NS_PER_MS;
 	table->join_backoff = 1000 * NS_PER_MS;
 	*result = table;
--- a/src/member.h
+++ b/src/member.h
@@ -58,7 +58,17 @@
 /* Updates do not wait for a probe: least time between rounds, receivers of a round. */
 #define MEMBER_URGENT_INTERVAL_MS 50
 #define MEMBER_URGENT_FANOUT 4
+/*
+ * Join requests to an address that is not of a live member: first interval, longest one
+ * while no member is live, and longest one of a group of MEMBER_JOIN_SHARED_BY. In larger
+ * groups each node sends less, so that an address of a host that is gone gets as many.
+ */
 #define MEMBER_JOIN_MS 500
+#define MEMBER_JOIN_ALONE_MAX_MS 1000
+#define MEMBER_JOIN_MAX_MS 2000
+#define MEMBER_JOIN_SHARED_BY 8
+/* Join requests sent in one tick, and addresses that are kept. */
+#define MEMBER_JOINS_PER_TICK 3
 #define MEMBER_JOIN_ADDRESSES_MAX 80
 /* Least time between syncs that a node starts. */
 #define MEMBER_SYNC_MS 1000
--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -79,6 +79,13 @@
 	uint32_t gossip_sends_left;
 } crash_entry_t;
 
+/* An address of a node that may be of another group. */
+typedef struct member_join {
+	address_t address;
+	uint64_t next_at;
+	uint64_t backoff_ns; /* until the request after the next one */
+} member_join_t;
+
 struct member_table {
 	uint64_t boot;
 	uint64_t sequence;
@@ -112,10 +119,10 @@
 	uint32_t crash_pending; /* reports with sends left */
 	uint64_t heard_any_at;	/* last datagram of any member */
 	uint64_t last_tick_at;
-	address_t join_addresses[MEMBER_JOIN_ADDRESSES_MAX];
+	member_join_t joins[MEMBER_JOIN_ADDRESSES_MAX];
 	size_t join_count;
-	size_t join_next; /* index replaced next when full */
-	uint64_t join_at;
+	size_t join_replaced; /* index replaced next when full */
+	size_t join_next;     /* index that the next tick begins with */
 	uint64_t join_needed_at;
 	uint64_t join_backoff;
 	uint64_t digest_changed_at;
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -458,56 +458,95 @@
 	probe_send(table, entry, now, actions);
 }
 
+static member_join_t *
+join_find(member_table_t *table, const address_t *address)
+{
+	for (size_t i = 0; i < table->join_count; i++) {
+		member_join_t *join = &table->joins[i];
+
+		if (join->address.ip == address->ip &&
+		    join->address.port == address->port)
+			return join;
+	}
+	return NULL;
+}
+
+/* A place for a further address; the oldest one is replaced if there is no room. */
+static member_join_t *
+join_allocate(member_table_t *table)
+{
+	member_join_t *join;
+
+	if (table->join_count < MEMBER_JOIN_ADDRESSES_MAX)
+		return &table->joins[table->join_count++];
+	join = &table->joins[table->join_replaced];
+	table->join_replaced = (table->join_replaced + 1) % MEMBER_JOIN_ADDRESSES_MAX;
+	return join;
+}
+
 void
 member_add_join_address(member_table_t *table, const address_t *address)
 {
+	member_join_t *join;
+
 	if (address_to_node_id(address) == table->self->member.node || address->port == 0)
 		return;
-	for (size_t i = 0; i < table->join_count; i++)
-		if (table->join_addresses[i].ip == address->ip &&
-		    table->join_addresses[i].port == address->port)
-			return;
-	if (table->join_count < MEMBER_JOIN_ADDRESSES_MAX) {
-		table->join_addresses[table->join_count++] = *address;
-	} else {
-		table->join_addresses[table->join_next] = *address;
-		table->join_next = (table->join_next + 1) % MEMBER_JOIN_ADDRESSES_MAX;
-	}
-	/* No node has answered yet: try this address at the next tick. */
+	join = join_find(table, address);
+	if (join == NULL)
+		join = join_allocate(table);
+	*join = (member_join_t){
+	    .address = *address, .backoff_ns = MEMBER_JOIN_MS * NS_PER_MS};
+}
+
+static uint64_t
+join_backoff_max(const member_table_t *table)
+{
+	size_t share = MAX_OF(table->live_count / MEMBER_JOIN_SHARED_BY, (size_t)1);
+
 	if (table->live_count < 2)
-		table->join_at = 0;
+		return MEMBER_JOIN_ALONE_MAX_MS * NS_PER_MS;
+	return share * MEMBER_JOIN_MAX_MS * NS_PER_MS;
 }
 
-static void
-join_send(member_table_t *table, uint64_t now, list_t *actions)
+/*
+ * Sends a join request to an address that is due, unless its node is a live member.
+ * Returns whether it was sent.
+ */
+static bool
+join_run(member_table_t *table, member_join_t *join, uint64_t now, list_t *actions)
 {
 	const datagram_options_t options = {
 	    .kind = MASTICPITCH__DATAGRAM__KIND__JOIN, .token = now, .with_self = true};
-	const address_t *address =
-	    &table->join_addresses[rng_below(&table->rng, table->join_count)];
-	member_entry_t *entry = member_entry_find(table, address_to_node_id(address));
+	member_entry_t *entry =
+	    member_entry_find(table, address_to_node_id(&join->address));
+	uint64_t wait = MIN_OF(join->backoff_ns, join_backoff_max(table));
 
-	/* A live member is joined already; one of a separately started mesh is not. */
-	if (entry != NULL && !member_is_down(entry))
-		return;
-	member_send(table, address, entry, &options, now, actions);
+	if (now < join->next_at)
+		return false;
+	/* Jitter, so that nodes started together do not query one seed simultaneously. */
+	join->next_at = now + wait / 2 + rng_below(&table->rng, wait);
+	if (entry != NULL && !member_is_down(entry)) {
+		join->backoff_ns = MEMBER_JOIN_MS * NS_PER_MS;
+		return false;
+	}
+	join->backoff_ns = MIN_OF(2 * wait, join_backoff_max(table));
+	member_send(table, &join->address, entry, &options, now, actions);
+	return true;
 }
 
 /*
- * Sends join requests: frequently while no other member is live, otherwise about every
- * 10 s, in case the mesh was started in two separate parts.
+ * Sends join requests to all known addresses that are not of live members: a node of
+ * another group may be there, whether or not this one is alone.
  */
 static void
 join_tick(member_table_t *table, uint64_t now, list_t *actions)
 {
 	bool is_alone = table->live_count < 2;
+	unsigned sent = 0;
 
-	if (now >= table->join_at && table->join_count > 0) {
-		uint64_t wait = is_alone ? MEMBER_JOIN_MS : UINT64_C(10000);
-
-		table->join_at = after_ms(now, wait / 2 + rng_below(&table->rng, wait));
-		for (int i = 0; i < (is_alone ? 3 : 1); i++)
-			join_send(table, now, actions);
+	for (size_t i = 0; i < table->join_count && sent < MEMBER_JOINS_PER_TICK; i++) {
+		table->join_next = (table->join_next + 1) % table->join_count;
+		sent += join_run(table, &table->joins[table->join_next], now, actions);
 	}
 	if (!is_alone) {
 		table->join_needed_at = after_ms(now, 1000);
--- a/test/virtual_mesh.h
+++ b/test/virtual_mesh.h
@@ -47,6 +47,7 @@
 	std::vector<VirtualNode> nodes;
 	uint64_t now = 1000 * NS_PER_S;
 	double loss = 0;
+	std::vector<int> seeds = {0, 1, 2}; // nodes that a started one may join through
 	std::function<bool(int, int)> is_cut = [](int, int) { return false; };
 	// A view changed: index of the node, index of the member, its new record.
 	std::function<void(int, int, const member_t &)> on_change =
@@ -75,17 +76,18 @@
 			events.pop();
 		}
 	}
-	// Starts or restarts a node; the seeds are the first three nodes.
+	// Starts or restarts a node.
 	void
 	start(int i)
 	{
 		VirtualNode &node = nodes[(size_t)i];
 		std::string zone = "zone-" + std::to_string(node.zone);
-		std::vector<address_t> seeds;
+		std::vector<address_t> addresses;
 		member_options_t options = {};
 
-		for (size_t s = 0; s < nodes.size() && s < 3; s++)
-			seeds.push_back(nodes[s].address);
+		for (int seed : seeds)
+			if ((size_t)seed < nodes.size())
+				addresses.push_back(nodes[(size_t)seed].address);
 		member_table_destroy(node.table);
 		options.address = node.address;
 		options.zone = zone.c_str();
@@ -93,8 +95,8 @@
 		options.boot = rng_next(&rng) | 1;
 		options.incarnation = wall + now / MS;
 		options.seed = rng_next(&rng);
-		options.seeds = seeds.data();
-		options.seed_count = seeds.size();
+		options.seeds = addresses.data();
+		options.seed_count = addresses.size();
 		node.table = NULL;
 		if (member_table_create(&options, now, &node.table) != 0)
 			abort();
