Join through the seeds that the platform hands out

Nothing but the store introduced hosts: without it, or with its keys written late, groups start apart. Cause: deploy/node.json had no seeds, though the platform gives up to three addresses to a role that serves control_plane.

--- a/src/node.c
+++ b/src/node.c
@@ -196,9 +196,24 @@
 	node_begin_leaving(watcher->data);
 }
 
+static void
+seeds_post(masticpitch_node_t *node, const settings_t *settings)
+{
+	kernel_t *kernel = node->kernel;
+
+	for (size_t i = 0; i < settings->seed_count; i++) {
+		message_t *message = message_create(MESSAGE_JOIN_ADDRESS, 0, 0);
+
+		if (message != NULL)
+			message->u.address = settings->seeds[i];
+		kernel_message_post(
+		    kernel, NULL, kernel_service_find(kernel, "membership"), message);
+	}
+}
+
 /*
  * Reads the settings file again and applies what a running node can change: the
- * log level. Addresses stay as bound, and an invalid file changes nothing.
+ * log level and seeds. Addresses stay as bound, and an invalid file changes nothing.
  */
 static void
 reload_callback(struct ev_loop *loop, ev_signal *watcher, int events)
@@ -216,6 +231,7 @@
 	}
 	log->level = settings.log_level;
 	node->settings.log_level = settings.log_level;
+	seeds_post(node, &settings);
 	log_info(log, "settings reloaded", LOG_TEXT("file", node->path));
 }
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -261,6 +261,19 @@
 	settings->seed_count = count;
 }
 
+/* Seeds that the hosted platform hands out replace those of the mesh section. */
+static void
+read_platform_seeds(reader_t *reader, struct json_object *root, settings_t *settings)
+{
+	struct json_object *list = settings_lookup(root, "platform.seeds");
+
+	if (list != NULL &&
+	    hosted_seeds_read(list, settings->peers.port, settings->seeds,
+		SETTINGS_SEEDS_MAX, &settings->seed_count) != MASTICPITCH_OK)
+		reader_fail(reader, MASTICPITCH_E_INVALID,
+		    "platform.seeds: must be a list of addresses of the form IP:PORT");
+}
+
 static void
 read_key(reader_t *reader, struct json_object *item, size_t index, mesh_key_t *key)
 {
@@ -461,7 +474,7 @@
 	     "configuration", "routing", "limits", "shutdown", "log", "backend_server",
 	     "bounds", NULL}},
     {"listen", {"callers", "backend_servers", "peers", "operators", "readiness", NULL}},
-    {"platform", {"url", "prefix", "timeout_ms", "dialect", "bounds", NULL}},
+    {"platform", {"url", "prefix", "timeout_ms", "dialect", "bounds", "seeds", NULL}},
     {"backend_server", {"service", "address", "announce_ms", NULL}},
     {"bounds",
 	{"drain_ms", "retry_percent", "retry_window_ms", "retry_extra", "kill_ms", NULL}},
@@ -499,6 +512,7 @@
 	read_backend(reader, root, settings);
 	read_bounds(reader, root, settings);
 	read_seeds(reader, root, settings);
+	read_platform_seeds(reader, root, settings);
 	read_keys(reader, root, settings);
 	read_token(reader, root, settings);
 	settings->spread = (spread_mode_t)read_choice(
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -82,6 +82,23 @@
 	}
 }
 
+TEST(Settings, PlatformSeedsGetThePortOfPeers)
+{
+	std::string text = settings_text_with("");
+	char message[MASTICPITCH_MESSAGE_MAX];
+	settings_t settings;
+
+	text.replace(
+	    text.find("\"url\""), 0, "\"seeds\":[\"10.1.0.2:8144\",\"10.1.0.3:8144\"],");
+	ASSERT_EQ(settings_parse("f", text.c_str(), text.size(), &settings, message,
+		      sizeof(message)),
+	    0)
+	    << message;
+	ASSERT_EQ(settings.seed_count, 2u);
+	EXPECT_EQ(settings.seeds[1].ip, 0x0a010003u);
+	EXPECT_EQ(settings.seeds[1].port, 7000);
+}
+
 TEST(Settings, EachErrorNamesItsKey)
 {
 	const std::pair<std::string, std::string> cases[] = {
