Join the holder of a relay key that is not a known member

Cause: a node that found its zone's relay key in another's hands dropped that only evidence of another group; and a lonely host whose listing of relays failed waited for up to 10 s after the store was back. Change: the holder's address is one to join through, which membership asks unless it is a live member; the first answer of the store after a failed listing starts the next one.

--- a/src/config.c
+++ b/src/config.c
@@ -28,7 +28,8 @@
 	spread_t *spread;
 	ev_timer timer;
 	ev_timer join_timer;
-	bool joining; /* listing of relays is scheduled or in progress */
+	bool joining;	  /* listing of relays is scheduled or in progress */
+	bool join_failed; /* the last one had no answer */
 	list_t calls;
 	config_report_t report;
 	document_t document; /* last one read; hosted dialect only */
@@ -91,6 +92,68 @@
 	answer->size = config->document.head.size;
 }
 
+/* Parses the address in a relay/ZONE value. Errors: MASTICPITCH_E_INVALID. */
+static int
+relay_address_parse(const char *value, size_t size, address_t *address)
+{
+	struct json_object *object = NULL;
+	json_report_t report;
+	char text[ADDRESS_TEXT_BYTES];
+	int error;
+
+	json_report_init(&report, NULL, 0);
+	error =
+	    json_text_parse(value, size, RELAY_VALUE_MAX_BYTES, false, &object, &report);
+	if (error == MASTICPITCH_OK)
+		error =
+		    json_read_text(&report, "", object, "address", text, sizeof(text));
+	if (error == MASTICPITCH_OK)
+		error = address_parse(text, address);
+	json_object_put(object);
+	return error;
+}
+
+/* Membership asks the relay at that address to join, unless it is a live member. */
+static void
+relay_join(config_t *config, const char *value, size_t size)
+{
+	message_t *message = message_create(MESSAGE_JOIN_ADDRESS, 0, 0);
+
+	if (message != NULL &&
+	    relay_address_parse(value, size, &message->u.address) != MASTICPITCH_OK) {
+		message_destroy(message);
+		return;
+	}
+	post(config, "membership", message);
+}
+
+/* Membership repeats its request until it has joined; one listing at a time is enough. */
+static void
+join_start(config_t *config)
+{
+	struct ev_loop *loop = kernel_loop(config->kernel);
+	uint64_t pause = rng_below(kernel_rng(config->kernel), JOIN_JITTER_NS);
+
+	if (config->joining)
+		return;
+	config->joining = true;
+	ev_timer_set(&config->join_timer, (double)pause / (double)NS_PER_S, 0.0);
+	ev_timer_start(loop, &config->join_timer);
+}
+
+/* Lists the relays again as soon as the platform answers, if the last listing failed. */
+static void
+join_resume(config_t *config, platform_outcome_t outcome)
+{
+	bool answered = outcome == PLATFORM_OK || outcome == PLATFORM_NOT_FOUND ||
+			outcome == PLATFORM_UNCHANGED || outcome == PLATFORM_CONFLICT;
+
+	if (!config->join_failed || !answered)
+		return;
+	config->join_failed = false;
+	join_start(config);
+}
+
 static void
 call_done(void *state, const platform_answer_t *read)
 {
@@ -99,6 +162,10 @@
 	platform_answer_t answer = *read;
 
 	config_report_answer(&config->report, call->kind, &answer);
+	join_resume(config, answer.outcome);
+	/* Another node holds the key: it is of another group if it is no member. */
+	if (call->kind == SPREAD_CALL_RELAY_GET && answer.outcome == PLATFORM_OK)
+		relay_join(config, answer.value, answer.size);
 	document_translate(config, call->kind, &answer);
 	spread_platform_answer(config->spread, call->kind, &call->digest, &answer,
 	    kernel_now(config->kernel));
@@ -322,43 +389,15 @@
 	config_run(config);
 }
 
-/* Parses the address in a relay/ZONE value. Errors: MASTICPITCH_E_INVALID. */
-static int
-relay_address_parse(const platform_entry_t *entry, address_t *address)
-{
-	struct json_object *object = NULL;
-	json_report_t report;
-	char text[ADDRESS_TEXT_BYTES];
-	int error;
-
-	json_report_init(&report, NULL, 0);
-	error = json_text_parse(
-	    entry->value, entry->size, RELAY_VALUE_MAX_BYTES, false, &object, &report);
-	if (error == MASTICPITCH_OK)
-		error =
-		    json_read_text(&report, "", object, "address", text, sizeof(text));
-	if (error == MASTICPITCH_OK)
-		error = address_parse(text, address);
-	json_object_put(object);
-	return error;
-}
-
 static void
 relay_list_done(void *state, const platform_answer_t *answer)
 {
 	config_t *config = state;
 
 	config->joining = false;
-	for (size_t i = 0; i < answer->entry_count; i++) {
-		message_t *message = message_create(MESSAGE_JOIN_ADDRESS, 0, 0);
-
-		if (message != NULL && relay_address_parse(&answer->entries[i],
-					   &message->u.address) != MASTICPITCH_OK) {
-			message_destroy(message);
-			continue;
-		}
-		post(config, "membership", message);
-	}
+	config->join_failed = answer->outcome != PLATFORM_OK;
+	for (size_t i = 0; i < answer->entry_count; i++)
+		relay_join(config, answer->entries[i].value, answer->entries[i].size);
 }
 
 static void
@@ -370,20 +409,6 @@
 			      relay_list_done, config, NULL) == MASTICPITCH_OK;
 }
 
-/* Membership repeats its request until it has joined; one listing at a time is enough. */
-static void
-join_start(config_t *config)
-{
-	struct ev_loop *loop = kernel_loop(config->kernel);
-	uint64_t pause = rng_below(kernel_rng(config->kernel), JOIN_JITTER_NS);
-
-	if (config->joining)
-		return;
-	config->joining = true;
-	ev_timer_set(&config->join_timer, (double)pause / (double)NS_PER_S, 0.0);
-	ev_timer_start(loop, &config->join_timer);
-}
-
 static void
 status_query_answer(config_t *config, const message_t *query)
 {
--- a/test/process_relay.py
+++ b/test/process_relay.py
@@ -7,6 +7,8 @@
 
 ZONE = 1
 CONVERGENCE_LIMIT_S = 3.0
+# From the start: delay of a relay, three calls on the platform, joining and gossip.
+GROUPS_MEET_LIMIT_S = 5.0
 
 
 def relays(fleet):
@@ -30,6 +32,18 @@
     return wait_for(held, "another holder of the zone's lease", 40)
 
 
+def test_groups_meet(fleet):
+    """Guards against hosts that start in two groups, each of which knows nothing of the
+    other, and stay so: the relay key of a zone is held by a stranger."""
+    hosts = [fleet.host_add(zone, start=False) for zone in (1, 2, 1, 2)]
+    for first in (0, 2):
+        pair = hosts[first:first + 2]
+        for host, other in (pair, pair[::-1]):
+            host.settings = {"mesh.seeds": [other.peers]}
+            host.start()
+    fleet.wait_members(len(hosts), timeout=GROUPS_MEET_LIMIT_S)
+
+
 def test_killed(fleet):
     """Guards against a zone that gets no configuration after its relay was killed."""
     start_mesh(fleet, hosts_per_zone=3, backends=False)
@@ -81,4 +95,4 @@
 
 
 test_leaving.fleet = {"settings": {"shutdown.accept_ms": 8000, "shutdown.grace_ms": 15000}}
-run(test_killed, test_paused, test_leaving)
+run(test_groups_meet, test_killed, test_paused, test_leaving)
