Keep the time at which a late call is given up when it is queued again

What callers see: a late call is held for most of its time before it is refused, while its backend server names another rate limit with each answer. Cause: the queue is rebuilt when the limit changes, and the wait of a late call, a quarter of the time left to its deadline, started again. Change: the first time stands. Evidence: test_queue LateItemThatIsQueuedAgainIsGivenUpAtTheSameTime: not given up 600 ms after it was queued with 2,400 ms left on, now it is.

--- a/src/queue.c
+++ b/src/queue.c
@@ -187,9 +187,12 @@
 	return item->target != 0 && now + needed > item->target;
 }
 
+/* The wait of an item that is queued again goes on. */
 static uint64_t
 late_give_up_at(const queue_item_t *item, uint64_t now)
 {
+	if (item->give_up_at != 0)
+		return item->give_up_at;
 	return now + (item->deadline - now) / 100 * QUEUE_LATE_WAIT_PERCENT;
 }
 
--- a/test/test_queue.cc
+++ b/test/test_queue.cc
@@ -357,6 +357,24 @@
 	EXPECT_EQ(reason, REASON_TARGET_MISSED);
 }
 
+// Guards against a late call that starts its wait again each time its backend server
+// names another rate limit, and is held for most of its time.
+TEST_F(Queue, LateItemThatIsQueuedAgainIsGivenUpAtTheSameTime)
+{
+	queue_item_t *late = make(ROUTE_LOOKUP, 2400);
+	uint64_t give_up_at = now + 2400 * NS_PER_MS / 100 * QUEUE_LATE_WAIT_PERCENT;
+	reason_t reason;
+
+	late->target = now - 1;
+	ASSERT_EQ(push(late), REASON_NONE);
+	now += 400 * NS_PER_MS;
+	ASSERT_EQ(queue_drain(&queue), late);
+	ASSERT_EQ(push(late), REASON_NONE);
+	EXPECT_EQ(queue_expire(&queue, give_up_at - 1, &reason), nullptr);
+	EXPECT_EQ(queue_expire(&queue, give_up_at, &reason), late);
+	EXPECT_EQ(reason, REASON_TARGET_MISSED);
+}
+
 // Guards against a late queue without a bound.
 TEST_F(Queue, TheLateQueueIsBounded)
 {
