List the relays when a node takes the relay lease, and every 30 s after

Cause: a relay key shows another group only to a node of the same zone. Change: the relay of a zone lists the relay keys when it takes the lease: the last one that does sees all others. Every 30 s after that, so that groups which the store could not introduce meet within this time; two calls a minute a zone, whatever the number of hosts.

--- a/src/config.c
+++ b/src/config.c
@@ -17,6 +17,11 @@
 #define CONNECTIONS_MAX (SPREAD_PART_READS + 4)
 /* Jitter before relay/ keys are listed: spreads the load of a mass restart. */
 #define JOIN_JITTER_NS (500 * NS_PER_MS)
+/*
+ * A relay lists the others when it takes its lease, then at this interval: groups of
+ * hosts that have no zone in common do not meet at a relay key.
+ */
+#define RELAY_LIST_INTERVAL_NS (30 * NS_PER_S)
 #define RELAY_VALUE_MAX_BYTES 4096
 
 struct config {
@@ -28,8 +33,9 @@
 	spread_t *spread;
 	ev_timer timer;
 	ev_timer join_timer;
-	bool joining;	  /* listing of relays is scheduled or in progress */
-	bool join_failed; /* the last one had no answer */
+	bool joining;		/* listing of relays is scheduled or in progress */
+	bool join_failed;	/* the last one had no answer */
+	uint64_t relay_list_at; /* earliest next listing while this node is the relay */
 	list_t calls;
 	config_report_t report;
 	document_t document; /* last one read; hosted dialect only */
@@ -363,6 +369,17 @@
 	ev_timer_start(loop, &config->timer);
 }
 
+static void
+relay_list_run(config_t *config, const spread_status_t *status)
+{
+	uint64_t now = kernel_now(config->kernel);
+
+	if (!status->lease_held || now < config->relay_list_at)
+		return;
+	config->relay_list_at = now + RELAY_LIST_INTERVAL_NS;
+	join_start(config);
+}
+
 /* Performs the actions that spread appended for an event. */
 static void
 config_run(config_t *config)
@@ -377,6 +394,7 @@
 	status = spread_status(config->spread);
 	config_report_changes(
 	    &config->report, &status, platform_health(config->platform));
+	relay_list_run(config, &status);
 	timer_set(config);
 }
 
--- a/test/process_relay.py
+++ b/test/process_relay.py
@@ -32,16 +32,28 @@
     return wait_for(held, "another holder of the zone's lease", 40)
 
 
+def groups_start(fleet, groups):
+    """Starts a host in each of the zones; the seeds are the others of its group."""
+    started = 0
+    for zones in groups:
+        hosts = [fleet.host_add(zone, start=False) for zone in zones]
+        for host in hosts:
+            host.settings = {"mesh.seeds": [other.peers for other in hosts
+                                            if other is not host]}
+            host.start()
+        started += len(hosts)
+    fleet.wait_members(started, timeout=GROUPS_MEET_LIMIT_S)
+
+
 def test_groups_meet(fleet):
     """Guards against hosts that start in two groups, each of which knows nothing of the
     other, and stay so: the relay key of a zone is held by a stranger."""
-    hosts = [fleet.host_add(zone, start=False) for zone in (1, 2, 1, 2)]
-    for first in (0, 2):
-        pair = hosts[first:first + 2]
-        for host, other in (pair, pair[::-1]):
-            host.settings = {"mesh.seeds": [other.peers]}
-            host.start()
-    fleet.wait_members(len(hosts), timeout=GROUPS_MEET_LIMIT_S)
+    groups_start(fleet, ((1, 2), (1, 2)))
+
+
+def test_zones_meet(fleet):
+    """The same for groups that have no zone in common, so that no relay key is contested."""
+    groups_start(fleet, ((1, 1), (2, 2)))
 
 
 def test_killed(fleet):
@@ -95,4 +107,4 @@
 
 
 test_leaving.fleet = {"settings": {"shutdown.accept_ms": 8000, "shutdown.grace_ms": 15000}}
-run(test_groups_meet, test_killed, test_paused, test_leaving)
+run(test_groups_meet, test_zones_meet, test_killed, test_paused, test_leaving)
