Follow a platform store that counts its epochs from the beginning

What callers see: after the platform's store was replaced by one with a lower epoch, no further version is in force until the nodes are restarted (CONFIG). Found by reading the change. Change: an answer to a read of the head that was sent after the higher epoch was seen cannot be late; its epoch is taken over as for a restore.

--- a/src/spread.c
+++ b/src/spread.c
@@ -341,16 +341,30 @@
 }
 
 /*
- * Compares the store's epoch in an answer with the one known. Revisions and leases go
- * back when the store is restored from a copy and are given out again, so none is used in
- * another epoch.
+ * True for an answer that the store gave before it was restored. A lower epoch in the
+ * answer to a call that was sent after the higher one was seen is that of another store,
+ * which has taken its place.
+ */
+static bool
+answer_is_outdated(const spread_t *spread, spread_call_t call, uint64_t epoch)
+{
+	if (epoch == 0 || epoch >= spread->store_epoch)
+		return false;
+	return call != SPREAD_CALL_GET_HEAD ||
+	       spread->reader.get_sent_at <= spread->store_epoch_at;
+}
+
+/*
+ * Revisions and leases go back when the store is restored from a copy and are given out
+ * again, so none is used in another epoch.
  */
 static void
-store_epoch_record(spread_t *spread, uint64_t epoch, uint64_t now)
+store_epoch_set(spread_t *spread, uint64_t epoch, uint64_t now)
 {
-	bool restored = spread->store_epoch != 0 && epoch > spread->store_epoch;
+	bool restored = spread->store_epoch != 0;
 
-	spread->store_epoch = MAX_OF(spread->store_epoch, epoch);
+	spread->store_epoch = epoch;
+	spread->store_epoch_at = now;
 	if (!restored)
 		return;
 	spread_reader_restart(spread, now);
@@ -365,10 +379,12 @@
 	const platform_answer_t outdated = {.outcome = PLATFORM_UNKNOWN};
 	const platform_answer_t *answer = received;
 
-	store_epoch_record(spread, received->store_epoch, now);
-	if (received->store_epoch != 0 && received->store_epoch < spread->store_epoch) {
+	if (answer_is_outdated(spread, call, received->store_epoch)) {
 		spread->counters.outdated++;
 		answer = &outdated;
+	} else if (received->store_epoch != 0 &&
+		   received->store_epoch != spread->store_epoch) {
+		store_epoch_set(spread, received->store_epoch, now);
 	}
 	switch (call) {
 	case SPREAD_CALL_GET_HEAD:
--- a/src/spread.h
+++ b/src/spread.h
@@ -181,7 +181,7 @@
 	bool relay;
 	bool lease_held;
 	uint64_t lease;	      /* of the relay's key; 0: none */
-	uint64_t store_epoch; /* highest in the platform's answers; 0: none given */
+	uint64_t store_epoch; /* of the platform's store; 0: none given */
 	bool regressed;	      /* the platform has an older head than this node */
 	/* Reason of the last refusal; "" once a newer record is accepted. */
 	const char *refused;
--- a/src/spread_accept.c
+++ b/src/spread_accept.c
@@ -162,8 +162,7 @@
 	}
 	spread->version_max = MAX_OF(spread->version_max, head->version);
 	if (!head_is_wanted(spread, head, source)) {
-		/* A platform restored from a copy has none newer than the accepted one.
-		 */
+		/* A platform restored from a copy may have only older ones. */
 		if (source == SOURCE_PLATFORM)
 			spread_confirm(spread, head->version, at);
 		free(head);
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -129,7 +129,8 @@
 	bool in_force;
 	uint64_t floor;
 	uint64_t version_max;
-	uint64_t store_epoch;	    /* highest in the platform's answers; 0: none given */
+	uint64_t store_epoch;	    /* of the platform's store; 0: none given */
+	uint64_t store_epoch_at;    /* when it was first seen */
 	uint64_t confirmed_at;	    /* when the platform last confirmed ... */
 	uint64_t confirmed_version; /* ... that this version is its newest */
 	bool regressed;
--- a/test/test_spread_platform.cc
+++ b/test/test_spread_platform.cc
@@ -137,6 +137,21 @@
 	EXPECT_EQ(world.version(host), 2u);
 }
 
+// CONFIG: another store takes the place of the platform's and counts its epochs anew; all
+// its answers count as those of the store before.
+TEST_F(RestoredStore, StoreWithALowerEpochIsReadIfItAnswersLaterCalls)
+{
+	world.epoch = 7;
+	world.run(SPREAD_LEASE_RENEW_INTERVAL_NS + APPLY_NS);
+	ASSERT_EQ(spread_status(world.hosts[host].spread).store_epoch, 7u);
+	world.epoch = 1;
+	world.write(2);
+	world.run(APPLY_NS);
+	EXPECT_EQ(world.version(host), 2u);
+	world.run(SPREAD_LEASE_RENEW_INTERVAL_NS + APPLY_NS);
+	EXPECT_EQ(spread_status(world.hosts[host].spread).store_epoch, 1u);
+}
+
 // A host starts after the restore: the copy has version 1, its peer has version 3 in
 // force.
 class StartAfterRestore : public RestoredStore
