Forget addresses to join through that no member answers

Cause: found by reading the change: addresses of relays that are gone were kept for the life of the process and asked every 2 s each, up to 80 of them. Change: an address that is no seed is forgotten once a live member has it, or after a minute; a relay that is still one is listed again. Seeds stay, and are not displaced by other addresses.

--- a/src/member.c
+++ b/src/member.c
@@ -408,7 +408,7 @@
 		goto fail;
 	digest_update(table, table->self, now);
 	for (size_t i = 0; i < options->seed_count; i++)
-		member_add_join_address(table, &options->seeds[i]);
+		member_add_join_address(table, &options->seeds[i], true, now);
 	/* Jitter, so that nodes started together do not query one seed simultaneously. */
 	for (size_t i = 0; i < table->join_count; i++)
 		table->joins[i].next_at = now + rng_below(&table->rng, 100) * NS_PER_MS;
--- a/src/member.h
+++ b/src/member.h
@@ -67,6 +67,8 @@
 #define MEMBER_JOIN_ALONE_MAX_MS 1000
 #define MEMBER_JOIN_MAX_MS 2000
 #define MEMBER_JOIN_SHARED_BY 8
+/* How long an address that is no seed is kept if no live member has it. */
+#define MEMBER_JOIN_KEEP_MS 60000
 /* Join requests sent in one tick, and addresses that are kept. */
 #define MEMBER_JOINS_PER_TICK 3
 #define MEMBER_JOIN_ADDRESSES_MAX 80
@@ -163,7 +165,8 @@
 void member_set_version(
     member_table_t *table, uint64_t version, uint64_t now, list_t *actions);
 void member_leave(member_table_t *table, uint64_t now, list_t *actions);
-void member_add_join_address(member_table_t *table, const address_t *address);
+void member_add_join_address(
+    member_table_t *table, const address_t *address, bool is_seed, uint64_t now);
 /*
  * Data was received on a connection with the node. This shows that it is alive as a
  * datagram does, and is the only sign while its link is too full for datagrams.
--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -82,7 +82,9 @@
 /* An address of a node that may be of another group. */
 typedef struct member_join {
 	address_t address;
+	bool is_seed;
 	uint64_t next_at;
+	uint64_t forget_at;  /* not of a seed */
 	uint64_t backoff_ns; /* until the request after the next one */
 } member_join_t;
 
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -471,21 +471,25 @@
 	return NULL;
 }
 
-/* A place for a further address; the oldest one is replaced if there is no room. */
+/* A place for a further address; an old one that is no seed is replaced if needed. */
 static member_join_t *
 join_allocate(member_table_t *table)
 {
-	member_join_t *join;
+	member_join_t *join = NULL;
 
 	if (table->join_count < MEMBER_JOIN_ADDRESSES_MAX)
 		return &table->joins[table->join_count++];
-	join = &table->joins[table->join_replaced];
-	table->join_replaced = (table->join_replaced + 1) % MEMBER_JOIN_ADDRESSES_MAX;
+	for (size_t i = 0; i < table->join_count && (join == NULL || join->is_seed);
+	     i++) {
+		join = &table->joins[table->join_replaced];
+		table->join_replaced = (table->join_replaced + 1) % table->join_count;
+	}
 	return join;
 }
 
 void
-member_add_join_address(member_table_t *table, const address_t *address)
+member_add_join_address(
+    member_table_t *table, const address_t *address, bool is_seed, uint64_t now)
 {
 	member_join_t *join;
 
@@ -494,8 +498,12 @@
 	join = join_find(table, address);
 	if (join == NULL)
 		join = join_allocate(table);
-	*join = (member_join_t){
-	    .address = *address, .backoff_ns = MEMBER_JOIN_MS * NS_PER_MS};
+	else
+		is_seed |= join->is_seed;
+	*join = (member_join_t){.address = *address,
+	    .is_seed = is_seed,
+	    .forget_at = after_ms(now, MEMBER_JOIN_KEEP_MS),
+	    .backoff_ns = MEMBER_JOIN_MS * NS_PER_MS};
 }
 
 static uint64_t
@@ -508,6 +516,23 @@
 	return share * MEMBER_JOIN_MAX_MS * NS_PER_MS;
 }
 
+static bool
+join_is_of_live_member(const member_table_t *table, const member_join_t *join)
+{
+	const member_entry_t *entry =
+	    member_entry_find(table, address_to_node_id(&join->address));
+
+	return entry != NULL && !member_is_down(entry);
+}
+
+/* Seeds are kept; the others are found again if they are still relays. */
+static bool
+join_is_obsolete(const member_table_t *table, const member_join_t *join, uint64_t now)
+{
+	return !join->is_seed &&
+	       (now >= join->forget_at || join_is_of_live_member(table, join));
+}
+
 /*
  * Sends a join request to an address that is due, unless its node is a live member.
  * Returns whether it was sent.
@@ -517,20 +542,20 @@
 {
 	const datagram_options_t options = {
 	    .kind = MASTICPITCH__DATAGRAM__KIND__JOIN, .token = now, .with_self = true};
-	member_entry_t *entry =
-	    member_entry_find(table, address_to_node_id(&join->address));
 	uint64_t wait = MIN_OF(join->backoff_ns, join_backoff_max(table));
 
 	if (now < join->next_at)
 		return false;
 	/* Jitter, so that nodes started together do not query one seed simultaneously. */
 	join->next_at = now + wait / 2 + rng_below(&table->rng, wait);
-	if (entry != NULL && !member_is_down(entry)) {
+	if (join_is_of_live_member(table, join)) {
 		join->backoff_ns = MEMBER_JOIN_MS * NS_PER_MS;
 		return false;
 	}
 	join->backoff_ns = MIN_OF(2 * wait, join_backoff_max(table));
-	member_send(table, &join->address, entry, &options, now, actions);
+	member_send(table, &join->address,
+	    member_entry_find(table, address_to_node_id(&join->address)), &options, now,
+	    actions);
 	return true;
 }
 
@@ -544,6 +569,12 @@
 	bool is_alone = table->live_count < 2;
 	unsigned sent = 0;
 
+	for (size_t i = 0; i < table->join_count;) {
+		if (join_is_obsolete(table, &table->joins[i], now))
+			table->joins[i] = table->joins[--table->join_count];
+		else
+			i++;
+	}
 	for (size_t i = 0; i < table->join_count && sent < MEMBER_JOINS_PER_TICK; i++) {
 		table->join_next = (table->join_next + 1) % table->join_count;
 		sent += join_run(table, &table->joins[table->join_next], now, actions);
--- a/src/membership.c
+++ b/src/membership.c
@@ -340,7 +340,7 @@
 		member_leave(table, now, &actions);
 		break;
 	case MESSAGE_JOIN_ADDRESS:
-		member_add_join_address(table, &message->u.address);
+		member_add_join_address(table, &message->u.address, false, now);
 		break;
 	case MESSAGE_CONTACT:
 		member_receive_on_connection(membership->table, message->node,
--- a/test/test_member.cc
+++ b/test/test_member.cc
@@ -415,7 +415,7 @@
 	EXPECT_EQ(needed, 1);
 	mesh.start(3);
 	mesh.perform_on(4, [&](member_table_t *table, list_t *) {
-		member_add_join_address(table, &mesh.nodes[3].address);
+		member_add_join_address(table, &mesh.nodes[3].address, false, mesh.now);
 	});
 	EXPECT_TRUE(mesh.run(2000, [&] { return mesh.is_converged(); }));
 }
--- a/test/test_member_join.cc
+++ b/test/test_member_join.cc
@@ -119,13 +119,42 @@
 		mesh.run(1000 + rng_below(&mesh.rng, 10000));
 		ASSERT_FALSE(mesh.is_converged());
 		mesh.perform_on(2, [&](member_table_t *table, list_t *) {
-			member_add_join_address(table, &mesh.nodes[9].address);
+			member_add_join_address(
+			    table, &mesh.nodes[9].address, false, mesh.now);
 		});
 		ASSERT_TRUE(mesh.run(ONE_GROUP_MS, [&] { return mesh.is_converged(); }))
 		    << "seed " << seed;
 	}
 }
 
+// Guards against join requests without an end to addresses of hosts that are gone, which
+// add up over the life of a process: relays come and go.
+TEST(MemberJoin, AddressThatNoMemberAnswersIsForgottenUnlessItIsASeed)
+{
+	VirtualMesh mesh(12, ZONES, 1);
+	uint64_t joins = 0;
+
+	mesh.seeds = {0, 1};
+	for (int i : all_nodes(mesh))
+		if (i != 1 && i != 11) // never started: a seed, and another one
+			mesh.start(i);
+	mesh.run(5000);
+	mesh.perform_on(2, [&](member_table_t *table, list_t *) {
+		member_add_join_address(table, &mesh.nodes[11].address, false, mesh.now);
+	});
+	mesh.on_action = [&](int, const member_action_t *action) {
+		joins += action->type == MEMBER_ACTION_SEND &&
+			 action->address.ip == mesh.nodes[11].address.ip;
+	};
+	mesh.run(MEMBER_JOIN_KEEP_MS);
+	EXPECT_GT(joins, 0u);
+	joins = 0;
+	mesh.run(60000);
+	EXPECT_EQ(joins, 0u);
+	mesh.start(1);
+	EXPECT_TRUE(mesh.run(ONE_GROUP_MS, [&] { return mesh.is_converged(); }));
+}
+
 // Guards against join requests that grow with the fleet or never end: a seed that is gone
 // costs each host some datagrams a minute.
 TEST(MemberJoin, SeedThatIsGoneCostsFewDatagrams)
