--- a/src/queue.h
+++ b/src/queue.h
@@ -36,12 +36,12 @@
 	list_t link;
 	route_class_t route_class;
 	uint64_t deadline;
-	uint64_t target;     /* latency target as a point in time; 0: none */
+	uint64_t target; /* latency target as a point in time; 0: none */
 	/* Refused if it is late and has not started by then; 0: it was not late yet. */
 	uint64_t give_up_at;
-	bool late;	     /* in the late queue */
-	uint64_t queued_at;  /* set by queue_push() */
-	bool queued;	     /* set by queue_push(), cleared when it leaves */
+	bool late;	    /* in the late queue */
+	uint64_t queued_at; /* set by queue_push() */
+	bool queued;	    /* set by queue_push(), cleared when it leaves */
 } queue_item_t;
 
 typedef struct queue_class {
