Move joining into a file of its own

Only moved: member_join.c has the functions of join_tick(), which is member_join_tick() now, after_ms() is in member_internal.h, and a declaration without a definition is gone.

--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -1,6 +1,7 @@
 /*
  * Structures shared by member.c (table and merge), member_gossip.c (datagrams),
- * member_probe.c (monitoring, zones, join) and member_sync.c (anti-entropy).
+ * member_probe.c (monitoring, zones), member_join.c (joining) and member_sync.c
+ * (anti-entropy).
  */
 #ifndef MASTICPITCH_MEMBER_INTERNAL_H
 #define MASTICPITCH_MEMBER_INTERNAL_H
@@ -79,6 +80,12 @@
 	uint32_t gossip_sends_left;
 } crash_entry_t;
 
+static inline uint64_t
+after_ms(uint64_t time, uint64_t ms)
+{
+	return time + ms * NS_PER_MS;
+}
+
 /* An address of a node that may be of another group. */
 typedef struct member_join {
 	address_t address;
@@ -204,11 +211,13 @@
     list_t *actions);
 void member_clear_suspicion(
     member_table_t *table, member_entry_t *entry, list_t *actions);
-void member_probe_tick(member_table_t *table, uint64_t now, list_t *actions);
 /* Requests a node's own record; of a known member at most every 200 ms. */
 void member_request_record(member_table_t *table, member_entry_t *entry,
     const address_t *from, uint64_t node, uint64_t now, list_t *actions);
 
+/* member_join.c */
+void member_join_tick(member_table_t *table, uint64_t now, list_t *actions);
+
 /* member_sync.c */
 void member_sync_check(member_table_t *table, member_entry_t *entry, uint64_t digest,
     uint64_t now, list_t *actions);
