--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -75,9 +75,8 @@
  */
 #define ENTRY_LEAVE_IDLE_NS (5 * NS_PER_S)
 /*
- * A leaving entry starts an attempt only this long before the end of its grace period, or
- * if the attempt's deadline is before that end: an attempt that is still running then
- * ends without an answer.
+ * In this last part of its grace period a leaving entry starts no attempt whose deadline
+ * is behind the end: an attempt that is still running then gives the caller no result.
  */
 #define ENTRY_LEAVE_ATTEMPT_NS (1 * NS_PER_S)
 /*
