Rename request_parser to http_message

Answers of backend servers are to be read with the same strict parser as requests of callers, so its names no longer say request.

--- a/src/caller_connection.c
+++ b/src/caller_connection.c
@@ -50,7 +50,7 @@
 {
 	if (exchange_first_open(connection) == exchange)
 		return true;
-	if (exchange->head.error != REQUEST_ERROR_NONE || exchange->head.expects)
+	if (exchange->head.error != HTTP_MESSAGE_ERROR_NONE || exchange->head.expects)
 		return false;
 	LIST_FOREACH (node, &connection->exchanges) {
 		const exchange_t *other = LIST_ENTRY(node, exchange_t, link);
@@ -86,7 +86,7 @@
 }
 
 static bool
-head_event(void *state, request_head_t *head)
+head_event(void *state, http_head_t *head)
 {
 	caller_connection_t *connection = state;
 	exchange_t *exchange = exchange_create(
@@ -98,7 +98,7 @@
 		return false;
 	}
 	connection->exchange_count++;
-	if (exchange->head.error != REQUEST_ERROR_NONE) {
+	if (exchange->head.error != HTTP_MESSAGE_ERROR_NONE) {
 		exchange->read = true;
 	} else {
 		connection->reading = exchange;
@@ -186,11 +186,11 @@
 	while (total < size && connection->phase != CALLER_CLOSED &&
 	       is_parsing(connection)) {
 		size_t consumed;
-		request_error_t error = request_parser_run(
+		http_message_error_t error = http_message_parser_run(
 		    &connection->parser, data + total, size - total, &consumed);
 
 		total += consumed;
-		if (error == REQUEST_ERROR_NONE)
+		if (error == HTTP_MESSAGE_ERROR_NONE)
 			continue;
 		connection->input_ended = true;
 		/* A malformed body: without an answer, the owner waits for its end. */
@@ -201,7 +201,7 @@
 		connection->reading = NULL;
 		total = size;
 	}
-	if (connection->head_at == 0 && request_parser_in_head(&connection->parser))
+	if (connection->head_at == 0 && http_message_parser_in_head(&connection->parser))
 		connection->head_at = now;
 	if (connection->phase != CALLER_OPEN || connection->input_ended)
 		return connection->reading != NULL ? total : size;
@@ -439,7 +439,7 @@
 caller_connection_t *
 caller_connection_create(caller_shared_t *shared, int fd)
 {
-	static const request_events_t events = {
+	static const http_message_events_t events = {
 	    .head = head_event, .body = body_event, .end = end_event};
 	caller_connection_t *connection = calloc(1, sizeof(*connection));
 	int one = 1;
@@ -457,7 +457,7 @@
 	connection->wakeup.queue = &shared->woken;
 	connection->wakeup.defer = &shared->defer;
 	connection->progress_at = os_clock_monotonic();
-	request_parser_init(&connection->parser, &events, connection);
+	http_message_parser_init(&connection->parser, &events, connection);
 	buffer_init(&connection->input, CALLER_READ_BYTES);
 	buffer_init(&connection->body, CALLER_READ_BYTES);
 	buffer_init(&connection->output, EXCHANGE_OUTPUT_MAX_BYTES);
@@ -487,7 +487,7 @@
 	if (connection->reset)
 		setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	close(connection->fd);
-	request_parser_free(&connection->parser);
+	http_message_parser_free(&connection->parser);
 	buffer_free(&connection->input);
 	buffer_free(&connection->body);
 	buffer_free(&connection->output);
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -38,7 +38,7 @@
 	list_t exchanges;
 	size_t exchange_count;
 	exchange_t *reading; /* whose body is being read; NULL: none */
-	request_parser_t parser;
+	http_message_parser_t parser;
 	buffer_t input; /* not parsed yet */
 	buffer_t body;	/* of the request that is read, not consumed yet */
 	buffer_t output;
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -37,7 +37,7 @@
 	 * answers; 0: the request must not run ahead of them, since it is not
 	 * idempotent or its route is not known.
 	 */
-	size_t (*ahead_bytes)(void *state, const request_head_t *head);
+	size_t (*ahead_bytes)(void *state, const http_head_t *head);
 	/* Begins a request; the result becomes exchange->owner, NULL: no memory. */
 	void *(*begin)(void *state, exchange_t *exchange);
 	/* Consumes bytes of the request's body; returns how many. */
--- a/src/entry_callers.c
+++ b/src/entry_callers.c
@@ -6,7 +6,7 @@
 #include <unistd.h>
 
 static size_t
-ahead_bytes(void *state, const request_head_t *head)
+ahead_bytes(void *state, const http_head_t *head)
 {
 	return entry_ahead_bytes(state, head);
 }
--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -104,16 +104,16 @@
 
 /* The reason for a request that could not be parsed. */
 static reason_t
-error_reason(request_error_t error)
+error_reason(http_message_error_t error)
 {
 	switch (error) {
-	case REQUEST_ERROR_NONE:
+	case HTTP_MESSAGE_ERROR_NONE:
 		break;
-	case REQUEST_ERROR_SYNTAX:
+	case HTTP_MESSAGE_ERROR_SYNTAX:
 		return REASON_BAD_REQUEST;
-	case REQUEST_ERROR_FRAMING:
+	case HTTP_MESSAGE_ERROR_FRAMING:
 		return REASON_BAD_FRAMING;
-	case REQUEST_ERROR_TOO_LARGE:
+	case HTTP_MESSAGE_ERROR_TOO_LARGE:
 		return REASON_HEADERS_TOO_LARGE;
 	}
 	return REASON_NONE;
@@ -381,7 +381,7 @@
 entry_head_read(entry_request_t *request)
 {
 	entry_t *entry = request->entry;
-	const request_head_t *head = &request->exchange->head;
+	const http_head_t *head = &request->exchange->head;
 	head_fields_t fields = {.names = entry->names,
 	    .head = request->head,
 	    .bytes_max = entry_header_bytes_max(entry),
@@ -396,8 +396,8 @@
 	}
 	fields.reason = error_reason(head->error);
 	for (size_t i = 0; i < head->field_count && fields.reason == REASON_NONE; i++)
-		field_read(
-		    &fields, request_field_name(head, i), request_field_value(head, i));
+		field_read(&fields, http_head_field_name(head, i),
+		    http_head_field_value(head, i));
 	reason = fields.reason;
 	if (reason == REASON_NONE)
 		reason = framing_check(request, &fields);
@@ -427,7 +427,7 @@
 }
 
 size_t
-entry_ahead_bytes(entry_t *entry, const request_head_t *head)
+entry_ahead_bytes(entry_t *entry, const http_head_t *head)
 {
 	const preset_route_t *route;
 	const char *host = NULL;
@@ -436,11 +436,11 @@
 	if (entry->snapshot == NULL)
 		return 0;
 	for (size_t i = 0; i < head->field_count && host == NULL; i++) {
-		if (strcasecmp(request_field_name(head, i), "Host") == 0)
-			host = request_field_value(head, i);
+		if (strcasecmp(http_head_field_name(head, i), "Host") == 0)
+			host = http_head_field_value(head, i);
 	}
 	route = preset_route_find_host(
-	    entry->snapshot->preset, host, head->method, request_head_path(head));
+	    entry->snapshot->preset, host, head->method, http_head_path(head));
 	if (route == NULL || !route->idempotent)
 		return 0;
 	bytes = answer_profile_bytes(&entry->answers, hash_string(route->name));
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -242,7 +242,7 @@
  */
 reason_t entry_head_read(entry_request_t *request);
 /* See caller_owner_t. */
-size_t entry_ahead_bytes(entry_t *entry, const request_head_t *head);
+size_t entry_ahead_bytes(entry_t *entry, const http_head_t *head);
 
 /* entry_request.c */
 /* Returns NULL if there is no memory. */
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -51,7 +51,7 @@
 		return NULL;
 	request->head = call_head_create();
 	if (request->head != NULL)
-		request->head->path = strdup(request_head_path(&exchange->head));
+		request->head->path = strdup(http_head_path(&exchange->head));
 	if (request->head == NULL || request->head->path == NULL) {
 		call_head_destroy(request->head);
 		free(request);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -18,7 +18,7 @@
 
 exchange_t *
 exchange_create(
-    exchange_wakeup_t *wakeup, list_t *exchanges, request_head_t *head, uint64_t now)
+    exchange_wakeup_t *wakeup, list_t *exchanges, http_head_t *head, uint64_t now)
 {
 	exchange_t *exchange = calloc(1, sizeof(*exchange));
 
@@ -27,7 +27,7 @@
 	exchange->wakeup = wakeup;
 	exchange->received_at = now;
 	exchange->head = *head;
-	request_head_init(head);
+	http_head_init(head);
 	list_append(exchanges, &exchange->link);
 	exchange->siblings = exchanges;
 	buffer_init(&exchange->answer_head, ANSWER_HEAD_MAX_BYTES);
@@ -40,7 +40,7 @@
 	if (exchange == NULL)
 		return;
 	list_remove(&exchange->link);
-	request_head_free(&exchange->head);
+	http_head_free(&exchange->head);
 	buffer_free(&exchange->answer_head);
 	free(exchange);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -6,8 +6,8 @@
 #define MASTICPITCH_EXCHANGE_H
 
 #include "defer.h"
+#include "http_message.h"
 #include "list.h"
-#include "request_parser.h"
 
 #include <stdint.h>
 #include <sys/types.h>
@@ -52,7 +52,7 @@
 	const list_t *siblings; /* all of that connection */
 	exchange_wakeup_t *wakeup;
 	void *owner; /* the owner's request */
-	request_head_t head;
+	http_head_t head;
 	exchange_state_t state;
 	uint64_t received_at; /* when the head was read */
 	bool read;	      /* the request was read completely */
@@ -89,7 +89,7 @@
 void exchange_wake(exchange_wakeup_t *wakeup);
 /* Takes over the content of the head and appends to the exchanges; NULL: no memory. */
 exchange_t *exchange_create(
-    exchange_wakeup_t *wakeup, list_t *exchanges, request_head_t *head, uint64_t now);
+    exchange_wakeup_t *wakeup, list_t *exchanges, http_head_t *head, uint64_t now);
 /* NULL is allowed. */
 void exchange_destroy(exchange_t *exchange);
 /*
--- a/src/request_parser.c
+++ b/src/http_message.c
@@ -1,4 +1,4 @@
-#include "request_parser.h"
+#include "http_message.h"
 
 #include "util.h"
 
@@ -11,44 +11,44 @@
 #define TRAILERS_MAX_BYTES (16 * 1024)
 
 void
-request_head_init(request_head_t *head)
+http_head_init(http_head_t *head)
 {
 	head->method[0] = '\0';
-	buffer_init(&head->text, REQUEST_HEAD_MAX_BYTES);
+	buffer_init(&head->text, HTTP_HEAD_MAX_BYTES);
 	head->field_count = 0;
 	head->http_1_0 = false;
 	head->keep_alive = false;
 	head->expects = false;
 	head->has_body = false;
-	head->error = REQUEST_ERROR_NONE;
+	head->error = HTTP_MESSAGE_ERROR_NONE;
 }
 
 void
-request_head_free(request_head_t *head)
+http_head_free(http_head_t *head)
 {
 	buffer_free(&head->text);
-	request_head_init(head);
+	http_head_init(head);
 }
 
 const char *
-request_head_path(const request_head_t *head)
+http_head_path(const http_head_t *head)
 {
 	return head->text.size > 0 ? (const char *)head->text.data : "";
 }
 
 const char *
-request_field_name(const request_head_t *head, size_t field)
+http_head_field_name(const http_head_t *head, size_t field)
 {
 	return (const char *)head->text.data + head->fields[field].name;
 }
 
 const char *
-request_field_value(const request_head_t *head, size_t field)
+http_head_field_value(const http_head_t *head, size_t field)
 {
 	return (const char *)head->text.data + head->fields[field].value;
 }
 
-static request_parser_t *
+static http_message_parser_t *
 parser_of(http_parser *parser)
 {
 	return parser->data;
@@ -56,25 +56,25 @@
 
 /* Stops the parser with an error that is not one of http-parser's. */
 static int
-parser_fail(request_parser_t *parser, request_error_t error)
+parser_fail(http_message_parser_t *parser, http_message_error_t error)
 {
 	parser->head.error = error;
 	return 1;
 }
 
 static int
-text_append(request_parser_t *parser, const char *data, size_t size)
+text_append(http_message_parser_t *parser, const char *data, size_t size)
 {
 	if (buffer_append(&parser->head.text, data, size) != MASTICPITCH_OK)
-		return parser_fail(parser, REQUEST_ERROR_TOO_LARGE);
+		return parser_fail(parser, HTTP_MESSAGE_ERROR_TOO_LARGE);
 	return 0;
 }
 
 /* Terminates the string that was appended last; a value ends before its white space. */
 static int
-text_end(request_parser_t *parser)
+text_end(http_message_parser_t *parser)
 {
-	request_head_t *head = &parser->head;
+	http_head_t *head = &parser->head;
 	buffer_t *text = &head->text;
 
 	while (parser->in_value &&
@@ -87,7 +87,7 @@
 static int
 begin_callback(http_parser *http)
 {
-	request_parser_t *parser = parser_of(http);
+	http_message_parser_t *parser = parser_of(http);
 
 	parser->head_begun = true;
 	parser->head_done = false;
@@ -103,34 +103,34 @@
 }
 
 static int
-trailer_discard(request_parser_t *parser, size_t size)
+trailer_discard(http_message_parser_t *parser, size_t size)
 {
 	parser->trailer_bytes += size;
 	return parser->trailer_bytes > TRAILERS_MAX_BYTES
-		   ? parser_fail(parser, REQUEST_ERROR_TOO_LARGE)
+		   ? parser_fail(parser, HTTP_MESSAGE_ERROR_TOO_LARGE)
 		   : 0;
 }
 
 static int
 name_callback(http_parser *http, const char *data, size_t size)
 {
-	request_parser_t *parser = parser_of(http);
-	request_head_t *head = &parser->head;
+	http_message_parser_t *parser = parser_of(http);
+	http_head_t *head = &parser->head;
 	bool starts = parser->in_value || head->field_count == 0;
 
 	if (http->flags & F_TRAILING)
 		return trailer_discard(parser, size);
 	/* Other programs may read "Name : value" as another field, or as none. */
 	if (memchr(data, ' ', size) != NULL)
-		return parser_fail(parser, REQUEST_ERROR_SYNTAX);
+		return parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 	/* Ends the request target or the value before. */
 	if (starts) {
 		if (text_end(parser) != 0)
 			return 1;
-		if (head->field_count == REQUEST_FIELDS_MAX)
-			return parser_fail(parser, REQUEST_ERROR_TOO_LARGE);
+		if (head->field_count == HTTP_FIELDS_MAX)
+			return parser_fail(parser, HTTP_MESSAGE_ERROR_TOO_LARGE);
 		head->fields[head->field_count++] =
-		    (request_field_t){.name = (uint32_t)head->text.size};
+		    (http_field_t){.name = (uint32_t)head->text.size};
 		parser->in_value = false;
 	}
 	return text_append(parser, data, size);
@@ -139,8 +139,8 @@
 static int
 value_callback(http_parser *http, const char *data, size_t size)
 {
-	request_parser_t *parser = parser_of(http);
-	request_head_t *head = &parser->head;
+	http_message_parser_t *parser = parser_of(http);
+	http_head_t *head = &parser->head;
 	uint64_t offset = parser->consumed_total + (uint64_t)(data - parser->data);
 
 	if (http->flags & F_TRAILING)
@@ -152,17 +152,17 @@
 		parser->in_value = true;
 	} else if (offset != parser->value_end) {
 		/* A folded line, which other programs may read as two fields. */
-		return parser_fail(parser, REQUEST_ERROR_SYNTAX);
+		return parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 	}
 	parser->value_end = offset + size;
 	return text_append(parser, data, size);
 }
 
 static void
-head_finish(request_parser_t *parser)
+head_finish(http_message_parser_t *parser)
 {
 	http_parser *http = &parser->parser;
-	request_head_t *head = &parser->head;
+	http_head_t *head = &parser->head;
 
 	string_copy(head->method, sizeof(head->method),
 	    http_method_str((enum http_method)http->method));
@@ -172,19 +172,19 @@
 			 ((http->flags & F_CONTENTLENGTH) && http->content_length > 0);
 	for (size_t i = 0; i < head->field_count; i++)
 		head->expects |=
-		    strcasecmp(request_field_name(head, i), "Expect") == 0 &&
-		    strcasecmp(request_field_value(head, i), "100-continue") == 0;
+		    strcasecmp(http_head_field_name(head, i), "Expect") == 0 &&
+		    strcasecmp(http_head_field_value(head, i), "100-continue") == 0;
 }
 
 static int
 head_callback(http_parser *http)
 {
-	request_parser_t *parser = parser_of(http);
+	http_message_parser_t *parser = parser_of(http);
 
 	if (text_end(parser) != 0)
 		return HEAD_CALLBACK_FAILED;
 	if (http->http_major != 1) {
-		parser_fail(parser, REQUEST_ERROR_SYNTAX);
+		parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 		return HEAD_CALLBACK_FAILED;
 	}
 	head_finish(parser);
@@ -200,7 +200,7 @@
 static int
 body_callback(http_parser *http, const char *data, size_t size)
 {
-	request_parser_t *parser = parser_of(http);
+	http_message_parser_t *parser = parser_of(http);
 
 	if (!parser->events.body(parser->state, data, size))
 		http_parser_pause(http, 1);
@@ -210,9 +210,9 @@
 static int
 end_callback(http_parser *http)
 {
-	request_parser_t *parser = parser_of(http);
+	http_message_parser_t *parser = parser_of(http);
 
-	request_head_free(&parser->head);
+	http_head_free(&parser->head);
 	parser->head_done = false;
 	if (!parser->events.end(parser->state))
 		http_parser_pause(http, 1);
@@ -230,45 +230,46 @@
 };
 
 void
-request_parser_init(request_parser_t *parser, const request_events_t *events, void *state)
+http_message_parser_init(
+    http_message_parser_t *parser, const http_message_events_t *events, void *state)
 {
 	memset(parser, 0, sizeof(*parser));
 	http_parser_init(&parser->parser, HTTP_REQUEST);
 	parser->parser.data = parser;
 	parser->events = *events;
 	parser->state = state;
-	request_head_init(&parser->head);
+	http_head_init(&parser->head);
 }
 
 void
-request_parser_free(request_parser_t *parser)
+http_message_parser_free(http_message_parser_t *parser)
 {
-	request_head_free(&parser->head);
+	http_head_free(&parser->head);
 }
 
-static request_error_t
-error_of(const request_parser_t *parser)
+static http_message_error_t
+error_of(const http_message_parser_t *parser)
 {
-	if (parser->head.error != REQUEST_ERROR_NONE)
+	if (parser->head.error != HTTP_MESSAGE_ERROR_NONE)
 		return parser->head.error;
 	switch (HTTP_PARSER_ERRNO(&parser->parser)) {
 	case HPE_INVALID_CONTENT_LENGTH:
 	case HPE_UNEXPECTED_CONTENT_LENGTH:
 	case HPE_INVALID_TRANSFER_ENCODING:
 	case HPE_INVALID_CHUNK_SIZE:
-		return REQUEST_ERROR_FRAMING;
+		return HTTP_MESSAGE_ERROR_FRAMING;
 	case HPE_HEADER_OVERFLOW:
-		return REQUEST_ERROR_TOO_LARGE;
+		return HTTP_MESSAGE_ERROR_TOO_LARGE;
 	default:
-		return REQUEST_ERROR_SYNTAX;
+		return HTTP_MESSAGE_ERROR_SYNTAX;
 	}
 }
 
-request_error_t
-request_parser_run(
-    request_parser_t *parser, const char *data, size_t size, size_t *consumed)
+http_message_error_t
+http_message_parser_run(
+    http_message_parser_t *parser, const char *data, size_t size, size_t *consumed)
 {
-	request_head_t *head = &parser->head;
+	http_head_t *head = &parser->head;
 
 	http_parser_pause(&parser->parser, 0);
 	parser->data = data;
@@ -276,10 +277,10 @@
 	parser->consumed_total += *consumed;
 	if (HTTP_PARSER_ERRNO(&parser->parser) == HPE_PAUSED ||
 	    HTTP_PARSER_ERRNO(&parser->parser) == HPE_OK)
-		return REQUEST_ERROR_NONE;
+		return HTTP_MESSAGE_ERROR_NONE;
 	head->error = error_of(parser);
 	if (!parser->head_done) {
-		request_error_t error = head->error;
+		http_message_error_t error = head->error;
 
 		/* What was read of the fields is incomplete. */
 		if (head->text.size > 0 && head->text.size < head->text.limit)
@@ -297,7 +298,7 @@
 }
 
 bool
-request_parser_in_head(const request_parser_t *parser)
+http_message_parser_in_head(const http_message_parser_t *parser)
 {
 	return parser->head_begun;
 }
--- a/test/fuzz_request_parser.c
+++ b/test/fuzz_http_message.c
@@ -3,7 +3,7 @@
  * give the same requests.
  */
 #include "fuzz_change.h"
-#include "request_parser.h"
+#include "http_message.h"
 #include "util.h"
 
 #include <string.h>
@@ -31,21 +31,20 @@
 }
 
 static bool
-head_event(void *state, request_head_t *head)
+head_event(void *state, http_head_t *head)
 {
 	trace_t *trace = state;
 
-	INVARIANT(head->field_count <= REQUEST_FIELDS_MAX);
-	INVARIANT(head->text.size <= REQUEST_HEAD_MAX_BYTES);
+	INVARIANT(head->field_count <= HTTP_FIELDS_MAX);
+	INVARIANT(head->text.size <= HTTP_HEAD_MAX_BYTES);
 	INVARIANT(!trace->in_request);
-	trace->in_request = head->error == REQUEST_ERROR_NONE;
+	trace->in_request = head->error == HTTP_MESSAGE_ERROR_NONE;
 	trace_add(trace, head->method, strlen(head->method));
-	if (head->error == REQUEST_ERROR_NONE)
-		trace_add(
-		    trace, request_head_path(head), strlen(request_head_path(head)));
+	if (head->error == HTTP_MESSAGE_ERROR_NONE)
+		trace_add(trace, http_head_path(head), strlen(http_head_path(head)));
 	for (size_t i = 0; i < head->field_count; i++) {
-		const char *name = request_field_name(head, i);
-		const char *value = request_field_value(head, i);
+		const char *name = http_head_field_name(head, i);
+		const char *value = http_head_field_value(head, i);
 
 		trace_add(trace, name, strlen(name) + 1);
 		trace_add(trace, value, strlen(value) + 1);
@@ -77,23 +76,23 @@
 static uint64_t
 parse(const uint8_t *data, size_t size, size_t piece, bool pausing)
 {
-	static const request_events_t events = {head_event, body_event, end_event};
+	static const http_message_events_t events = {head_event, body_event, end_event};
 	trace_t trace = {.pausing = pausing};
-	request_parser_t parser;
-	request_error_t error = REQUEST_ERROR_NONE;
+	http_message_parser_t parser;
+	http_message_error_t error = HTTP_MESSAGE_ERROR_NONE;
 	size_t calls = 0;
 
-	request_parser_init(&parser, &events, &trace);
-	for (size_t at = 0; at < size && error == REQUEST_ERROR_NONE;) {
+	http_message_parser_init(&parser, &events, &trace);
+	for (size_t at = 0; at < size && error == HTTP_MESSAGE_ERROR_NONE;) {
 		size_t consumed;
 
-		error = request_parser_run(&parser, (const char *)data + at,
+		error = http_message_parser_run(&parser, (const char *)data + at,
 		    MIN_OF(piece, size - at), &consumed);
 		at += consumed;
 		/* Each call reads a byte or reports an event. */
 		INVARIANT(++calls <= 4 * size + 4);
 	}
-	request_parser_free(&parser);
+	http_message_parser_free(&parser);
 	return trace.hash;
 }
 
--- a/test/test_caller_server.cc
+++ b/test/test_caller_server.cc
@@ -144,9 +144,9 @@
 
       private:
 	static size_t
-	ahead_bytes(void *, const request_head_t *head)
+	ahead_bytes(void *, const http_head_t *head)
 	{
-		std::string path = request_head_path(head);
+		std::string path = http_head_path(head);
 
 		return path.rfind("/safe/", 0) == 0 ? strtoul(&path[6], nullptr, 10) : 0;
 	}
@@ -157,8 +157,8 @@
 		Request *request = new Request();
 
 		request->exchange = exchange;
-		request->path = request_head_path(&exchange->head);
-		if (exchange->head.error != REQUEST_ERROR_NONE)
+		request->path = http_head_path(&exchange->head);
+		if (exchange->head.error != HTTP_MESSAGE_ERROR_NONE)
 			request->path = "error";
 		test->requests.emplace_back(request);
 		test->begun_together = std::max(test->begun_together, test->running());
@@ -474,12 +474,12 @@
 
 	on_begin = [&](Request *request) {
 		exchange_answer_t given = {200, &no_headers, 2, false};
-		const request_head_t *head = &request->exchange->head;
+		const http_head_t *head = &request->exchange->head;
 		std::string line = head->method + (" " + request->path);
 
 		for (size_t i = 0; i < head->field_count; i++)
-			line += std::string(" ") + request_field_name(head, i) + "=" +
-				request_field_value(head, i);
+			line += std::string(" ") + http_head_field_name(head, i) + "=" +
+				http_head_field_value(head, i);
 		seen.push_back(line);
 		request->answer = "ok";
 		request->answer_ended = true;
@@ -528,7 +528,7 @@
 		answer("/safe/1", "first");
 		run();
 		ASSERT_NE(find("error"), nullptr) << text;
-		EXPECT_NE(find("error")->exchange->head.error, REQUEST_ERROR_NONE);
+		EXPECT_NE(find("error")->exchange->head.error, HTTP_MESSAGE_ERROR_NONE);
 		answer("error", "malformed", true);
 		ASSERT_TRUE(run_until([&] { return caller->has("malformed"); })) << text;
 		EXPECT_EQ(find("/smuggled"), nullptr) << text;
