Read the heads of answers with the strict message parser

Cause: two lenient readers. libcurl takes the digits before the spoiled byte for the length and reports a complete transfer; the gate ignores a length that it cannot read and passes the answer on as one without a length. Ruled out: an early end of the connection, which stays open, and the entry, which the failing test does not contain.

Change: the gate reads the head with http_message, as the entry reads requests. A head that is malformed, or whose end is ambiguous, ends the exchange with backend-protocol and an unknown outcome before anything is passed on; a log line says why. The length for the caller comes from the same parser, so both readers agree or the answer fails.

Same cause on related paths, in the same tests: two lengths, length beside chunks, unknown transfer codings, missing colon, blank before the colon, folded lines, status lines of which a prefix is valid.

--- a/src/caller_connection.c
+++ b/src/caller_connection.c
@@ -457,7 +457,7 @@
 	connection->wakeup.queue = &shared->woken;
 	connection->wakeup.defer = &shared->defer;
 	connection->progress_at = os_clock_monotonic();
-	http_message_parser_init(&connection->parser, &events, connection);
+	http_message_parser_init(&connection->parser, HTTP_REQUEST, &events, connection);
 	buffer_init(&connection->input, CALLER_READ_BYTES);
 	buffer_init(&connection->body, CALLER_READ_BYTES);
 	buffer_init(&connection->output, EXCHANGE_OUTPUT_MAX_BYTES);
--- a/src/gate.c
+++ b/src/gate.c
@@ -74,6 +74,7 @@
 	chunk_queue_free(&call->body);
 	buffer_free(&call->ticket_body);
 	answer_head_destroy(call->answer);
+	http_message_parser_free(&call->response);
 	call_head_destroy(call->head);
 	free(call);
 }
@@ -121,6 +122,7 @@
 	/* With one byte more the ticket table recognises a body that is too large. */
 	buffer_init(&call->ticket_body, TICKET_BODY_MAX_BYTES + 1);
 	chunk_queue_init(&call->body);
+	gate_answer_init(call);
 	call->body_end = !call->head->has_body;
 	call->answer_credit = STREAM_WINDOW_BYTES;
 	left = call->head->deadline > now ? call->head->deadline - now : 0;
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -169,74 +169,93 @@
 }
 
 static bool
-answer_begin(gate_call_t *call)
+answer_field_is_dropped(const char *name)
 {
-	long status = 0;
+	/* Connection and Keep-Alive are read before they are stripped. */
+	return answer_field_is_local(name) && strcasecmp(name, "Connection") != 0 &&
+	       strcasecmp(name, "Keep-Alive") != 0;
+}
 
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	answer_head_destroy(call->answer);
+/* Creates the answer from its head. False: no memory, or too many fields. */
+static bool
+answer_create(gate_call_t *call, const http_head_t *head)
+{
 	call->answer = answer_head_create();
 	if (call->answer == NULL)
 		return false;
-	call->answer->status = (int)status;
+	call->answer->status = head->status;
+	call->answer->body_length = head->body_length;
+	for (size_t i = 0; i < head->field_count; i++) {
+		const char *name = http_head_field_name(head, i);
+
+		if (answer_field_is_dropped(name))
+			continue;
+		if (headers_add(&call->answer->headers, name,
+			http_head_field_value(head, i)) != MASTICPITCH_OK)
+			return false;
+	}
 	return true;
 }
 
 static bool
-answer_field_add(gate_call_t *call, char *line)
+answer_head_receive(void *state, http_head_t *head)
 {
-	char *value = strchr(line, ':');
-	uint64_t length;
+	gate_call_t *call = state;
 
-	if (value == NULL)
+	/* A malformed head ends the exchange, interim answers are dropped. */
+	if (head->error != HTTP_MESSAGE_ERROR_NONE || head->status < 200)
 		return true;
-	*value++ = '\0';
-	value += strspn(value, " \t");
-	if (strcasecmp(line, "Content-Length") == 0 &&
-	    string_parse_uint(value, INT64_MAX, &length) == MASTICPITCH_OK)
-		call->answer->body_length = (int64_t)length;
-	if (answer_field_is_local(line) && strcasecmp(line, "Connection") != 0 &&
-	    strcasecmp(line, "Keep-Alive") != 0)
-		return true;
-	return headers_add(&call->answer->headers, line, value) == MASTICPITCH_OK;
+	if (answer_create(call, head))
+		answer_head_post(call);
+	else
+		call->foreign_answer = true;
+	return true;
 }
 
-/* Parses a complete line without its line end. False: abort the exchange. */
 static bool
-answer_line_read(gate_call_t *call, char *line)
+answer_body_receive(void *state, const char *data, size_t size)
 {
-	if (strncmp(line, "HTTP/", 5) == 0)
-		return answer_begin(call);
-	if (call->answer == NULL)
-		return false;
-	if (line[0] != '\0')
-		return answer_field_add(call, line);
-	if (call->answer->status >= 200)
-		answer_head_post(call);
-	return !call->foreign_answer;
+	return true;
+}
+
+static bool
+answer_end_receive(void *state)
+{
+	return true;
+}
+
+void
+gate_answer_init(gate_call_t *call)
+{
+	static const http_message_events_t events = {
+	    answer_head_receive, answer_body_receive, answer_end_receive};
+
+	http_message_parser_init(&call->response, HTTP_RESPONSE, &events, call);
+	call->response.bodiless = strcmp(call->head->method, "HEAD") == 0;
+}
+
+static void
+answer_malformed_log(const gate_call_t *call, http_message_error_t error)
+{
+	LOG_EVENT(kernel_log(call->gate->kernel), LOG_LEVEL_WARNING,
+	    "malformed answer of the backend server",
+	    LOG_TEXT("request", call->head->request_id),
+	    LOG_TEXT("instance", call->gate->backend.instance),
+	    LOG_TEXT("error", http_message_error_text(error)));
 }
 
 bool
 gate_answer_line(gate_call_t *call, const char *data, size_t length)
 {
-	char line_buffer[4096];
-	char *line = line_buffer;
-	bool valid;
+	http_message_error_t error;
+	size_t consumed;
 
 	if (call->answered || call->shed)
 		return true; /* trailer */
-	if (length >= sizeof(line_buffer)) {
-		line = malloc(length + 1);
-		if (line == NULL)
-			return false;
-	}
-	memcpy(line, data, length);
-	line[length] = '\0';
-	line[strcspn(line, "\r\n")] = '\0';
-	valid = answer_line_read(call, line);
-	if (line != line_buffer)
-		free(line);
-	return valid;
+	error = http_message_parser_run(&call->response, data, length, &consumed);
+	if (error != HTTP_MESSAGE_ERROR_NONE)
+		answer_malformed_log(call, error);
+	return error == HTTP_MESSAGE_ERROR_NONE && !call->foreign_answer;
 }
 
 static bool
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -15,6 +15,7 @@
 #include "chunk_queue.h"
 #include "curl_loop.h"
 #include "gate.h"
+#include "http_message.h"
 #include "http_server.h"
 #include "limit.h"
 #include "quarantine.h"
@@ -152,11 +153,12 @@
 	struct curl_slist *lines;
 	bool sent; /* the request may have reached the backend server */
 	bool resend_blocked;
-	bool shed;	       /* refused by the backend server without being run */
-	bool misdirected;      /* the address now belongs to another instance */
-	bool nested_failed;    /* a nested call of it failed */
-	bool foreign_answer;   /* not a genuine answer to this call */
-	bool shed_final;       /* the refusal is final: no retry */
+	bool shed;	     /* refused by the backend server without being run */
+	bool misdirected;    /* the address now belongs to another instance */
+	bool nested_failed;  /* a nested call of it failed */
+	bool foreign_answer; /* not a genuine answer to this call */
+	bool shed_final;     /* the refusal is final: no retry */
+	http_message_parser_t response;
 	int status;	       /* of the posted answer */
 	answer_head_t *answer; /* until it is posted */
 	bool answered;	       /* the answer head is posted */
@@ -248,6 +250,7 @@
 /* gate_fields.c */
 /* Builds the header lines of the request; false: no memory. */
 bool gate_lines_build(gate_call_t *call);
+void gate_answer_init(gate_call_t *call);
 /* Parses one header line of the answer with its line end. False: abort the exchange. */
 bool gate_answer_line(gate_call_t *call, const char *data, size_t length);
 
--- a/src/http_message.c
+++ b/src/http_message.c
@@ -5,7 +5,8 @@
 #include <string.h>
 #include <strings.h>
 
-/* Result of the callback for a head: http-parser gives 1 and 2 other meanings. */
+/* Results of the callback for a head; http-parser gives 1 and 2 meanings of its own. */
+#define HEAD_CALLBACK_BODILESS 1
 #define HEAD_CALLBACK_FAILED 3
 /* Names and values of trailer fields, which are discarded, bytes. */
 #define TRAILERS_MAX_BYTES (16 * 1024)
@@ -14,12 +15,14 @@
 http_head_init(http_head_t *head)
 {
 	head->method[0] = '\0';
+	head->status = 0;
 	buffer_init(&head->text, HTTP_HEAD_MAX_BYTES);
 	head->field_count = 0;
 	head->http_1_0 = false;
 	head->keep_alive = false;
 	head->expects = false;
 	head->has_body = false;
+	head->body_length = -1;
 	head->error = HTTP_MESSAGE_ERROR_NONE;
 }
 
@@ -158,14 +161,31 @@
 	return text_append(parser, data, size);
 }
 
+/*
+ * True if the end of the message cannot be determined from its fields, beyond what
+ * http-parser rejects; see RFC 9112, section 6.
+ */
+static bool
+framing_is_ambiguous(const http_parser *http)
+{
+	if (http->uses_transfer_encoding)
+		return http->http_minor == 0 || !(http->flags & F_CHUNKED);
+	return (http->flags & F_CONTENTLENGTH) && http->content_length > INT64_MAX;
+}
+
 static void
 head_finish(http_message_parser_t *parser)
 {
 	http_parser *http = &parser->parser;
 	http_head_t *head = &parser->head;
 
-	string_copy(head->method, sizeof(head->method),
-	    http_method_str((enum http_method)http->method));
+	if (http->type == HTTP_RESPONSE)
+		head->status = (int)http->status_code;
+	else
+		string_copy(head->method, sizeof(head->method),
+		    http_method_str((enum http_method)http->method));
+	if (http->flags & F_CONTENTLENGTH)
+		head->body_length = (int64_t)http->content_length;
 	head->http_1_0 = http->http_minor == 0;
 	head->keep_alive = http_should_keep_alive(http) != 0;
 	head->has_body = (http->flags & F_CHUNKED) != 0 ||
@@ -187,14 +207,18 @@
 		parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 		return HEAD_CALLBACK_FAILED;
 	}
+	if (framing_is_ambiguous(http)) {
+		parser_fail(parser, HTTP_MESSAGE_ERROR_FRAMING);
+		return HEAD_CALLBACK_FAILED;
+	}
 	head_finish(parser);
-	/* Other protocols are not offered; the request is an ordinary one. */
+	/* Other protocols are not offered; the message is an ordinary one. */
 	http->upgrade = 0;
 	parser->head_begun = false;
 	parser->head_done = true;
 	if (!parser->events.head(parser->state, &parser->head))
 		http_parser_pause(http, 1);
-	return 0;
+	return parser->bodiless ? HEAD_CALLBACK_BODILESS : 0;
 }
 
 static int
@@ -230,11 +254,11 @@
 };
 
 void
-http_message_parser_init(
-    http_message_parser_t *parser, const http_message_events_t *events, void *state)
+http_message_parser_init(http_message_parser_t *parser, enum http_parser_type type,
+    const http_message_events_t *events, void *state)
 {
 	memset(parser, 0, sizeof(*parser));
-	http_parser_init(&parser->parser, HTTP_REQUEST);
+	http_parser_init(&parser->parser, type);
 	parser->parser.data = parser;
 	parser->events = *events;
 	parser->state = state;
@@ -302,3 +326,19 @@
 {
 	return parser->head_begun;
 }
+
+const char *
+http_message_error_text(http_message_error_t error)
+{
+	switch (error) {
+	case HTTP_MESSAGE_ERROR_NONE:
+		return "none";
+	case HTTP_MESSAGE_ERROR_SYNTAX:
+		return "syntax";
+	case HTTP_MESSAGE_ERROR_FRAMING:
+		return "ambiguous framing";
+	case HTTP_MESSAGE_ERROR_TOO_LARGE:
+		return "too large";
+	}
+	return "unknown";
+}
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -1,7 +1,7 @@
 /*
- * Parses the requests on a caller's connection, with http-parser. A request is
- * reported as its head, pieces of its body and its end; bytes behind it belong to the
- * next one. Performs no I/O. Not thread-safe.
+ * Parses the requests on a caller's connection, or the answers on a backend server's,
+ * with http-parser. A message is reported as its head, pieces of its body and its end;
+ * bytes behind it belong to the next one. Performs no I/O. Not thread-safe.
  */
 #ifndef MASTICPITCH_HTTP_MESSAGE_H
 #define MASTICPITCH_HTTP_MESSAGE_H
@@ -25,7 +25,7 @@
 typedef enum http_message_error {
 	HTTP_MESSAGE_ERROR_NONE,
 	HTTP_MESSAGE_ERROR_SYNTAX,
-	HTTP_MESSAGE_ERROR_FRAMING,  /* the end of the request is ambiguous */
+	HTTP_MESSAGE_ERROR_FRAMING,  /* the end of the message is ambiguous */
 	HTTP_MESSAGE_ERROR_TOO_LARGE /* of the head */
 } http_message_error_t;
 
@@ -37,13 +37,15 @@
 
 typedef struct http_head {
 	char method[HTTP_METHOD_BYTES];
-	buffer_t text; /* begins with the request target */
+	int status;    /* of an answer */
+	buffer_t text; /* begins with the request target, "" in an answer */
 	http_field_t fields[HTTP_FIELDS_MAX];
 	size_t field_count;
 	bool http_1_0;
-	bool keep_alive; /* the caller keeps the connection open */
-	bool expects;	 /* waits for 100 Continue before it sends the body */
-	bool has_body;
+	bool keep_alive;     /* the sender keeps the connection open */
+	bool expects;	     /* waits for 100 Continue before it sends the body */
+	bool has_body;	     /* of a request */
+	int64_t body_length; /* Content-Length, bytes; -1: not given */
 	/* If it is set, nothing follows: the end of the request is not known. */
 	http_message_error_t error;
 } http_head_t;
@@ -74,20 +76,23 @@
 	bool in_value;
 	bool head_begun; /* a byte of the next head was read */
 	bool head_done;
+	bool bodiless; /* the answers are to HEAD requests */
 	size_t trailer_bytes;
 } http_message_parser_t;
 
-void http_message_parser_init(
-    http_message_parser_t *parser, const http_message_events_t *events, void *state);
+/* type: HTTP_REQUEST or HTTP_RESPONSE. */
+void http_message_parser_init(http_message_parser_t *parser, enum http_parser_type type,
+    const http_message_events_t *events, void *state);
 void http_message_parser_free(http_message_parser_t *parser);
 /*
  * Parses data until its end or an event that stops; *consumed is the number of bytes
- * read. If the request is malformed before its head was reported, the head is reported
+ * read. If the message is malformed before its head was reported, the head is reported
  * with its error; the result tells of all errors. Nothing may be parsed afterwards.
  */
 http_message_error_t http_message_parser_run(
     http_message_parser_t *parser, const char *data, size_t size, size_t *consumed);
-/* True between the first byte of a request and the end of its head. */
+const char *http_message_error_text(http_message_error_t error);
+/* True between the first byte of a message and the end of its head. */
 bool http_message_parser_in_head(const http_message_parser_t *parser);
 
 #ifdef __cplusplus
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -186,4 +186,107 @@
 	}
 }
 
+// MIXED: a byte of the head is spoiled, so that the end of the answer is not known; the
+// digits before that byte must not pass for the length of a complete answer.
+TEST_F(HostedGate, AnswerWithSpoiledFramingIsUnknown)
+{
+	const std::string framings[] = {
+	    "Content-Length: 1o",
+	    "Content-Length: 0x2",
+	    "Content-Length: +2",
+	    "Content-Length: -2",
+	    "Content-Length: 2 2",
+	    "Content-Length: 2;2",
+	    std::string("Content-Length: 2\0002", 19),
+	    "Content-Length: ",
+	    "Content-Length: 99999999999999999999",
+	    "Content-Length: 2\r\nContent-Length: 1",
+	    "Content-Length: 2\r\nTransfer-Encoding: chunked",
+	    "Content-Length 2",
+	    "Content-Length : 2",
+	    "Content-Len\001th: 2",
+	    "Content-Length: 2\r\n Folded: 1",
+	    "Transfer-Encoding: chunkee",
+	    "Transfer-Encoding: chunked, identity",
+	    "Transfer-Encoding: ",
+	};
+	uint64_t stream = 0;
+
+	for (const std::string &framing : framings) {
+		std::string path = "/katalogo/" + std::to_string(++stream);
+		RawConnection *arrived = call_arrives(stream, path, stream);
+
+		arrived->write(
+		    head("200 OK", "id-" + std::to_string(stream),
+			"X-Masticpitch-Server-Stamp: s\r\n" + framing + "\r\n") +
+		    "ok");
+		shutdown(arrived->fd, SHUT_WR);
+		ASSERT_TRUE(run_until([&] {
+			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
+			       entry->find(MESSAGE_ANSWER_HEAD, stream) != nullptr;
+		}));
+		ASSERT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr) << framing;
+		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
+		arrived->finish();
+		server->connections.clear();
+	}
+}
+
+// MIXED: the same with a spoiled status line, of which a prefix is a valid status.
+TEST_F(HostedGate, AnswerWithASpoiledStatusLineIsUnknown)
+{
+	uint64_t stream = 0;
+
+	for (const char *line :
+	    {"HTTP/1.1 2000 OK", "HTTP/1.1 200x", "HTTP/1.1 2o0 OK", "HTTP/1.1200 OK"}) {
+		std::string path = "/katalogo/" + std::to_string(++stream);
+		RawConnection *arrived = call_arrives(stream, path, stream);
+		std::string answer = success("id-" + std::to_string(stream), "ok");
+
+		arrived->write(line + answer.substr(answer.find("\r\n")));
+		shutdown(arrived->fd, SHUT_WR);
+		ASSERT_TRUE(run_until([&] {
+			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
+			       entry->find(MESSAGE_ANSWER_HEAD, stream) != nullptr;
+		}));
+		ASSERT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr) << line;
+		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
+		arrived->finish();
+		server->connections.clear();
+	}
+}
+
+// DENIED: answers whose framing is unusual but clear are passed on.
+TEST_F(HostedGate, AnswerWithUnusualFramingIsPassedOn)
+{
+	const char *const framings[] = {
+	    "Content-Length: 2\r\nX-Empty:\r\n\r\nok",
+	    "content-length:\t2 \r\n\r\nok",
+	    "Transfer-Encoding: Chunked\r\n\r\n2;x=1\r\nok\r\n0\r\nX-After: 1\r\n\r\n",
+	    "Transfer-Encoding: chunked\r\n\r\n0001\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+	    "Connection: close\r\n\r\nok",
+	    "X-Latin: \xe9\r\n\r\nok",
+	};
+	uint64_t stream = 0;
+
+	for (const char *framing : framings) {
+		std::string path = "/katalogo/" + std::to_string(++stream);
+		std::string id = "id-" + std::to_string(stream);
+		RawConnection *arrived = call_arrives(stream, path, stream);
+
+		arrived->write("HTTP/1.1 100 Continue\r\n\r\n"
+			       "HTTP/1.1 200\r\nX-Masticpitch-Attempt-Id: " +
+			       id + "\r\nX-Masticpitch-Server-Stamp: s\r\n" + framing);
+		shutdown(arrived->fd, SHUT_WR);
+		ASSERT_TRUE(run_until([&] {
+			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
+			       has_ended(stream);
+		}));
+		ASSERT_EQ(entry->find(MESSAGE_REFUSAL, stream), nullptr) << framing;
+		EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, stream), "ok") << framing;
+		arrived->finish();
+		server->connections.clear();
+	}
+}
+
 } // namespace
