Move the reading of answers into a file of its own

The bodies of answers are to be read there too. gate_answer.c has the answer, gate_fields.c the fields of the request.

--- /dev/null
+++ b/src/gate_answer.c
@@ -0,0 +1,256 @@
+#include "gate_internal.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* True for fields that are not forwarded to the caller as they are. */
+static bool
+answer_field_is_local(const char *name)
+{
+	return header_is_hop_by_hop(name) || strcasecmp(name, "Content-Length") == 0;
+}
+
+/* Value of the field; NULL if it is absent or the dialect lacks it (name is NULL). */
+static const char *
+answer_field(const gate_call_t *call, const char *name)
+{
+	return name == NULL ? NULL : headers_find(&call->answer->headers, name);
+}
+
+/* True if the answer states that the request was not run. */
+static bool
+answer_is_not_run(const gate_call_t *call)
+{
+	const header_names_t *names = call->gate->names;
+	const char *run = answer_field(call, names->run);
+
+	if (answer_field(call, names->not_executed) != NULL)
+		return true;
+	/* The address belongs to another instance now, which did not run the request. */
+	if (names->expect_instance != NULL && call->answer->status == 421)
+		return true;
+	return call->answer->status == 503 && run != NULL && strcasecmp(run, "no") == 0;
+}
+
+/* True for statuses from which a caller concludes that the request was not run. */
+static bool
+status_denies_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/*
+ * True if a refusal may be that of another request, which the backend server has written
+ * late. Backend servers of a dialect with signed answers name the request in each answer;
+ * without its id, only the first answer on a connection is known not to be late.
+ */
+static bool
+refusal_is_foreign(const gate_call_t *call)
+{
+	const header_names_t *names = call->gate->names;
+	const char *id = answer_field(call, names->request_id);
+	long connects = 0;
+
+	if (id != NULL)
+		return strcmp(id, call->head->request_id) != 0;
+	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return names->signature != NULL && connects == 0;
+}
+
+/*
+ * True if the answer is the backend server's answer to this call: a late answer to
+ * another request has that request's id, and a success is signed.
+ */
+static bool
+answer_is_genuine(const gate_call_t *call)
+{
+	const header_names_t *names = call->gate->names;
+	const answer_head_t *answer = call->answer;
+	const char *id;
+
+	if (names->signature == NULL)
+		return true;
+	id = answer_field(call, names->request_id);
+	if (id != NULL && strcmp(id, call->head->request_id) != 0)
+		return false;
+	if (answer->status < 300 && answer_field(call, names->signature) == NULL)
+		return false;
+	return answer_field(call, "Content-Encoding") == NULL &&
+	       !status_denies_run(answer->status);
+}
+
+/* Reads from Keep-Alive how long the backend server keeps an idle connection. */
+static void
+keep_alive_read(gate_call_t *call)
+{
+	const char *value = answer_field(call, "Keep-Alive");
+	const char *timeout = value == NULL ? NULL : strstr(value, "timeout=");
+	uint64_t seconds;
+	char digits[8];
+	size_t length;
+
+	if (timeout == NULL)
+		return;
+	timeout += strlen("timeout=");
+	length = strspn(timeout, "0123456789");
+	if (length == 0 || length >= sizeof(digits))
+		return;
+	memcpy(digits, timeout, length);
+	digits[length] = '\0';
+	if (string_parse_uint(digits, GATE_IDLE_TIMEOUT_MAX_S, &seconds) ==
+	    MASTICPITCH_OK)
+		call->gate->idle_s = (uint32_t)seconds;
+}
+
+/*
+ * Reads what the backend server says of itself. An answer that states that the
+ * request was not run need not name a limit, so it ends none.
+ */
+static void
+backend_state_read(const gate_call_t *call)
+{
+	gate_t *gate = call->gate;
+	const char *rate_limit = answer_field(call, gate->names->rate_limit);
+	const char *leaving = answer_field(call, gate->names->leaving);
+
+	/* After a pause of this process, answers of an earlier one may be unread. */
+	if (call->started_at < gate->backend_since)
+		return;
+	if (rate_limit != NULL || !call->shed)
+		gate_rate_update(gate, rate_limit);
+	if (leaving != NULL && strcmp(leaving, "1") == 0)
+		gate_backend_leave(gate);
+}
+
+/* Posts the complete head, unless the call was shed or the answer is not genuine. */
+static void
+answer_head_post(gate_call_t *call)
+{
+	answer_head_t *answer = call->answer;
+	const char *final_name = call->gate->names->final;
+	const char *type;
+	message_t *message;
+	bool final = answer_field(call, final_name) != NULL;
+
+	call->shed_final = final;
+	if (answer_is_not_run(call) && !refusal_is_foreign(call)) {
+		call->shed = true;
+		call->misdirected = answer->status == 421;
+		if (!call->misdirected)
+			backend_state_read(call);
+		return;
+	}
+	if (answer_is_not_run(call) || !answer_is_genuine(call)) {
+		call->foreign_answer = true;
+		return;
+	}
+	keep_alive_read(call);
+	backend_state_read(call);
+	headers_strip(&answer->headers);
+	if (final)
+		headers_add(&answer->headers, final_name, "1");
+	gate_load(call->gate, &answer->load);
+	answer->nested_failed = call->nested_failed;
+	message = gate_call_message(call, MESSAGE_ANSWER_HEAD);
+	if (message == NULL)
+		return;
+	call->status = answer->status;
+	type = headers_find(&answer->headers, "Content-Type");
+	if (type != NULL)
+		string_copy(
+		    call->ticket_content_type, sizeof(call->ticket_content_type), type);
+	message->u.answer = answer;
+	call->answer = NULL;
+	call->answered = true;
+	gate_call_post(call, message);
+}
+
+static bool
+answer_field_is_dropped(const char *name)
+{
+	/* Connection and Keep-Alive are read before they are stripped. */
+	return answer_field_is_local(name) && strcasecmp(name, "Connection") != 0 &&
+	       strcasecmp(name, "Keep-Alive") != 0;
+}
+
+/* Creates the answer from its head. False: no memory, or too many fields. */
+static bool
+answer_create(gate_call_t *call, const http_head_t *head)
+{
+	call->answer = answer_head_create();
+	if (call->answer == NULL)
+		return false;
+	call->answer->status = head->status;
+	call->answer->body_length = head->body_length;
+	for (size_t i = 0; i < head->field_count; i++) {
+		const char *name = http_head_field_name(head, i);
+
+		if (answer_field_is_dropped(name))
+			continue;
+		if (headers_add(&call->answer->headers, name,
+			http_head_field_value(head, i)) != MASTICPITCH_OK)
+			return false;
+	}
+	return true;
+}
+
+static bool
+answer_head_receive(void *state, http_head_t *head)
+{
+	gate_call_t *call = state;
+
+	/* A malformed head ends the exchange, interim answers are dropped. */
+	if (head->error != HTTP_MESSAGE_ERROR_NONE || head->status < 200)
+		return true;
+	if (answer_create(call, head))
+		answer_head_post(call);
+	else
+		call->foreign_answer = true;
+	return true;
+}
+
+static bool
+answer_body_receive(void *state, const char *data, size_t size)
+{
+	return true;
+}
+
+static bool
+answer_end_receive(void *state)
+{
+	return true;
+}
+
+void
+gate_answer_init(gate_call_t *call)
+{
+	static const http_message_events_t events = {
+	    answer_head_receive, answer_body_receive, answer_end_receive};
+
+	http_message_parser_init(&call->response, HTTP_RESPONSE, &events, call);
+	call->response.bodiless = strcmp(call->head->method, "HEAD") == 0;
+}
+
+static void
+answer_malformed_log(const gate_call_t *call, http_message_error_t error)
+{
+	LOG_EVENT(kernel_log(call->gate->kernel), LOG_LEVEL_WARNING,
+	    "malformed answer of the backend server",
+	    LOG_TEXT("request", call->head->request_id),
+	    LOG_TEXT("instance", call->gate->backend.instance),
+	    LOG_TEXT("error", http_message_error_text(error)));
+}
+
+bool
+gate_answer_line(gate_call_t *call, const char *data, size_t length)
+{
+	http_message_error_t error;
+	size_t consumed;
+
+	if (call->answered || call->shed)
+		return true; /* trailer */
+	error = http_message_parser_run(&call->response, data, length, &consumed);
+	if (error != HTTP_MESSAGE_ERROR_NONE)
+		answer_malformed_log(call, error);
+	return error == HTTP_MESSAGE_ERROR_NONE && !call->foreign_answer;
+}
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -4,9 +4,9 @@
  * gate.c: service, streams and message dispatch. gate_announce.c: announcements
  * of the backend server. gate_admit.c: admission and queue. gate_exchange.c:
  * HTTP exchange of one call with the backend server. gate_fields.c: header
- * fields of an exchange. gate_rate.c: rate limit that the backend server names.
- * gate_ticket.c: idempotency tickets. gate_death.c: detection of backend server
- * crashes, crash reports.
+ * fields of its request. gate_answer.c: its answer. gate_rate.c: rate limit that the
+ * backend server names. gate_ticket.c: idempotency tickets. gate_death.c: detection of
+ * backend server crashes, crash reports.
  */
 #ifndef MASTICPITCH_GATE_INTERNAL_H
 #define MASTICPITCH_GATE_INTERNAL_H
@@ -250,6 +250,8 @@
 /* gate_fields.c */
 /* Builds the header lines of the request; false: no memory. */
 bool gate_lines_build(gate_call_t *call);
+
+/* gate_answer.c */
 void gate_answer_init(gate_call_t *call);
 /* Parses one header line of the answer with its line end. False: abort the exchange. */
 bool gate_answer_line(gate_call_t *call, const char *data, size_t length);
