Reject field lines without a colon and values that begin with a control

The first byte of a value was not checked at all.

Change: http_message reports such messages as malformed, in heads and in trailers, for requests and answers.

--- a/src/http_message.c
+++ b/src/http_message.c
@@ -94,6 +94,7 @@
 
 	parser->head_begun = true;
 	parser->head_done = false;
+	parser->in_name = false;
 	parser->in_value = false;
 	parser->trailer_bytes = 0;
 	return 0;
@@ -114,6 +115,28 @@
 		   : 0;
 }
 
+/* Offset of a byte of the current run in all that the parser has read. */
+static uint64_t
+offset_of(const http_message_parser_t *parser, const char *data)
+{
+	return parser->consumed_total + (uint64_t)(data - parser->data);
+}
+
+/* Checks a piece of a field's name, which http-parser reads more leniently. */
+static bool
+name_is_valid(http_message_parser_t *parser, const char *data, size_t size)
+{
+	uint64_t offset = offset_of(parser, data);
+
+	/* The line before had a name without a colon. */
+	if (parser->in_name && offset != parser->name_end)
+		return false;
+	parser->in_name = true;
+	parser->name_end = offset + size;
+	/* Other programs may read "Name : value" as another field, or as none. */
+	return memchr(data, ' ', size) == NULL;
+}
+
 static int
 name_callback(http_parser *http, const char *data, size_t size)
 {
@@ -121,11 +144,10 @@
 	http_head_t *head = &parser->head;
 	bool starts = parser->in_value || head->field_count == 0;
 
+	if (!name_is_valid(parser, data, size))
+		return parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 	if (http->flags & F_TRAILING)
 		return trailer_discard(parser, size);
-	/* Other programs may read "Name : value" as another field, or as none. */
-	if (memchr(data, ' ', size) != NULL)
-		return parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 	/* Ends the request target or the value before. */
 	if (starts) {
 		if (text_end(parser) != 0)
@@ -139,13 +161,23 @@
 	return text_append(parser, data, size);
 }
 
+static bool
+is_control(char character)
+{
+	return (unsigned char)character < ' ' || character == 0x7f;
+}
+
 static int
 value_callback(http_parser *http, const char *data, size_t size)
 {
 	http_message_parser_t *parser = parser_of(http);
 	http_head_t *head = &parser->head;
-	uint64_t offset = parser->consumed_total + (uint64_t)(data - parser->data);
+	uint64_t offset = offset_of(parser, data);
 
+	/* http-parser does not check the first byte of a value. */
+	if (parser->in_name && size > 0 && is_control(data[0]))
+		return parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
+	parser->in_name = false;
 	if (http->flags & F_TRAILING)
 		return trailer_discard(parser, size);
 	if (!parser->in_value) {
@@ -203,7 +235,7 @@
 
 	if (text_end(parser) != 0)
 		return HEAD_CALLBACK_FAILED;
-	if (http->http_major != 1) {
+	if (http->http_major != 1 || parser->in_name) {
 		parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 		return HEAD_CALLBACK_FAILED;
 	}
@@ -236,6 +268,9 @@
 {
 	http_message_parser_t *parser = parser_of(http);
 
+	/* The last line of the trailers had no colon. */
+	if (parser->in_name)
+		return parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 	http_head_free(&parser->head);
 	parser->head_done = false;
 	if (!parser->events.end(parser->state))
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -72,7 +72,9 @@
 	http_head_t head;	 /* being read */
 	const char *data;	 /* of the current run */
 	uint64_t consumed_total; /* bytes read by earlier runs */
+	uint64_t name_end;	 /* offset behind the last bytes of a name */
 	uint64_t value_end;	 /* offset behind the last bytes of a value */
+	bool in_name;		 /* of a field whose value has not begun */
 	bool in_value;
 	bool head_begun; /* a byte of the next head was read */
 	bool head_done;
--- a/test/test_caller_server.cc
+++ b/test/test_caller_server.cc
@@ -518,6 +518,10 @@
 	    "NONSENSE\r\n\r\n",
 	    "POST /x HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
 	    "GET /x HTTP/1.1\r\nHost: h\x01\r\n\r\n",
+	    "GET /x HTTP/1.1\r\nHost: \x01h\r\n\r\n",
+	    "GET /x HTTP/1.1\r\nHost\r\n\r\n",
+	    "GET /x HTTP/1.1\r\nA\r\nHost: h\r\n\r\n",
+	    "POST /x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
 	};
 
 	for (const char *text : malformed) {
