Bound the trailers and interim answers of a backend server

Cause: libcurl stores every trailer line and every field of an interim answer for an interface that the gate does not use, and the gate counts only what it keeps itself. Ruled out: the gate's own lists, which drop lines behind the head, and the socket's buffers, which hold some MB.

More than 64 KiB of interim answers, or of the body of a refusal, ends the exchange. A refusal whose end is missing at the deadline is reported as not run, which its head has said.

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -209,16 +209,51 @@
 	return true;
 }
 
+/* Posts a piece of the body; false: no memory. */
+static bool
+answer_chunk_post(gate_call_t *call, const char *data, size_t size)
+{
+	message_t *message = gate_call_message(call, MESSAGE_ANSWER_DATA);
+
+	if (message == NULL)
+		return false;
+	message->u.data.chunk = chunk_copy(data, size);
+	if (message->u.data.chunk == NULL) {
+		message_destroy(message);
+		return false;
+	}
+	gate_call_post(call, message);
+	call->answer_credit -= (uint32_t)size;
+	return true;
+}
+
 static bool
 answer_body_receive(void *state, const char *data, size_t size)
 {
+	gate_call_t *call = state;
+
+	if (call->shed)
+		return true;
+	gate_ticket_record_body(call, data, size);
+	for (size_t offset = 0; offset < size; offset += STREAM_DATA_MAX_BYTES) {
+		size_t chunk_size = MIN_OF(size - offset, (size_t)STREAM_DATA_MAX_BYTES);
+
+		if (!answer_chunk_post(call, data + offset, chunk_size)) {
+			call->answer_failed = true;
+			return false;
+		}
+	}
 	return true;
 }
 
+/* Stops behind the answer: bytes that follow belong to no request. */
 static bool
 answer_end_receive(void *state)
 {
-	return true;
+	gate_call_t *call = state;
+
+	call->answer_complete = call->answered || call->shed;
+	return !call->answer_complete;
 }
 
 void
@@ -241,16 +276,51 @@
 	    LOG_TEXT("error", http_message_error_text(error)));
 }
 
-bool
-gate_answer_line(gate_call_t *call, const char *data, size_t length)
+/* Parses bytes of the answer. False: abort the exchange. */
+static bool
+answer_parse(gate_call_t *call, const char *data, size_t length)
 {
 	http_message_error_t error;
 	size_t consumed;
 
-	if (call->answered || call->shed)
-		return true; /* trailer */
+	if (call->answer_complete)
+		return true;
 	error = http_message_parser_run(&call->response, data, length, &consumed);
-	if (error != HTTP_MESSAGE_ERROR_NONE)
+	if (error != HTTP_MESSAGE_ERROR_NONE) {
+		call->answer_malformed = true;
 		answer_malformed_log(call, error);
-	return error == HTTP_MESSAGE_ERROR_NONE && !call->foreign_answer;
+	}
+	return error == HTTP_MESSAGE_ERROR_NONE && !call->answer_failed &&
+	       !call->foreign_answer;
+}
+
+bool
+gate_answer_line(gate_call_t *call, const char *data, size_t length)
+{
+	/* Counts interim answers too. */
+	call->answer_overhead += length;
+	if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES) {
+		call->answer_malformed = true;
+		answer_malformed_log(call, HTTP_MESSAGE_ERROR_TOO_LARGE);
+		return false;
+	}
+	return answer_parse(call, data, length);
+}
+
+bool
+gate_answer_body(gate_call_t *call, const char *data, size_t length)
+{
+	if (call->shed) {
+		call->answer_overhead += length;
+		if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES)
+			return false;
+	}
+	return answer_parse(call, data, length);
+}
+
+bool
+gate_answer_finish(gate_call_t *call)
+{
+	/* The end of the connection ends an answer without a length. */
+	return answer_parse(call, NULL, 0) && call->answer_complete;
 }
--- a/src/gate_exchange.c
+++ b/src/gate_exchange.c
@@ -65,39 +65,18 @@
 	return gate_answer_line(call, data, length) ? length : 0;
 }
 
+/* Gets the body as it is on the wire, with the framing of its chunks. */
 static size_t
 answer_callback(char *data, size_t size, size_t count, void *state)
 {
 	gate_call_t *call = state;
 	size_t length = size * count;
-	message_t *message;
 
-	if (call->shed)
-		return length;
-	if (!call->answered)
-		return 0;
-	if (length > call->answer_credit) {
+	if (!call->shed && length > call->answer_credit) {
 		call->answer_paused = true;
 		return CURL_WRITEFUNC_PAUSE;
 	}
-	gate_ticket_record_body(call, data, length);
-	for (size_t offset = 0; offset < length;) {
-		size_t chunk_size =
-		    MIN_OF(length - offset, (size_t)STREAM_DATA_MAX_BYTES);
-
-		message = gate_call_message(call, MESSAGE_ANSWER_DATA);
-		if (message == NULL)
-			return 0;
-		message->u.data.chunk = chunk_copy(data + offset, chunk_size);
-		if (message->u.data.chunk == NULL) {
-			message_destroy(message);
-			return 0;
-		}
-		gate_call_post(call, message);
-		call->answer_credit -= (uint32_t)chunk_size;
-		offset += chunk_size;
-	}
-	return length;
+	return gate_answer_body(call, data, length) ? length : 0;
 }
 
 static void
@@ -139,7 +118,10 @@
 	}
 	gate_crash_check(call);
 	if (call->answered)
-		gate_call_refuse(call, REASON_BACKEND_LOST, RUN_YES, false);
+		gate_call_refuse(call,
+		    call->answer_malformed ? REASON_BACKEND_PROTOCOL
+					   : REASON_BACKEND_LOST,
+		    RUN_YES, false);
 	else if (result == CURLE_WEIRD_SERVER_REPLY || result == CURLE_WRITE_ERROR ||
 		 result == CURLE_UNSUPPORTED_PROTOCOL)
 		gate_call_refuse(call, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN, false);
@@ -214,7 +196,7 @@
 		exchange_misdirected(call);
 	else if (call->shed)
 		gate_call_refuse(call, REASON_BACKEND_SHED, RUN_NO, call->shed_final);
-	else if (result == CURLE_OK && call->answered)
+	else if (result == CURLE_OK && call->answered && gate_answer_finish(call))
 		answer_end(call);
 	else
 		exchange_failed(call, result);
@@ -232,7 +214,8 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 1L);
+	/* libcurl would keep every line of a trailer section that has no end. */
+	curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)GATE_CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, prerequest_callback);
 	curl_easy_setopt(easy, CURLOPT_READFUNCTION, body_callback);
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -52,6 +52,11 @@
 #define GATE_REFUSED_MAX 256
 /* Request body bytes consumed after which credit is returned. */
 #define GATE_CREDIT_BYTES (STREAM_WINDOW_BYTES / 4)
+/*
+ * Bytes of one answer that no caller gets: the heads of the answer and of interim
+ * answers before it, or the body of a refusal. An answer with more is broken off.
+ */
+#define GATE_ANSWER_OVERHEAD_MAX_BYTES (64 * 1024)
 /* Queued and running calls of a gate; further calls are refused. */
 #define GATE_CALLS_MAX 8192
 /* Connect timeout: a working backend server on the same host accepts immediately. */
@@ -159,9 +164,13 @@
 	bool foreign_answer; /* not a genuine answer to this call */
 	bool shed_final;     /* the refusal is final: no retry */
 	http_message_parser_t response;
-	int status;	       /* of the posted answer */
-	answer_head_t *answer; /* until it is posted */
-	bool answered;	       /* the answer head is posted */
+	int status;		/* of the posted answer */
+	answer_head_t *answer;	/* until it is posted */
+	bool answered;		/* the answer head is posted */
+	bool answer_complete;	/* its end was read */
+	bool answer_malformed;	/* its end cannot be found */
+	bool answer_failed;	/* no memory for a piece of its body */
+	size_t answer_overhead; /* see GATE_ANSWER_OVERHEAD_MAX_BYTES */
 	uint32_t answer_credit;
 	bool answer_paused;
 } gate_call_t;
@@ -255,6 +264,10 @@
 void gate_answer_init(gate_call_t *call);
 /* Parses one header line of the answer with its line end. False: abort the exchange. */
 bool gate_answer_line(gate_call_t *call, const char *data, size_t length);
+/* Parses bytes of the body and posts what they hold. False: abort the exchange. */
+bool gate_answer_body(gate_call_t *call, const char *data, size_t length);
+/* The exchange ended without an error. True if the answer is complete. */
+bool gate_answer_finish(gate_call_t *call);
 
 /* gate_exchange.c */
 int gate_exchange_open(gate_t *gate);
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -6,6 +6,8 @@
 {
 
 const char INSTANCE[] = "i-1";
+// More than the gate reads of what has no use to callers; fits into a socket's buffers.
+const size_t ENDLESS_BYTES = 256 * 1024;
 
 // A gate whose backend server speaks the hosted platform's dialect.
 class HostedGate : public Gate
@@ -71,6 +73,16 @@
 		}));
 		return found;
 	}
+	// As many copies of the text as have at least that size.
+	static std::string
+	repeated(const std::string &text, size_t size)
+	{
+		std::string result;
+
+		while (result.size() < size)
+			result += text;
+		return result;
+	}
 	// A call that the backend server refuses; its connection is kept.
 	void
 	first_call_refused()
@@ -203,6 +215,8 @@
 	    "Content-Length: 2\r\nContent-Length: 1",
 	    "Content-Length: 2\r\nTransfer-Encoding: chunked",
 	    "Content-Length 2",
+	    "Content-Length",
+	    "X-Line\r\nContent-Length: 1",
 	    "Content-Length : 2",
 	    "Content-Len\001th: 2",
 	    "Content-Length: 2\r\n Folded: 1",
@@ -289,4 +303,115 @@
 	}
 }
 
+// LOST: the trailer section of an answer goes on until the gate closes; a node that keeps
+// it exceeds its memory and breaks off the requests of other callers.
+TEST_F(HostedGate, TrailersWithoutEndBreakOffTheAnswer)
+{
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(
+	    head("200 OK", "id-1",
+		"X-Masticpitch-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n") +
+	    "2\r\nok\r\n0\r\n" + repeated("X-Part: 0\r\n", ENDLESS_BYTES));
+	expect_refusal(*entry, MESSAGE_ANSWER_ABORT, 1, REASON_BACKEND_PROTOCOL, RUN_YES);
+	EXPECT_TRUE(run_until([&] {
+		connection->read();
+		return connection->closed;
+	}));
+}
+
+// LOST: the same with interim answers in front of the answer.
+TEST_F(HostedGate, InterimAnswersWithoutEndAreUnknown)
+{
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(
+	    repeated("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", ENDLESS_BYTES));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN);
+}
+
+// LOST: the same with an extension of a chunk's size.
+TEST_F(HostedGate, ChunkExtensionWithoutEndBreaksOffTheAnswer)
+{
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(
+	    head("200 OK", "id-1",
+		"X-Masticpitch-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n") +
+	    "2;" + repeated("x", ENDLESS_BYTES));
+	expect_refusal(*entry, MESSAGE_ANSWER_ABORT, 1, REASON_BACKEND_PROTOCOL, RUN_YES);
+}
+
+// A refusal whose body goes on until the gate closes is passed on at once, not at the
+// deadline of the request.
+TEST_F(HostedGate, RefusalWithoutEndIsPassedOnImmediately)
+{
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(head("503 Service Unavailable", "id-1",
+			      "X-Masticpitch-Not-Executed: 1\r\n"
+			      "Transfer-Encoding: chunked\r\n") +
+			  "2\r\nno\r\n0\r\n" + repeated("X-Part: 0\r\n", ENDLESS_BYTES));
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_SHED, RUN_NO);
+}
+
+// MIXED: a byte of a chunk's size or end is spoiled, so that the body ends early or has
+// other bytes; the answer must not look complete.
+TEST_F(HostedGate, AnswerWithSpoiledChunksIsBrokenOff)
+{
+	const std::string bodies[] = {
+	    "00o2\r\n\r\n\r\n0\r\n\r\n", // the data look like the end of the trailers
+	    "0o\r\n\r\n",
+	    "0\r\nok\r\n\r\n",
+	    "0\r\nX-After : 1\r\n\r\n",
+	    "0\r\nX-After: \001\r\n\r\n",
+	    "1\r\nok\r\n0\r\n\r\n",
+	    "2\r\nok\n\n0\r\n\r\n",
+	    "0 2\r\nok\r\n0\r\n\r\n",
+	    "-2\r\nok\r\n0\r\n\r\n",
+	    "0x2\r\nok\r\n0\r\n\r\n",
+	    "2\r\nok\r\n",
+	    "2\r\nok\r\n0\r\n",
+	};
+	uint64_t stream = 0;
+
+	for (const std::string &body : bodies) {
+		std::string path = "/katalogo/" + std::to_string(++stream);
+		RawConnection *arrived = call_arrives(stream, path, stream);
+
+		arrived->write(head("200 OK", "id-" + std::to_string(stream),
+				   "X-Masticpitch-Server-Stamp: s\r\n"
+				   "Transfer-Encoding: chunked\r\n") +
+			       body);
+		shutdown(arrived->fd, SHUT_WR);
+		ASSERT_TRUE(run_until([&] {
+			return entry->find(MESSAGE_ANSWER_ABORT, stream) != nullptr ||
+			       has_ended(stream);
+		}));
+		EXPECT_FALSE(has_ended(stream)) << stream << ": " << body;
+		arrived->finish();
+		server->connections.clear();
+	}
+}
+
+// MIXED: an answer that arrives in pieces, at any place, is passed on unchanged, and so
+// is the next one on the same connection.
+TEST_F(HostedGate, ChunkedAnswerInPiecesIsPassedOnWhole)
+{
+	const std::string body = "5;x=y\r\nhello\r\nA\r\n, callers!\r\n0\r\nT: v\r\n\r\n";
+
+	for (size_t cut = 1; cut < body.size(); cut++) {
+		std::string path = "/katalogo/" + std::to_string(cut);
+		std::string id = "id-" + std::to_string(cut);
+		RawConnection *arrived = call_arrives(cut, path, cut);
+
+		arrived->write(head("200 OK", id,
+				   "X-Masticpitch-Server-Stamp: s\r\n"
+				   "Transfer-Encoding: chunked\r\n") +
+			       body.substr(0, cut));
+		run_until_idle();
+		ASSERT_FALSE(has_ended(cut)) << cut;
+		arrived->write(body.substr(cut));
+		ASSERT_TRUE(run_until([&] { return has_ended(cut); })) << cut;
+		EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, cut), "hello, callers!");
+	}
+	EXPECT_EQ(server->connections.size(), 1u);
+}
+
 } // namespace
