--- a/src/http_client.c
+++ b/src/http_client.c
@@ -11,6 +11,8 @@
 #include <string.h>
 
 #define AUTHORIZATION_LINE_MAX_BYTES 512
+/* Heads and trailers of one answer, interim ones included; libcurl keeps their fields. */
+#define ANSWER_LINES_MAX_BYTES (64 * 1024)
 
 struct http_client {
 	struct ev_loop *loop;
@@ -25,6 +27,7 @@
 	struct curl_slist *header_lines;
 	ev_timer deadline;
 	headers_t headers;
+	size_t line_bytes; /* of heads and trailers */
 	buffer_t body;
 	bool sent;
 	bool over_limit;
@@ -129,7 +132,10 @@
 	return size * count;
 }
 
-/* Drops header fields that do not fit; callers need only a few of them. */
+/*
+ * Drops header fields that do not fit; callers need only a few of them. libcurl aborts
+ * the transfer if the returned size differs from the given one.
+ */
 static size_t
 header_callback(char *data, size_t size, size_t count, void *state)
 {
@@ -138,6 +144,11 @@
 	char line[1024];
 	char *value;
 
+	call->line_bytes += length;
+	if (call->line_bytes > ANSWER_LINES_MAX_BYTES) {
+		call->over_limit = true;
+		return 0;
+	}
 	if (length > 5 && memcmp(data, "HTTP/", 5) == 0) {
 		headers_free(&call->headers);
 		call->head_complete = false;
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -297,6 +297,36 @@
 	}
 }
 
+// Guards against a server whose interim answers or trailers go on until the client
+// closes, which would use up the client's memory until its deadline.
+TEST_F(Http, AnswerWithoutEndIsRefused)
+{
+	const std::string heads[] = {
+	    "", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"};
+	const std::string lines[] = {
+	    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "X-Part: 0\r\n"};
+	RawServer raw(address);
+
+	for (size_t i = 0; i < 2; i++) {
+		RawConnection *connection = nullptr;
+		std::string path = "/" + std::to_string(i) + "/";
+		std::string answered = heads[i];
+		Answer answer;
+
+		while (answered.size() < 256 * 1024)
+			answered += lines[i];
+		start("PUT", path, "x", &answer);
+		run_until([&] {
+			connection = raw.connection_with(path);
+			return connection != nullptr && connection->has("\r\n\r\nx");
+		});
+		connection->write(answered);
+		run_until([&] { return answer.done; });
+		EXPECT_EQ(answer.error, MASTICPITCH_E_LIMIT) << lines[i];
+		raw.connections.clear();
+	}
+}
+
 TEST_F(Http, AddressInUseIsReported)
 {
 	http_server_t *second = nullptr;
