Remember over a node's restart that its backend server has left

Cause: the departure lived in the memory of the gate that acknowledged it and in records that others drop when the node comes back. The logs of the other nodes show the instance go from leaving to none 0.9 s after the acknowledgement, and to ready at 4.3 s, so it is not the entry that ignores the state.

Change: a member record has the newest start of an instance there that has left, merged by maximum over incarnations, so that the other nodes keep it and tell the new process when it joins. An instance whose start is not later counts as leaving, for the other nodes as for its gate.

--- a/src/gate.c
+++ b/src/gate.c
@@ -339,6 +339,9 @@
 	case MESSAGE_SNAPSHOT:
 		snapshot_receive(gate, message);
 		break;
+	case MESSAGE_DEPARTURE:
+		gate_departure_receive(gate, message->u.departed_ms);
+		break;
 	case MESSAGE_LEAVE:
 		gate_leave(gate);
 		break;
--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -44,9 +44,11 @@
 {
 	/* Notify the entry of this node directly, without the delay of gossip. */
 	static const char *const targets[] = {"membership", "entry"};
-	instance_t instance = {.sequence = ++gate->sequence};
+	instance_t instance = {
+	    .sequence = ++gate->sequence, .departed_ms = gate->departed_ms};
 
 	if (gate->backend.live) {
+		instance.started_ms = gate->backend.started_ms;
 		instance.state = instance_state(gate);
 		string_copy(instance.service, NAME_BYTES, gate->backend.service);
 		instance.slots = gate->backend.slots;
@@ -111,19 +113,49 @@
 	ev_timer_start(kernel_loop(gate->kernel), &gate->drain);
 }
 
-void
-gate_backend_leave(gate_t *gate)
+/*
+ * Records that the backend server has left, so that an earlier announcement does not
+ * bring it back, at this node or after its restart.
+ */
+static void
+departure_record(gate_t *gate, const gate_backend_t *backend)
 {
-	gate->backend_said_leaving = true;
-	if (!gate->backend.live || gate->backend.state == INSTANCE_LEAVING)
-		return;
+	gate->departed_ms = MAX_OF(gate->departed_ms, backend->started_ms);
+}
+
+static bool
+backend_has_departed(const gate_t *gate, const gate_backend_t *backend)
+{
+	return backend->started_ms != 0 && backend->started_ms <= gate->departed_ms;
+}
+
+static void
+backend_leave(gate_t *gate, const char *cause)
+{
+	departure_record(gate, &gate->backend);
 	gate->backend.state = INSTANCE_LEAVING;
-	backend_log(
-	    gate, LOG_LEVEL_INFO, "backend server leaves", "says so in an answer");
+	backend_log(gate, LOG_LEVEL_INFO, "backend server leaves", cause);
 	drain_start(gate);
 	gate_instance_post(gate);
 }
 
+void
+gate_backend_leave(gate_t *gate)
+{
+	gate->backend_said_leaving = true;
+	if (gate->backend.live && gate->backend.state != INSTANCE_LEAVING)
+		backend_leave(gate, "says so in an answer");
+}
+
+void
+gate_departure_receive(gate_t *gate, uint64_t departed_ms)
+{
+	gate->departed_ms = MAX_OF(gate->departed_ms, departed_ms);
+	if (gate->backend.live && gate->backend.state != INSTANCE_LEAVING &&
+	    backend_has_departed(gate, &gate->backend))
+		backend_leave(gate, "has left before, as other nodes remember");
+}
+
 /* Another process takes the place of the backend server known so far. */
 static void
 backend_replace(gate_t *gate, const char *cause)
@@ -154,8 +186,10 @@
 	    1000.0;
 	ev_timer_again(kernel_loop(gate->kernel), &gate->announce_timeout);
 	gate_connections_update(gate);
-	if (announced->state == INSTANCE_LEAVING)
+	if (announced->state == INSTANCE_LEAVING) {
+		departure_record(gate, announced);
 		drain_start(gate);
+	}
 	gate_limits_update(gate);
 	if (changed) {
 		backend_log(gate, LOG_LEVEL_INFO, "backend server announced",
@@ -199,6 +233,15 @@
 	return NULL;
 }
 
+/* Records the deregistration of a backend server that is not live here. */
+static void
+backend_forget(gate_t *gate, const gate_backend_t *announced)
+{
+	gate->backend = *announced;
+	departure_record(gate, announced);
+	gate_instance_post(gate);
+}
+
 /*
  * Handles a deregistration. One of an unknown backend server is recorded, so that
  * an earlier announcement that arrives late does not add the server again.
@@ -219,13 +262,13 @@
 			return;
 		if (announced->started_ms != 0) {
 			backend_replace(gate, "deregistered under a new boot id");
-			gate->backend = *announced;
+			backend_forget(gate, announced);
 			return;
 		}
 		break;
 	case ANNOUNCEMENT_SAME:
 		if (!gate->backend.live) {
-			gate->backend = *announced;
+			backend_forget(gate, announced);
 			return;
 		}
 		break;
@@ -242,6 +285,8 @@
 	char reply[32];
 	int length;
 
+	if (backend_has_departed(gate, announced))
+		accepted.state = INSTANCE_LEAVING;
 	switch (announcement_classify(&gate->backend, announced)) {
 	case ANNOUNCEMENT_OTHER_INSTANCE:
 		reply_error(exchange, 409, "another instance is live here");
@@ -251,7 +296,7 @@
 		    gate, LOG_LEVEL_INFO, "late announcement ignored", announced->boot);
 		break;
 	case ANNOUNCEMENT_RESTARTED:
-		backend_update(gate, announced, true);
+		backend_update(gate, &accepted, true);
 		break;
 	case ANNOUNCEMENT_SAME:
 		/* A started process that is leaving does not become ready again. */
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -99,6 +99,7 @@
 	/* Calls started before went to another process of the backend server. */
 	uint64_t backend_since;
 	bool backend_said_leaving; /* in an answer */
+	uint64_t departed_ms;	   /* see member_t */
 	uint32_t sequence;
 	bool leaving;
 	ev_timer announce_timeout;
@@ -193,6 +194,8 @@
 void gate_instance_post(gate_t *gate);
 /* The backend server says in an answer that it leaves. */
 void gate_backend_leave(gate_t *gate);
+/* Other nodes remember that a backend server of this host has left. */
+void gate_departure_receive(gate_t *gate, uint64_t departed_ms);
 /* Withdraws the instance and refuses queued calls. */
 void gate_backend_drop(gate_t *gate, const char *cause);
 
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -2316,7 +2316,7 @@
   (ProtobufCMessageInit) masticpitch__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__instance__field_descriptors[5] =
+static const ProtobufCFieldDescriptor masticpitch__instance__field_descriptors[6] =
 {
   {
     "state",
@@ -2378,18 +2378,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Instance, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__instance__field_indices_by_name[] = {
   3,   /* field[3] = connections */
   4,   /* field[4] = sequence */
   1,   /* field[1] = service */
   2,   /* field[2] = slots */
+  5,   /* field[5] = started_ms */
   0,   /* field[0] = state */
 };
 static const ProtobufCIntRange masticpitch__instance__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor masticpitch__instance__descriptor =
 {
@@ -2399,14 +2412,14 @@
   "Masticpitch__Instance",
   "masticpitch",
   sizeof(Masticpitch__Instance),
-  5,
+  6,
   masticpitch__instance__field_descriptors,
   masticpitch__instance__field_indices_by_name,
   1,  masticpitch__instance__number_ranges,
   (ProtobufCMessageInit) masticpitch__instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__member__field_descriptors[9] =
+static const ProtobufCFieldDescriptor masticpitch__member__field_descriptors[10] =
 {
   {
     "ip",
@@ -2516,9 +2529,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departed_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Member, departed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__member__field_indices_by_name[] = {
   7,   /* field[7] = config_version */
+  9,   /* field[9] = departed_ms */
   4,   /* field[4] = incarnation */
   6,   /* field[6] = instance */
   0,   /* field[0] = ip */
@@ -2531,7 +2557,7 @@
 static const ProtobufCIntRange masticpitch__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor masticpitch__member__descriptor =
 {
@@ -2541,7 +2567,7 @@
   "Masticpitch__Member",
   "masticpitch",
   sizeof(Masticpitch__Member),
-  9,
+  10,
   masticpitch__member__field_descriptors,
   masticpitch__member__field_indices_by_name,
   1,  masticpitch__member__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -335,10 +335,14 @@
   uint32_t slots;
   uint32_t connections;
   uint32_t sequence;
+  /*
+   * wall clock of its start; 0: unknown
+   */
+  uint64_t started_ms;
 };
 #define MASTICPITCH__INSTANCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__instance__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Masticpitch__Member
@@ -356,10 +360,14 @@
    * of the host; 0: unknown
    */
   uint32_t link_mbps;
+  /*
+   * newest start of an instance there that has left; 0: none
+   */
+  uint64_t departed_ms;
 };
 #define MASTICPITCH__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__member__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0 }
 
 
 struct  Masticpitch__CrashReport
--- a/src/member.c
+++ b/src/member.c
@@ -46,6 +46,21 @@
 	return entry->member.state == MEMBER_DOWN;
 }
 
+/* The member as other services see it. */
+static member_t
+member_view(const member_entry_t *entry)
+{
+	member_t member = entry->member;
+	instance_t *instance = &member.instance;
+
+	member.reachable = entry->zone->reachable;
+	/* A node that was restarted may not know yet that its backend server has left. */
+	if (instance->state != INSTANCE_NONE && instance->started_ms != 0 &&
+	    instance->started_ms <= member.departed_ms)
+		instance->state = INSTANCE_LEAVING;
+	return member;
+}
+
 void
 member_emit_changed(const member_entry_t *entry, list_t *actions)
 {
@@ -54,8 +69,7 @@
 	if (action == NULL)
 		return;
 	action->node = entry->member.node;
-	action->u.member = entry->member;
-	action->u.member.reachable = entry->zone->reachable;
+	action->u.member = member_view(entry);
 }
 
 static int
@@ -161,9 +175,9 @@
 digest_update(member_table_t *table, member_entry_t *entry, uint64_t now)
 {
 	const member_t *member = &entry->member;
-	uint64_t fields[5] = {member->node, member->incarnation,
+	uint64_t fields[6] = {member->node, member->incarnation,
 	    member_state_rank(member->state), (uint64_t)member->instance.state,
-	    member->instance.sequence};
+	    member->instance.sequence, member->departed_ms};
 	uint64_t hash = member_is_down(entry) ? 0 : hash_bytes(fields, sizeof(fields), 0);
 
 	table->digest ^= entry->hash ^ hash;
@@ -277,6 +291,7 @@
 	bool was_down = member_is_down(entry);
 	bool is_down = record->state == MEMBER_DOWN;
 	uint64_t version = MAX_OF(record->config_version, entry->member.config_version);
+	uint64_t departed_ms = MAX_OF(record->departed_ms, entry->member.departed_ms);
 
 	if (strcmp(entry->member.zone, record->zone) != 0) {
 		int error = entry_move(table, entry, record->zone, now);
@@ -287,6 +302,7 @@
 	member_clear_suspicion(table, entry, NULL);
 	entry->member = *record;
 	entry->member.config_version = version;
+	entry->member.departed_ms = departed_ms;
 	if (was_down && !is_down) {
 		down_remove(table, entry);
 		live_add(table, entry);
@@ -313,10 +329,28 @@
 	member_emit_changed(self, actions);
 }
 
+/*
+ * Merges the departure that a record tells, even if the record is older: a restarted
+ * node has none in its own. True if it is news.
+ */
+static bool
+departure_merge(member_table_t *table, member_entry_t *entry, uint64_t departed_ms,
+    uint64_t now, list_t *actions)
+{
+	if (departed_ms <= entry->member.departed_ms)
+		return false;
+	entry->member.departed_ms = departed_ms;
+	digest_update(table, entry, now);
+	member_emit_changed(entry, actions);
+	return true;
+}
+
 /* A record of this node from others is refuted: only the node itself sets its state. */
 static int
 self_merge(member_table_t *table, const member_t *record, uint64_t now, list_t *actions)
 {
+	if (departure_merge(table, table->self, record->departed_ms, now, actions))
+		member_gossip_enqueue(table, table->self, now);
 	if (!member_record_is_newer(record, &table->self->member))
 		return MASTICPITCH_E_STALE;
 	member_refute(table, record->incarnation, now, actions);
@@ -352,8 +386,13 @@
 	} else {
 		entry->version_floor =
 		    MAX_OF(entry->version_floor, member.config_version);
-		if (!member_record_is_newer(&member, &entry->member))
+		if (!member_record_is_newer(&member, &entry->member)) {
+			if (departure_merge(
+				table, entry, member.departed_ms, now, actions) &&
+			    forward)
+				member_gossip_enqueue(table, entry, now);
 			return MASTICPITCH_E_STALE;
+		}
 		error = entry_apply(table, entry, &member, now, actions);
 		if (error != MASTICPITCH_OK)
 			return error;
@@ -450,6 +489,8 @@
 	uint32_t sequence = self->member.instance.sequence;
 
 	self->member.instance = *instance;
+	self->member.departed_ms =
+	    MAX_OF(self->member.departed_ms, instance->departed_ms);
 	/* Orders the records, so it must grow even if the gate's count does not. */
 	self->member.instance.sequence = MAX_OF(instance->sequence, sequence + 1);
 	digest_update(table, self, now);
@@ -528,9 +569,8 @@
 		LIST_FOREACH (node, &table->buckets[i]) {
 			const member_entry_t *entry =
 			    LIST_ENTRY(node, member_entry_t, bucket_link);
-			member_t member = entry->member;
+			member_t member = member_view(entry);
 
-			member.reachable = entry->zone->reachable;
 			visit(context, &member);
 		}
 	}
--- a/src/member_record.c
+++ b/src/member_record.c
@@ -53,6 +53,7 @@
 	member->state = record->state == MEMBER_SUSPECT ? MEMBER_ALIVE
 							: (member_state_t)record->state;
 	member->config_version = record->config_version;
+	member->departed_ms = record->departed_ms;
 	if (instance == NULL)
 		return MASTICPITCH_OK;
 	if (instance->state > INSTANCE_LEAVING ||
@@ -65,6 +66,7 @@
 	member->instance.slots = instance->slots;
 	member->instance.connections = instance->connections;
 	member->instance.sequence = instance->sequence;
+	member->instance.started_ms = instance->started_ms;
 	return MASTICPITCH_OK;
 }
 
@@ -92,6 +94,7 @@
 	record->state =
 	    member->state == MEMBER_SUSPECT ? MEMBER_ALIVE : (uint32_t)member->state;
 	record->config_version = member->config_version;
+	record->departed_ms = member->departed_ms;
 	if (member->instance.state == INSTANCE_NONE && member->instance.sequence == 0)
 		return;
 	masticpitch__instance__init(instance);
@@ -100,5 +103,6 @@
 	instance->slots = member->instance.slots;
 	instance->connections = member->instance.connections;
 	instance->sequence = member->instance.sequence;
+	instance->started_ms = member->instance.started_ms;
 	record->instance = instance;
 }
--- a/src/member_types.h
+++ b/src/member_types.h
@@ -33,6 +33,9 @@
 	uint32_t slots;	      /* calls it runs concurrently */
 	uint32_t connections; /* most connections to it */
 	uint32_t sequence;    /* grows with each change within a boot of the node */
+	uint64_t started_ms;  /* wall clock of its start; 0: not known */
+	/* Newest start of a backend server there that has left; see member_t. */
+	uint64_t departed_ms;
 } instance_t;
 
 typedef struct member {
@@ -44,6 +47,12 @@
 	uint64_t incarnation; /* wall clock at start, ms; raised to refute a state */
 	member_state_t state;
 	instance_t instance;
+	/*
+	 * Newest start of a backend server there that has left, wall clock in ms; 0:
+	 * none. Only grows, also across restarts of the node: other nodes remember it.
+	 * Such a server is not used again, whatever the node says of it.
+	 */
+	uint64_t departed_ms;
 	uint64_t config_version; /* in force there, as last received */
 	bool reachable;		 /* false while the member's zone is unreachable; local */
 } member_t;
--- a/src/membership.c
+++ b/src/membership.c
@@ -143,10 +143,26 @@
 	    LOG_TEXT("instance", instances[member->instance.state]),
 	    LOG_NUMBER("incarnation", member->incarnation),
 	    LOG_NUMBER("sequence", member->instance.sequence),
+	    LOG_NUMBER("started_ms", member->instance.started_ms),
+	    LOG_NUMBER("departed_ms", member->departed_ms),
 	    LOG_NUMBER("version", member->config_version),
 	    LOG_TEXT("reachable", member->reachable ? "yes" : "no"));
 }
 
+/* Tells the gate what other nodes remember of the backend server of this host. */
+static void
+departure_post(membership_t *membership, const member_t *self)
+{
+	message_t *message;
+
+	if (self->departed_ms == 0)
+		return;
+	message = message_create(MESSAGE_DEPARTURE, 0, 0);
+	if (message != NULL)
+		message->u.departed_ms = self->departed_ms;
+	membership_post(membership, "gate", message);
+}
+
 static void
 action_perform(membership_t *membership, member_action_t *action)
 {
@@ -162,6 +178,8 @@
 	case MEMBER_ACTION_CHANGED:
 		member_log_change(membership, &action->u.member);
 		member_post(membership, &action->u.member);
+		if (action->node == membership->node)
+			departure_post(membership, &action->u.member);
 		break;
 	case MEMBER_ACTION_REMOVED:
 		removed_post(membership, action->node);
--- a/src/message.c
+++ b/src/message.c
@@ -134,6 +134,7 @@
 	case MESSAGE_STOP_WAITING:
 	case MESSAGE_JOIN_NEEDED:
 	case MESSAGE_JOIN_ADDRESS:
+	case MESSAGE_DEPARTURE:
 		break;
 	}
 	free(message);
--- a/src/message.h
+++ b/src/message.h
@@ -55,7 +55,8 @@
 	MESSAGE_STOP_LISTENING,	  /* from node: no request is running any more */
 	MESSAGE_STOP_WAITING,	  /* from node: the shutdown's grace period ends */
 	MESSAGE_JOIN_NEEDED,	  /* membership to config: no seed answers */
-	MESSAGE_JOIN_ADDRESS /* config to membership: one more node to join through */
+	MESSAGE_JOIN_ADDRESS, /* config to membership: one more node to join through */
+	MESSAGE_DEPARTURE     /* membership to gate: a local backend server has left */
 } message_type_t;
 
 /* Most bytes of body in one CALL_DATA or ANSWER_DATA message. */
@@ -156,9 +157,10 @@
 		struct {
 			control_kind_t kind;
 			chunk_t *payload;
-		} control;	     /* CONTROL; to peer: node is the target */
-		member_t member;     /* MEMBER; MEMBER_REMOVED: node only */
-		instance_t instance; /* INSTANCE */
+		} control;	      /* CONTROL; to peer: node is the target */
+		member_t member;      /* MEMBER; MEMBER_REMOVED: node only */
+		instance_t instance;  /* INSTANCE */
+		uint64_t departed_ms; /* DEPARTURE; see member_t */
 		struct {
 			uint64_t request; /* hash of its id */
 			bool started;
--- a/test/test_member.cc
+++ b/test/test_member.cc
@@ -271,6 +271,82 @@
 	EXPECT_EQ(mesh.find(9, 7)->instance.state, INSTANCE_LEAVING);
 }
 
+static void
+set_instance(VirtualMesh &mesh, int node, instance_state_t state, uint64_t started_ms,
+    uint64_t departed_ms)
+{
+	mesh.perform_on(node, [&](member_table_t *table, list_t *actions) {
+		instance_t instance = {
+		    state, "katalogo", 8, 100, 1, started_ms, departed_ms};
+
+		member_set_instance(table, &instance, mesh.now, actions);
+	});
+}
+
+// DRAIN: a node is killed 0.3 s after its backend server has left, is started again and
+// announces the server as ready, since it has got a late announcement.
+TEST(Member, DepartureOutlivesARestartOfItsNode)
+{
+	const int node = 7;
+
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		VirtualMesh mesh(60, 3, seed);
+		std::set<int> revived, used;
+
+		ASSERT_TRUE(start_converged(mesh));
+		mesh.loss = 0.05;
+		set_instance(mesh, node, INSTANCE_READY, 1000, 0);
+		mesh.run(2000);
+		set_instance(mesh, node, INSTANCE_LEAVING, 1000, 1000);
+		mesh.run(300);
+		mesh.kill(node);
+		mesh.run(500);
+		// Knows of the departure only from the others.
+		mesh.start(11);
+		mesh.start(node);
+		mesh.on_change = [&](int of, int member, const member_t &record) {
+			if (member == node && of != node &&
+			    record.instance.state == INSTANCE_READY)
+				(record.instance.started_ms == 1000 ? revived : used)
+				    .insert(of);
+		};
+		ASSERT_TRUE(mesh.run(2000, [&] {
+			return member_self(mesh.nodes[node].table)->departed_ms == 1000;
+		})) << seed;
+		set_instance(mesh, node, INSTANCE_READY, 1000, 0);
+		mesh.run(5000);
+		EXPECT_TRUE(revived.empty()) << seed;
+		set_instance(mesh, node, INSTANCE_READY, 2000, 0);
+		mesh.run(5000);
+		EXPECT_EQ(used.size(), 59u) << seed;
+		EXPECT_TRUE(mesh.is_converged()) << seed;
+	}
+}
+
+// DRAIN: the same for nodes that were cut off while the server left.
+TEST(Member, DepartureReachesNodesThatWereCutOff)
+{
+	VirtualMesh mesh(20, 2, 5);
+
+	ASSERT_TRUE(start_converged(mesh));
+	set_instance(mesh, 4, INSTANCE_READY, 1000, 0);
+	mesh.run(2000);
+	mesh.is_cut = [](int a, int b) { return a % 2 != b % 2; };
+	set_instance(mesh, 4, INSTANCE_LEAVING, 1000, 1000);
+	mesh.run(3000);
+	mesh.start(4);
+	set_instance(mesh, 4, INSTANCE_READY, 1000, 0);
+	mesh.run(1000);
+	mesh.is_cut = [](int, int) { return false; };
+	ASSERT_TRUE(mesh.run(10000, [&] {
+		for (int i = 0; i < 20; i++) {
+			if (mesh.find(i, 4)->departed_ms != 1000)
+				return false;
+		}
+		return mesh.is_converged();
+	}));
+}
+
 TEST(Member, RestartWithAnOlderClockIsAccepted)
 {
 	VirtualMesh mesh(20, 2, 7);
