Skip entries of other programs among those of the relays

Here it is the list of the relays' keys: one entry that cannot be read made the whole answer malformed, so that hosts of groups without a common seed or zone never met; and a value at the zone's own key that names no holder was never replaced, the relay took a lease and gave it up each 2 s. Ruled out: an end of the process, since nesting is bounded at 8 levels.

Change: lists skip such entries and count them, and use the first page of a longer list; a relay replaces a value that names no holder at the revision that it has read; a relay's address needs a port.

--- a/src/config.c
+++ b/src/config.c
@@ -115,6 +115,8 @@
 		    json_read_text(&report, "", object, "address", text, sizeof(text));
 	if (error == MASTICPITCH_OK)
 		error = address_parse(text, address);
+	if (error == MASTICPITCH_OK && address->port == 0)
+		error = MASTICPITCH_E_INVALID;
 	json_object_put(object);
 	return error;
 }
@@ -414,6 +416,12 @@
 
 	config->joining = false;
 	config->join_failed = answer->outcome != PLATFORM_OK;
+	if (answer->entries_skipped > 0 || answer->truncated)
+		log_warning(kernel_log(config->kernel),
+		    "list of relays has foreign entries",
+		    LOG_NUMBER("read", answer->entry_count),
+		    LOG_NUMBER("skipped", answer->entries_skipped),
+		    LOG_TEXT("truncated", answer->truncated ? "yes" : "no"));
 	for (size_t i = 0; i < answer->entry_count; i++)
 		relay_join(config, answer->entries[i].value, answer->entries[i].size);
 }
--- a/src/platform.h
+++ b/src/platform.h
@@ -56,7 +56,11 @@
 	int status;	   /* HTTP status, 0 without an answer */
 	const char *value; /* get, watch: terminated; else NULL */
 	size_t size;	   /* bytes of value */
-	uint64_t revision; /* of the key: get, watch, put; current one on conflict */
+	/*
+	 * Of the key: get, watch, put; current one on conflict. If it is set while the
+	 * outcome is unknown, the key exists with a value that cannot be decoded.
+	 */
+	uint64_t revision;
 	/* Get, list, watch: revision of the complete store; 0: not given. */
 	uint64_t store_revision;
 	/*
@@ -67,7 +71,9 @@
 	uint64_t lease;			 /* lease create */
 	const platform_entry_t *entries; /* list */
 	size_t entry_count;
-	uint64_t duration; /* ns */
+	size_t entries_skipped; /* list: malformed ones, which other programs wrote */
+	bool truncated;		/* list: the store has more entries */
+	uint64_t duration;	/* ns */
 } platform_answer_t;
 
 /* Runs once for each call that was started and not cancelled. */
--- a/src/platform_native.c
+++ b/src/platform_native.c
@@ -189,12 +189,14 @@
 	if (decoded->entries == NULL)
 		return false;
 	for (size_t i = 0; i < count; i++) {
-		if (!entry_read(request, json_object_array_get_idx(list, i),
-			&decoded->entries[i]))
-			return false;
+		platform_entry_t *entry = &decoded->entries[answer->entry_count];
+
+		if (entry_read(request, json_object_array_get_idx(list, i), entry))
+			answer->entry_count++;
+		else
+			answer->entries_skipped++;
 	}
 	answer->entries = decoded->entries;
-	answer->entry_count = count;
 	return true;
 }
 
--- a/src/spread_relay.c
+++ b/src/spread_relay.c
@@ -163,13 +163,16 @@
 	return node;
 }
 
-/* True if the key's holder is down or an earlier process of this node. */
+/*
+ * True if the key's holder is down or an earlier process of this node, or if the value
+ * names none: another program has written it.
+ */
 static bool
 may_replace(const spread_t *spread, uint64_t holder)
 {
 	const spread_member_t *member = spread_member_find(&spread->members, holder);
 
-	return holder == spread->node ||
+	return holder == spread->node || holder == 0 ||
 	       (member != NULL && member->listed && member->state == MEMBER_DOWN);
 }
 
@@ -188,6 +191,8 @@
 holder_get_done(spread_t *spread, spread_relay_t *relay, const platform_answer_t *answer,
     uint64_t now)
 {
+	bool is_malformed;
+
 	if (restart_if_revoked(relay, now))
 		return;
 	if (answer->outcome == PLATFORM_NOT_FOUND) {
@@ -195,12 +200,13 @@
 		key_put(spread, relay);
 		return;
 	}
-	if (answer->outcome != PLATFORM_OK) {
+	is_malformed = answer->outcome == PLATFORM_UNKNOWN && answer->revision != 0;
+	if (answer->outcome != PLATFORM_OK && !is_malformed) {
 		lease_revoke(spread, relay);
 		retry_later(spread, relay, now);
 		return;
 	}
-	if (may_replace(spread, holder_parse(answer))) {
+	if (is_malformed || may_replace(spread, holder_parse(answer))) {
 		relay->expect = answer->revision;
 		key_put(spread, relay);
 		return;
--- a/test/process_relay.py
+++ b/test/process_relay.py
@@ -20,7 +20,10 @@
 def lease_holder(fleet):
     """The host whose address is the value of the zone's relay key, or None."""
     _, value = fleet.key_read(f"masticpitch/relay/{fleet.zones[ZONE - 1]}")
-    address = json.loads(value)["address"] if value else None
+    try:
+        address = json.loads(value)["address"] if value else None
+    except (ValueError, TypeError, KeyError, RecursionError):
+        return None  # written by another program
     return next((host for host in fleet.hosts if host.peers == address), None)
 
 
@@ -56,6 +59,20 @@
     groups_start(fleet, ((1, 1), (2, 2)))
 
 
+def test_foreign_entries(fleet):
+    """Guards against entries that another program left among those of the relays: hosts
+    that end, or that never meet because their zones' keys or the list cannot be read."""
+    foreign = ["[" * 3000, '{"node":' + "9" * 400 + "}", "{" * 10 + "}" * 10, "",
+               '{"node":"0000000000000001","address":"127.0.0.1:70000"}',
+               '{"node":"0000000000000001","address":"127.0.0.1:0"}']
+    for number, value in enumerate(foreign):
+        fleet.key_write(f"masticpitch/relay/foreign-{number}", value)
+    for zone, value in zip(fleet.zones, foreign):
+        fleet.key_write(f"masticpitch/relay/{zone}", value)
+    groups_start(fleet, ((1, 1), (2, 2)))
+    check(wait_lease(fleet).node.alive(), "the relay of the zone has exited")
+
+
 def test_killed(fleet):
     """Guards against a zone that gets no configuration after its relay was killed."""
     start_mesh(fleet, hosts_per_zone=3, backends=False)
@@ -107,4 +124,5 @@
 
 
 test_leaving.fleet = {"settings": {"shutdown.accept_ms": 8000, "shutdown.grace_ms": 15000}}
-run(test_groups_meet, test_zones_meet, test_killed, test_paused, test_leaving)
+run(test_groups_meet, test_zones_meet, test_foreign_entries, test_killed, test_paused,
+    test_leaving)
--- a/test/test_hosted_store.cc
+++ b/test/test_hosted_store.cc
@@ -108,6 +108,45 @@
 	EXPECT_STREQ(decoded.answer.entries[0].value, "a");
 }
 
+// Guards: one entry that another program has written hides all others of a list, and a
+// key with such a value cannot be replaced at its revision.
+TEST_F(HostedStore, ForeignEntriesAreSkipped)
+{
+	const std::string good =
+	    R"({"key":"masticpitch/relay/z","value":"YQ==","revision":3})";
+	const char *const foreign[] = {"null", "7", "[[[[]]]]", "{}",
+	    R"({"key":"masticpitch/relay/a","revision":3})",
+	    R"({"key":"masticpitch/relay/a","value":7,"revision":3})",
+	    R"({"key":"masticpitch/relay/a","value":"!!","revision":3})",
+	    R"({"key":"masticpitch/relay/a","value":"YQ==","revision":1e400})",
+	    R"({"key":"masticpitch/relay/a","value":"YQ==","revision":-1})",
+	    R"({"key":"masticpitch/relay/a","value":"YQ=="})",
+	    R"({"key":["masticpitch/relay/a"],"value":"YQ==","revision":3})",
+	    R"({"key":"elsewhere/a","value":"YQ==","revision":3})"};
+
+	for (const char *entry : foreign) {
+		for (const std::string &items :
+		    {good + "," + entry, entry + ("," + good)}) {
+			ASSERT_EQ(decode(PLATFORM_CALL_LIST, "relay/", 200,
+				      "{\"items\":[" + items + "],\"at\":9}"),
+			    PLATFORM_OK)
+			    << items;
+			ASSERT_EQ(decoded.answer.entry_count, 1u) << items;
+			EXPECT_EQ(decoded.answer.entries_skipped, 1u) << items;
+			EXPECT_STREQ(decoded.answer.entries[0].key, "relay/z");
+		}
+	}
+	EXPECT_EQ(decode(PLATFORM_CALL_LIST, "relay/", 200,
+		      "{\"items\":[" + good + "],\"hasMore\":true,\"at\":9}"),
+	    PLATFORM_OK);
+	EXPECT_EQ(decoded.answer.entry_count, 1u);
+	EXPECT_TRUE(decoded.answer.truncated);
+	EXPECT_EQ(decode(PLATFORM_CALL_GET, "relay/z", 200,
+		      R"({"key":"masticpitch/relay/z","value":"!!","revision":4})"),
+	    PLATFORM_UNKNOWN);
+	EXPECT_EQ(decoded.answer.revision, 4u);
+}
+
 // Guards: a watch returns an older event, or one of another key, as the newest.
 TEST_F(HostedStore, TheLastEventOfTheKeyCounts)
 {
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -150,6 +150,15 @@
 		      "\"revision\":3}],\"store_revision\":9}"),
 	    PLATFORM_OK);
 	EXPECT_EQ(keys, std::vector<std::string>{"relay/a"});
+	ASSERT_EQ(platform_list(platform, "relay/", 0, callback, this, NULL), 0);
+	EXPECT_EQ(finish(0, true, 200,
+		      "{\"entries\":[{\"key\":\"masticpitch/relay/b\",\"value\":7,"
+		      "\"revision\":2},{\"key\":\"masticpitch/relay/a\",\"value\":"
+		      "\"x\",\"revision\":3}],\"store_revision\":9}"),
+	    PLATFORM_OK)
+	    << "an entry that another program has written";
+	EXPECT_EQ(keys, std::vector<std::string>{"relay/a"});
+	EXPECT_EQ(answer.entries_skipped, 1u);
 	EXPECT_EQ(answer.store_revision, 9u);
 	ASSERT_EQ(platform_lease_create(platform, 6000, 0, callback, this, NULL), 0);
 	EXPECT_EQ(finish(0, true, 200, "{\"lease\":44}"), PLATFORM_OK);
--- a/test/test_spread_platform.cc
+++ b/test/test_spread_platform.cc
@@ -202,6 +202,22 @@
 
 // A watch from a revision whose history the store has dropped is asked again at once,
 // for as long as the document does not change: hundreds of calls in a calm minute.
+// Guards against a zone without a relay: another program has written the relay's key.
+TEST(SpreadPlatform, ForeignValueOfTheRelayKeyIsReplaced)
+{
+	for (const char *value : {"", "x", "[[[[[[[[[[]]]]]]]]]]", "{\"node\":1e400}",
+		 "{\"node\":\"12345678901234567890\"}"}) {
+		RestorableStore world;
+		size_t host;
+
+		world.store.put("relay/zone-a", value, PLATFORM_EXPECT_ANY, 0);
+		world.write(1);
+		host = world.host_start("zone-a");
+		world.run(4000 * MS);
+		EXPECT_TRUE(spread_status(world.hosts[host].spread).lease_held) << value;
+	}
+}
+
 TEST(SpreadPlatform, WatchFollowsTheStoreWhileTheDocumentDoesNotChange)
 {
 	for (bool restored : {false, true}) {
