Refuse announcements with numbers that are too large

An odd heartbeat with a number too large was accepted: with seq 2^63 - 1, or a start in the year 5138, all later ones of the instance counted as late until the node was restarted.

Cause: the number was checked against its type's range only.

--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -7,6 +7,11 @@
 
 #define ANNOUNCEMENT_MAX_BYTES 4096
 #define ANNOUNCEMENT_CONNECTIONS_MAX 32
+/*
+ * Largest difference that is assumed between the clocks of this node and its backend
+ * server; both run on this host.
+ */
+#define CLOCK_DIFFERENCE_MAX_MS (24 * 60 * 60 * UINT64_C(1000))
 
 static void
 reply_error(http_exchange_t *exchange, int status, const char *text)
@@ -214,6 +219,24 @@
 	return announcement_parse(request->body, request->body_size, announced);
 }
 
+/*
+ * Checks the start and the sequence number, if they are given: with a number that is too
+ * large, all later announcements of the backend server would count as late. It makes at
+ * most one announcement in a millisecond. Returns NULL or an error text.
+ */
+static const char *
+announcement_numbers_check(const gate_backend_t *announced)
+{
+	uint64_t latest_ms = os_clock_wall_ms() + CLOCK_DIFFERENCE_MAX_MS;
+
+	if (announced->started_ms > latest_ms)
+		return "the start is in the future";
+	if (announced->started_ms != 0 &&
+	    announced->sequence > latest_ms - announced->started_ms)
+		return "the sequence number is too large";
+	return NULL;
+}
+
 /*
  * Checks address and service against settings and preset; a mismatch shows that
  * the sender is not this host's backend server. Returns NULL or an error text.
@@ -328,6 +351,8 @@
 		reply_error(request->exchange, 405, "only POST is allowed");
 		return;
 	}
+	if (error == NULL)
+		error = announcement_numbers_check(&announced);
 	if (error == NULL && kind == ANNOUNCEMENT_STATE)
 		error = announcement_check(gate, &announced);
 	if (error != NULL) {
--- a/test/test_gate_announce.cc
+++ b/test/test_gate_announce.cc
@@ -117,6 +117,42 @@
 	EXPECT_EQ(posted().state, INSTANCE_LEAVING);
 }
 
+// An odd announcement that another program has sent must neither end the node nor make
+// those of the backend server count as late.
+TEST_F(HostedAnnouncements, OddAnnouncementsOfOtherProgramsAreRefused)
+{
+	const uint64_t future = os_clock_wall_ms() + 365 * 24 * 3600 * UINT64_C(1000);
+	const std::string good = heartbeat_text("ready", 2, STARTED_MS);
+	const std::string start = std::to_string(STARTED_MS);
+	const std::string deep = std::string(900, '[') + std::string(900, ']');
+	const std::string changes[][2] = {
+	    {"\"seq\":2", "\"seq\":9223372036854775807"},
+	    {"\"seq\":2", "\"seq\":99999999999999999999999"},
+	    {"\"seq\":2", "\"seq\":1e400"},
+	    {"\"seq\":2", "\"seq\":" + std::string(900, '9')},
+	    {"\"seq\":2", "\"seq\":" + std::string(900, '[')},
+	    {"\"seq\":2", "\"seq\":2,\"more\":" + deep},
+	    {start, std::to_string(future)},
+	    {start, "99999999999999"},
+	    {"\"slots\":2", "\"slots\":4294967298"},
+	    {":8090", ":70000"},
+	    {":8090", ":0"},
+	    {":8090", ":99999999999999999999999"},
+	};
+
+	ASSERT_EQ(heartbeat("ready", 1), 200);
+	for (const auto &change : changes) {
+		std::string text = good;
+
+		text.replace(text.find(change[0]), change[0].size(), change[1]);
+		EXPECT_EQ(announce_text(text, "/-/Instances.Heartbeat/i-1"), 400) << text;
+	}
+	EXPECT_EQ(deregister(future), 400);
+	ASSERT_EQ(heartbeat("draining", 3), 200);
+	EXPECT_EQ(posted().state, INSTANCE_LEAVING);
+	EXPECT_EQ(posted().departed_ms, STARTED_MS);
+}
+
 // A planned stop of the node does not end the use of its server after the restart.
 TEST_F(HostedAnnouncements, PlannedStopOfTheNodeIsNoDeparture)
 {
