--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -177,6 +177,7 @@
 static bool
 answer_create(gate_call_t *call, const http_head_t *head)
 {
+	answer_head_destroy(call->answer);
 	call->answer = answer_head_create();
 	if (call->answer == NULL)
 		return false;
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -414,4 +414,39 @@
 	EXPECT_EQ(server->connections.size(), 1u);
 }
 
+// A chunked answer larger than the window is neither lost nor reordered while it waits
+// for credit, whatever the sizes of its chunks.
+TEST_F(HostedGate, LargeChunkedAnswerWaitsForCredit)
+{
+	const size_t sizes[] = {7001, 30011, 1, 65536};
+	std::string answer = head("200 OK", "id-1",
+	    "X-Masticpitch-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n");
+	std::string body;
+	size_t written = 0, credited = 0;
+
+	for (size_t i = 0; body.size() < 1000000; i++) {
+		std::string piece(sizes[i % 4], static_cast<char>('a' + i % 26));
+		char line[16];
+
+		snprintf(line, sizeof(line), "%zx\r\n", piece.size());
+		answer += line + piece + "\r\n";
+		body += piece;
+	}
+	answer += "0\r\n\r\n";
+	connection = call_arrives(1, "/katalogo/big", 1);
+	ASSERT_TRUE(run_until([&] {
+		size_t got = entry->body(MESSAGE_ANSWER_DATA, 1).size();
+
+		EXPECT_LE(got - credited, size_t{STREAM_WINDOW_BYTES});
+		if (got - credited > STREAM_WINDOW_BYTES - STREAM_DATA_MAX_BYTES) {
+			entry->post_credit("gate", MESSAGE_ANSWER_CREDIT, 0, 1,
+			    static_cast<uint32_t>(got - credited));
+			credited = got;
+		}
+		written += connection->write(answer, written);
+		return has_ended(1);
+	}));
+	EXPECT_TRUE(entry->body(MESSAGE_ANSWER_DATA, 1) == body);
+}
+
 } // namespace
