--- /dev/null
+++ b/models/mutants/departure-announcement.sed
@@ -0,0 +1,1 @@
+s/:: !view\[0\].departed -> \/\* RULE: announcement \*\//:: true ->/
--- /dev/null
+++ b/models/mutants/departure-older.sed
@@ -0,0 +1,1 @@
+s/(view\[i\].departed || sent\[i\].departed) \/\* RULE: older \*\//view[i].departed/
--- /dev/null
+++ b/models/mutants/departure-view.sed
@@ -0,0 +1,1 @@
+s/ && !view\[i\].departed) \/\* RULE: view \*\//)/
--- /dev/null
+++ b/models/mutants/departure-withdraw.sed
@@ -0,0 +1,1 @@
+s/view\[0\].ready = false; \/\* RULE: withdraw \*\//skip;/
