--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -53,8 +53,8 @@
 /* Request body bytes consumed after which credit is returned. */
 #define GATE_CREDIT_BYTES (STREAM_WINDOW_BYTES / 4)
 /*
- * Bytes of one answer that no caller gets: the heads of the answer and of interim
- * answers before it, or the body of a refusal. An answer with more is broken off.
+ * Bytes of one answer besides the body that its caller gets: its head, those of interim
+ * answers, the body of a refusal. An answer with more is broken off.
  */
 #define GATE_ANSWER_OVERHEAD_MAX_BYTES (64 * 1024)
 /* Queued and running calls of a gate; further calls are refused. */
@@ -164,14 +164,14 @@
 	bool nested_failed;  /* a nested call of it failed */
 	bool foreign_answer; /* not a genuine answer to this call */
 	bool shed_final;     /* the refusal is final: no retry */
-	http_message_parser_t response;
-	int status;		/* of the posted answer */
-	answer_head_t *answer;	/* until it is posted */
-	bool answered;		/* the answer head is posted */
-	bool answer_complete;	/* its end was read */
-	bool answer_malformed;	/* its end cannot be found */
-	bool answer_failed;	/* no memory for a piece of its body */
-	size_t answer_overhead; /* see GATE_ANSWER_OVERHEAD_MAX_BYTES */
+	http_message_parser_t response; /* reads the answer */
+	int status;			/* of the posted answer */
+	answer_head_t *answer;		/* until it is posted */
+	bool answered;			/* the answer head is posted */
+	bool answer_complete;		/* its end was read */
+	bool answer_malformed;		/* its end cannot be found */
+	bool answer_failed;		/* no memory for a piece of its body */
+	size_t answer_overhead;		/* see GATE_ANSWER_OVERHEAD_MAX_BYTES */
 	uint32_t answer_credit;
 	bool answer_paused;
 } gate_call_t;
@@ -264,6 +264,7 @@
 bool gate_lines_build(gate_call_t *call);
 
 /* gate_answer.c */
+/* Prepares the reading of the call's answer; call->head is set. */
 void gate_answer_init(gate_call_t *call);
 /* Parses one header line of the answer with its line end. False: abort the exchange. */
 bool gate_answer_line(gate_call_t *call, const char *data, size_t length);
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -83,6 +83,25 @@
 			result += text;
 		return result;
 	}
+	// Sends a call that is answered so, after which its connection ends; it must fail
+	// with an unknown outcome, before anything is passed on.
+	void
+	expect_unknown(uint64_t stream, const std::string &answer)
+	{
+		std::string path = "/katalogo/" + std::to_string(stream);
+		RawConnection *arrived = call_arrives(stream, path, 1);
+
+		arrived->write(answer);
+		shutdown(arrived->fd, SHUT_WR);
+		ASSERT_TRUE(run_until([&] {
+			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
+			       entry->find(MESSAGE_ANSWER_HEAD, stream) != nullptr;
+		}));
+		ASSERT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr) << answer;
+		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
+		arrived->finish();
+		server->connections.clear();
+	}
 	// A call that the backend server refuses; its connection is kept.
 	void
 	first_call_refused()
@@ -156,23 +175,8 @@
 	const std::string answer = success("id-1", body);
 	const size_t head_size = answer.size() - body.size();
 
-	for (size_t size = 0; size < head_size; size++) {
-		uint64_t stream = size + 1;
-		std::string path = "/katalogo/" + std::to_string(stream);
-		RawConnection *arrived = call_arrives(stream, path, 1);
-
-		arrived->write(answer.substr(0, size));
-		shutdown(arrived->fd, SHUT_WR);
-		ASSERT_TRUE(run_until([&] {
-			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
-			       entry->find(MESSAGE_ANSWER_HEAD, stream) != nullptr;
-		}));
-		ASSERT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr)
-		    << answer.substr(0, size);
-		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
-		arrived->finish();
-		server->connections.clear();
-	}
+	for (size_t size = 0; size < head_size; size++)
+		expect_unknown(size + 1, answer.substr(0, size));
 }
 
 // The same with an answer whose body has no length and ends with its connection.
@@ -181,21 +185,8 @@
 	const std::string answer = head(
 	    "200 OK", "id-1", "X-Masticpitch-Server-Stamp: s\r\nConnection: close\r\n");
 
-	for (size_t size = answer.size() - 40; size < answer.size(); size++) {
-		uint64_t stream = size + 1;
-		std::string path = "/katalogo/" + std::to_string(stream);
-		RawConnection *arrived = call_arrives(stream, path, 1);
-
-		arrived->write(answer.substr(0, size));
-		shutdown(arrived->fd, SHUT_WR);
-		ASSERT_TRUE(run_until([&] {
-			return entry->find(MESSAGE_REFUSAL, stream) != nullptr;
-		})) << answer.substr(0, size);
-		EXPECT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr);
-		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
-		arrived->finish();
-		server->connections.clear();
-	}
+	for (size_t size = answer.size() - 40; size < answer.size(); size++)
+		expect_unknown(size + 1, answer.substr(0, size));
 }
 
 // MIXED: a byte of the head is spoiled, so that the end of the answer is not known; the
@@ -226,48 +217,22 @@
 	};
 	uint64_t stream = 0;
 
-	for (const std::string &framing : framings) {
-		std::string path = "/katalogo/" + std::to_string(++stream);
-		RawConnection *arrived = call_arrives(stream, path, stream);
-
-		arrived->write(
-		    head("200 OK", "id-" + std::to_string(stream),
+	for (const std::string &framing : framings)
+		expect_unknown(++stream,
+		    head("200 OK", "id-1",
 			"X-Masticpitch-Server-Stamp: s\r\n" + framing + "\r\n") +
-		    "ok");
-		shutdown(arrived->fd, SHUT_WR);
-		ASSERT_TRUE(run_until([&] {
-			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
-			       entry->find(MESSAGE_ANSWER_HEAD, stream) != nullptr;
-		}));
-		ASSERT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr) << framing;
-		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
-		arrived->finish();
-		server->connections.clear();
-	}
+			"ok");
 }
 
 // MIXED: the same with a spoiled status line, of which a prefix is a valid status.
 TEST_F(HostedGate, AnswerWithASpoiledStatusLineIsUnknown)
 {
+	const std::string answer = success("id-1", "ok");
 	uint64_t stream = 0;
 
-	for (const char *line :
-	    {"HTTP/1.1 2000 OK", "HTTP/1.1 200x", "HTTP/1.1 2o0 OK", "HTTP/1.1200 OK"}) {
-		std::string path = "/katalogo/" + std::to_string(++stream);
-		RawConnection *arrived = call_arrives(stream, path, stream);
-		std::string answer = success("id-" + std::to_string(stream), "ok");
-
-		arrived->write(line + answer.substr(answer.find("\r\n")));
-		shutdown(arrived->fd, SHUT_WR);
-		ASSERT_TRUE(run_until([&] {
-			return entry->find(MESSAGE_REFUSAL, stream) != nullptr ||
-			       entry->find(MESSAGE_ANSWER_HEAD, stream) != nullptr;
-		}));
-		ASSERT_EQ(entry->find(MESSAGE_ANSWER_HEAD, stream), nullptr) << line;
-		EXPECT_EQ(entry->find(MESSAGE_REFUSAL, stream)->refusal.run, RUN_UNKNOWN);
-		arrived->finish();
-		server->connections.clear();
-	}
+	for (const std::string line :
+	    {"HTTP/1.1 2000 OK", "HTTP/1.1 200x", "HTTP/1.1 2o0 OK", "HTTP/1.1200 OK"})
+		expect_unknown(++stream, line + answer.substr(answer.find("\r\n")));
 }
 
 // DENIED: answers whose framing is unusual but clear are passed on.
