--- a/test/test_member_capacity.cc
+++ b/test/test_member_capacity.cc
@@ -23,7 +23,9 @@
 
 	// Every node has a ready instance.
 	for (size_t i = 0; i < count; i++) {
-		instance_t instance = {INSTANCE_READY, "", 10, 110, 1};
+		// The host's backend server is not its first one.
+		instance_t instance = {
+		    INSTANCE_READY, "", 10, 110, 1, 1700000060000, 1700000000000};
 
 		mesh.start((int)i);
 		snprintf(
