End an exchange whose answer is found malformed while it waits for credit

The gate finds it when libcurl flushes that part; libcurl does not end a transfer whose callback fails in there, so the caller waits until its deadline. If more bytes came, http-parser would be used after an error, which aborts the process (seen in a program of five lines).

Change: after it has resumed a transfer, the gate ends the call if its answer was found malformed, and it reads nothing of such an answer.

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -286,6 +286,9 @@
 
 	if (call->answer_complete)
 		return true;
+	/* http-parser aborts the process if it is used after an error. */
+	if (call->answer_malformed)
+		return false;
 	error = http_message_parser_run(&call->response, data, length, &consumed);
 	if (error != HTTP_MESSAGE_ERROR_NONE) {
 		call->answer_malformed = true;
--- a/src/gate_exchange.c
+++ b/src/gate_exchange.c
@@ -306,13 +306,23 @@
 	call->lines = NULL;
 }
 
+/* May end the call. */
+static void
+exchange_resume(gate_call_t *call)
+{
+	curl_loop_unpause(call->gate->curl, call->easy);
+	/* libcurl does not end a transfer whose callback fails in here. */
+	if (call->answer_malformed || call->answer_failed)
+		done_callback(NULL, call->easy, CURLE_WRITE_ERROR);
+}
+
 void
 gate_exchange_resume_body(gate_call_t *call)
 {
 	if (!call->body_paused)
 		return;
 	call->body_paused = false;
-	curl_loop_unpause(call->gate->curl, call->easy);
+	exchange_resume(call);
 }
 
 void
@@ -321,7 +331,7 @@
 	if (!call->answer_paused || call->answer_credit < STREAM_DATA_MAX_BYTES)
 		return;
 	call->answer_paused = false;
-	curl_loop_unpause(call->gate->curl, call->easy);
+	exchange_resume(call);
 }
 
 int
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -280,7 +280,7 @@
 int gate_exchange_start(gate_call_t *call);
 /* Aborts the exchange if it is still running. */
 void gate_exchange_stop(gate_call_t *call);
-/* More body or answer credit has arrived. */
+/* More body or answer credit has arrived. Each may end the call. */
 void gate_exchange_resume_body(gate_call_t *call);
 void gate_exchange_resume_answer(gate_call_t *call);
 
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -414,4 +414,48 @@
 	EXPECT_TRUE(entry->body(MESSAGE_ANSWER_DATA, 1) == body);
 }
 
+// MIXED, LOST: a chunk is spoiled in a part of the answer that waits for credit; neither
+// the node ends nor does the caller wait, whether more of the answer follows or not.
+TEST_F(HostedGate, ChunkSpoiledWhileTheAnswerWaitsIsBrokenOff)
+{
+	const std::string start = head("200 OK", "id-1",
+	    "X-Masticpitch-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n");
+	const std::string data = std::string(0x1000, 'a') + "\r\n";
+	const size_t sound_sizes[] = {STREAM_WINDOW_BYTES - 2 * STREAM_DATA_MAX_BYTES,
+	    STREAM_WINDOW_BYTES - STREAM_DATA_MAX_BYTES, STREAM_WINDOW_BYTES,
+	    STREAM_WINDOW_BYTES + STREAM_DATA_MAX_BYTES};
+	uint64_t stream = 0;
+
+	for (size_t sound : sound_sizes) {
+		for (bool more : {false, true}) {
+			std::string answer = start;
+			size_t written = 0;
+
+			while (answer.size() < sound)
+				answer += "1000\r\n" + data;
+			// libcurl takes this for 1000.
+			answer += "1000o\r\n" + data + "1000\r\n" + data;
+			stream++;
+			connection = call_arrives(
+			    stream, "/katalogo/" + std::to_string(stream), 1);
+			ASSERT_NE(connection, nullptr);
+			for (int i = 0; i < 10; i++) {
+				written += connection->write(answer, written);
+				run_until_idle();
+			}
+			ASSERT_EQ(written, answer.size());
+			for (int i = 0; i < 10; i++) {
+				entry->post_credit("gate", MESSAGE_ANSWER_CREDIT, 0,
+				    stream, STREAM_WINDOW_BYTES / 2);
+				run_until_idle();
+				if (more)
+					connection->write("1000\r\n" + data);
+			}
+			expect_refusal(*entry, MESSAGE_ANSWER_ABORT, stream,
+			    REASON_BACKEND_PROTOCOL, RUN_YES);
+			server->connections.clear();
+		}
+	}
+}
+
 } // namespace
