Deliver all messages queued at a poll before the next one

Cause: the kernel delivered 256 messages between two polls of the sockets. One read of a connection between nodes can hold some 1,400 small frames, so with enough of them the queue grew without bound, by 336 bytes and a piece for each message.

Change: what was queued when the loop polled is delivered before it polls again. Between polls there is so never more than one read of each socket and what its messages cause.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -13,6 +13,7 @@
 	ev_idle idle; /* active while messages are queued: the loop does not block */
 	list_t services;
 	list_t queue;
+	size_t queued; /* messages in the queue */
 	log_t log;
 	metrics_t metrics;
 	rng_t rng;
@@ -22,13 +23,13 @@
 static void
 kernel_messages_deliver(kernel_t *kernel)
 {
+	size_t left = MAX_OF(kernel->queued, (size_t)KERNEL_MESSAGES_PER_ITERATION);
 	list_t *node;
-	int handled = 0;
 
-	while (handled++ < KERNEL_MESSAGES_PER_ITERATION &&
-	       (node = list_take_first(&kernel->queue)) != NULL) {
+	while (left-- > 0 && (node = list_take_first(&kernel->queue)) != NULL) {
 		message_t *message = LIST_ENTRY(node, message_t, link);
 
+		kernel->queued--;
 		metrics_add(&kernel->metrics, METRIC_MESSAGES, 1);
 		message->to->receive(message->to->state, message);
 		message_destroy(message);
@@ -150,6 +151,7 @@
 		if (message->to != service)
 			continue;
 		list_remove(node);
+		kernel->queued--;
 		message_destroy(message);
 	}
 	list_remove(&service->link);
@@ -177,6 +179,7 @@
 	message->from = from;
 	message->to = to;
 	list_append(&kernel->queue, &message->link);
+	kernel->queued++;
 }
 
 const service_t *
--- a/src/kernel.h
+++ b/src/kernel.h
@@ -33,7 +33,11 @@
 	bool (*is_idle)(const void *state);
 } service_t;
 
-/* Maximum number of messages delivered before the loop polls its sockets again. */
+/*
+ * Messages delivered before the loop polls its sockets again, or all that were queued
+ * when it last polled them, if they are more: otherwise the queue would grow without
+ * bound while sockets give messages faster than this.
+ */
 #define KERNEL_MESSAGES_PER_ITERATION 256
 
 /* Errors: MASTICPITCH_E_NOMEM. */
