Join small pieces of bodies

What callers saw: on a host whose callers send bodies in chunks of one byte, or whose instance answers so, the node grows until it is killed for its memory, and the requests of all its callers end without an answer (FAULT, LOST).

Cause: the credit of a body counts its bytes, while each chunk became a message of 336 bytes, a chunk of its own and a slot in a queue. A window of 256 KB so cost up to 100 MB for each request. Class of fault: a bound on what a peer sends, not on what it costs.

Change: what one read brings is passed on as one piece (entry, gate); pieces up to 1 KB are joined with the last one wherever they wait (bodies at the entry and at the gate, streams between nodes), in chunks of at most 16 KB that at least double, and of at most the size of a piece of a long body on a narrow link. Nothing that is ready waits for more bytes.

--- a/src/buffer.c
+++ b/src/buffer.c
@@ -17,6 +17,7 @@
 	if (chunk == NULL)
 		return NULL;
 	chunk->references = 1;
+	chunk->capacity = (uint32_t)size;
 	chunk->size = size;
 	return chunk;
 }
@@ -48,6 +49,31 @@
 		free(chunk);
 }
 
+int
+chunk_append(chunk_t **chunk, const void *data, size_t size, size_t size_max)
+{
+	chunk_t *grown = *chunk;
+	size_t old_size = grown == NULL ? 0 : grown->size;
+	size_t capacity;
+
+	if (size > size_max || old_size > size_max - size)
+		return MASTICPITCH_E_LIMIT;
+	if (grown == NULL || grown->capacity < old_size + size) {
+		capacity = MIN_OF(MAX_OF(2 * old_size, old_size + size), size_max);
+		grown = realloc(grown, sizeof(*grown) + capacity);
+		if (grown == NULL)
+			return MASTICPITCH_E_NOMEM;
+		if (*chunk == NULL)
+			grown->references = 1;
+		grown->capacity = (uint32_t)capacity;
+		*chunk = grown;
+	}
+	INVARIANT(grown->references == 1);
+	memcpy(grown->data + old_size, data, size);
+	grown->size = old_size + size;
+	return MASTICPITCH_OK;
+}
+
 void
 buffer_init(buffer_t *buffer, size_t limit)
 {
--- a/src/buffer.h
+++ b/src/buffer.h
@@ -1,6 +1,6 @@
 /*
- * Reference-counted immutable bytes (chunk_t) and a growing byte buffer
- * (buffer_t) with an upper bound. Not thread-safe.
+ * Reference-counted bytes (chunk_t), immutable while they are shared, and a growing
+ * byte buffer (buffer_t) with an upper bound. Not thread-safe.
  */
 #ifndef MASTICPITCH_BUFFER_H
 #define MASTICPITCH_BUFFER_H
@@ -16,6 +16,7 @@
 
 typedef struct chunk {
 	uint32_t references;
+	uint32_t capacity; /* bytes of data */
 	size_t size;
 	uint8_t data[];
 } chunk_t;
@@ -26,6 +27,13 @@
 chunk_t *chunk_hold(chunk_t *chunk);
 /* Drops one reference; NULL is allowed. */
 void chunk_release(chunk_t *chunk);
+/*
+ * Appends to a chunk that has one reference, which may move. The capacity at least
+ * doubles when it grows, up to size_max bytes. *chunk may be NULL: a new one is created.
+ * Errors: MASTICPITCH_E_LIMIT beyond size_max, MASTICPITCH_E_NOMEM; *chunk is then
+ * unchanged.
+ */
+int chunk_append(chunk_t **chunk, const void *data, size_t size, size_t size_max);
 
 typedef struct buffer {
 	uint8_t *data;
--- a/src/caller_connection.c
+++ b/src/caller_connection.c
@@ -114,6 +114,17 @@
 	return exchange->state != EXCHANGE_HELD && connection->phase != CALLER_CLOSED;
 }
 
+/* Tells the owner that the bytes that arrived together have been given. */
+static void
+body_given_flush(caller_connection_t *connection)
+{
+	if (!connection->body_given)
+		return;
+	connection->body_given = false;
+	if (connection->reading != NULL)
+		connection->shared->owner.body_flush(connection->reading->owner);
+}
+
 /* Passes on body bytes that were kept; true if none are left. */
 static bool
 body_flush(caller_connection_t *connection)
@@ -125,6 +136,8 @@
 		return body->size == 0;
 	buffer_consume(body, connection->shared->owner.body(
 				 exchange->owner, (const char *)body->data, body->size));
+	connection->body_given = true;
+	body_given_flush(connection);
 	return body->size == 0;
 }
 
@@ -135,6 +148,7 @@
 	size_t consumed =
 	    connection->shared->owner.body(connection->reading->owner, data, size);
 
+	connection->body_given = true;
 	if (consumed < size && buffer_append(&connection->body, data + consumed,
 				   size - consumed) != MASTICPITCH_OK)
 		connection->phase = CALLER_CLOSED;
@@ -148,6 +162,7 @@
 	exchange_t *exchange = connection->reading;
 
 	connection->reading = NULL;
+	connection->body_given = false;
 	exchange->read = true;
 	connection->shared->owner.body_end(exchange->owner);
 	return !connection->input_ended &&
@@ -201,6 +216,7 @@
 		connection->reading = NULL;
 		total = size;
 	}
+	body_given_flush(connection);
 	if (connection->head_at == 0 && http_message_parser_in_head(&connection->parser))
 		connection->head_at = now;
 	if (connection->phase != CALLER_OPEN || connection->input_ended)
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -39,8 +39,9 @@
 	size_t exchange_count;
 	exchange_t *reading; /* whose body is being read; NULL: none */
 	http_message_parser_t parser;
-	buffer_t input; /* not parsed yet */
-	buffer_t body;	/* of the request that is read, not consumed yet */
+	buffer_t input;	 /* not parsed yet */
+	buffer_t body;	 /* of the request that is read, not consumed yet */
+	bool body_given; /* bytes were given to the owner since the last flush */
 	buffer_t output;
 	uint64_t output_total; /* bytes ever appended to the output */
 	size_t ahead_bytes;    /* expected of the exchanges that run ahead */
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -42,6 +42,11 @@
 	void *(*begin)(void *state, exchange_t *exchange);
 	/* Consumes bytes of the request's body; returns how many. */
 	size_t (*body)(void *owner, const char *data, size_t size);
+	/*
+	 * Follows the bytes of the body that arrived together, unless the body ends with
+	 * them: however small their pieces are, the owner can pass them on as one.
+	 */
+	void (*body_flush)(void *owner);
 	void (*body_end)(void *owner);
 	exchange_read_t read;
 	/* The last call for a request. */
--- a/src/chunk_queue.c
+++ b/src/chunk_queue.c
@@ -50,9 +50,33 @@
 	return MASTICPITCH_OK;
 }
 
+bool
+chunk_join(chunk_t **chunk, const chunk_t *piece)
+{
+	return *chunk != NULL && (*chunk)->references == 1 &&
+	       piece->size <= CHUNK_JOINED_BYTES &&
+	       chunk_append(chunk, piece->data, piece->size, CHUNK_JOINED_MAX_BYTES) ==
+		   MASTICPITCH_OK;
+}
+
+/* True if the chunk was joined with the last one, and released. */
+static bool
+last_join(chunk_queue_t *queue, chunk_t *chunk)
+{
+	size_t last = (queue->first + queue->count - 1) & (queue->capacity - 1);
+
+	if (queue->count == 0 || !chunk_join(&queue->slots[last].chunk, chunk))
+		return false;
+	queue->size += chunk->size;
+	chunk_release(chunk);
+	return true;
+}
+
 int
 chunk_queue_push(chunk_queue_t *queue, chunk_t *chunk)
 {
+	if (last_join(queue, chunk))
+		return MASTICPITCH_OK;
 	if (queue->count == queue->capacity && queue_grow(queue) != MASTICPITCH_OK) {
 		chunk_release(chunk);
 		return MASTICPITCH_E_NOMEM;
--- a/src/chunk_queue.h
+++ b/src/chunk_queue.h
@@ -1,5 +1,6 @@
 /*
- * A queue of chunks that is read as one byte sequence. Not thread-safe.
+ * A queue of chunks that is read as one byte sequence. Small chunks are joined, so that
+ * the memory of the queue stays in proportion to its bytes. Not thread-safe.
  */
 #ifndef MASTICPITCH_CHUNK_QUEUE_H
 #define MASTICPITCH_CHUNK_QUEUE_H
@@ -12,6 +13,11 @@
 extern "C" {
 #endif
 
+/* Chunks up to this size are copied behind the last one, bytes. */
+#define CHUNK_JOINED_BYTES 1024
+/* Largest chunk that results, bytes. */
+#define CHUNK_JOINED_MAX_BYTES (16 * 1024)
+
 typedef struct chunk_slot {
 	chunk_t *chunk;
 } chunk_slot_t;
@@ -28,6 +34,11 @@
 void chunk_queue_init(chunk_queue_t *queue);
 /* Releases the remaining chunks. */
 void chunk_queue_free(chunk_queue_t *queue);
+/*
+ * Appends to a chunk with one reference, if the result is at most CHUNK_JOINED_MAX_BYTES
+ * long and the piece at most CHUNK_JOINED_BYTES. False: not joined, *chunk is unchanged.
+ */
+bool chunk_join(chunk_t **chunk, const chunk_t *piece);
 /* Takes ownership of the reference; released on error. Errors: MASTICPITCH_E_NOMEM. */
 int chunk_queue_push(chunk_queue_t *queue, chunk_t *chunk);
 /* Copies and removes at most size bytes; returns how many. */
--- a/src/entry_callers.c
+++ b/src/entry_callers.c
@@ -45,6 +45,12 @@
 	return entry_request_body(owner, data, size);
 }
 
+static void
+request_body_flush(void *owner)
+{
+	entry_request_body_flush(owner);
+}
+
 static void
 request_body_end(void *owner)
 {
@@ -92,6 +98,7 @@
 	    .ahead_bytes = ahead_bytes,
 	    .begin = request_begin,
 	    .body = request_body,
+	    .body_flush = request_body_flush,
 	    .body_end = request_body_end,
 	    .read = entry_answer_read,
 	    .end = request_end};
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -252,6 +252,8 @@
 void entry_request_begin(entry_request_t *request);
 /* Consumes body bytes; returns how many. */
 size_t entry_request_body(entry_request_t *request, const char *data, size_t size);
+/* Passes on the bytes consumed so far, see caller_owner_t. */
+void entry_request_body_flush(entry_request_t *request);
 void entry_request_body_end(entry_request_t *request);
 /*
  * Answers without a result a request that has no answer yet; the run state is that of
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -236,13 +236,22 @@
 		request->body_end =
 		    request->body_length >= 0 &&
 		    request->body_received == (uint64_t)request->body_length;
-		body_advance(request);
+		/* Smaller pieces wait for the flush, so that they are sent as one. */
+		if (request->body_end || request->unsent.size >= STREAM_DATA_MAX_BYTES)
+			body_advance(request);
 		if (body_is_discarded(request))
 			return size;
 	}
 	return consumed;
 }
 
+void
+entry_request_body_flush(entry_request_t *request)
+{
+	if (!body_is_discarded(request))
+		body_advance(request);
+}
+
 void
 entry_request_body_end(entry_request_t *request)
 {
--- a/src/gate.c
+++ b/src/gate.c
@@ -72,6 +72,7 @@
 	stream_table_remove(&gate->streams, &call->stream);
 	list_remove(&call->link);
 	chunk_queue_free(&call->body);
+	chunk_release(call->answer_chunk);
 	buffer_free(&call->ticket_body);
 	answer_head_destroy(call->answer);
 	http_message_parser_free(&call->response);
--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -210,21 +210,40 @@
 	return true;
 }
 
-/* Posts a piece of the body; false: no memory. */
+/* Posts the bytes of the body that were collected; false: no memory. */
 static bool
-answer_chunk_post(gate_call_t *call, const char *data, size_t size)
+answer_chunk_post(gate_call_t *call)
 {
-	message_t *message = gate_call_message(call, MESSAGE_ANSWER_DATA);
+	message_t *message;
 
+	if (call->answer_chunk == NULL)
+		return true;
+	message = gate_call_message(call, MESSAGE_ANSWER_DATA);
 	if (message == NULL)
 		return false;
-	message->u.data.chunk = chunk_copy(data, size);
-	if (message->u.data.chunk == NULL) {
-		message_destroy(message);
-		return false;
-	}
+	call->answer_credit -= (uint32_t)call->answer_chunk->size;
+	message->u.data.chunk = call->answer_chunk;
+	call->answer_chunk = NULL;
 	gate_call_post(call, message);
-	call->answer_credit -= (uint32_t)size;
+	return true;
+}
+
+/* Collects a piece of the body, however small, for the next message; false: no memory. */
+static bool
+answer_bytes_collect(gate_call_t *call, const char *data, size_t size)
+{
+	while (size > 0) {
+		size_t used = call->answer_chunk == NULL ? 0 : call->answer_chunk->size;
+		size_t taken = MIN_OF(size, STREAM_DATA_MAX_BYTES - used);
+
+		if (chunk_append(&call->answer_chunk, data, taken,
+			STREAM_DATA_MAX_BYTES) != MASTICPITCH_OK)
+			return false;
+		if (used + taken == STREAM_DATA_MAX_BYTES && !answer_chunk_post(call))
+			return false;
+		data += taken;
+		size -= taken;
+	}
 	return true;
 }
 
@@ -236,15 +255,8 @@
 	if (call->shed)
 		return true;
 	gate_ticket_record_body(call, data, size);
-	for (size_t offset = 0; offset < size; offset += STREAM_DATA_MAX_BYTES) {
-		size_t chunk_size = MIN_OF(size - offset, (size_t)STREAM_DATA_MAX_BYTES);
-
-		if (!answer_chunk_post(call, data + offset, chunk_size)) {
-			call->answer_failed = true;
-			return false;
-		}
-	}
-	return true;
+	call->answer_failed = !answer_bytes_collect(call, data, size);
+	return !call->answer_failed;
 }
 
 /* Stops behind the answer: bytes that follow belong to no request. */
@@ -290,6 +302,8 @@
 	if (call->answer_malformed)
 		return false;
 	error = http_message_parser_run(&call->response, data, length, &consumed);
+	if (!answer_chunk_post(call))
+		call->answer_failed = true;
 	if (error != HTTP_MESSAGE_ERROR_NONE) {
 		call->answer_malformed = true;
 		answer_malformed_log(call, error);
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -172,6 +172,7 @@
 	bool answer_malformed;		/* its end cannot be found */
 	bool answer_failed;		/* no memory for a piece of its body */
 	size_t answer_overhead;		/* see GATE_ANSWER_OVERHEAD_MAX_BYTES */
+	chunk_t *answer_chunk;		/* bytes of the body that are not posted yet */
 	uint32_t answer_credit;
 	bool answer_paused;
 } gate_call_t;
--- a/src/peer_stream.c
+++ b/src/peer_stream.c
@@ -2,6 +2,7 @@
  * Streams: calls from this node's entry to gates of other nodes (outgoing) and
  * from other nodes to this node's gate (incoming).
  */
+#include "chunk_queue.h"
 #include "peer_internal.h"
 
 #include <stdlib.h>
@@ -135,6 +136,37 @@
 	}
 }
 
+/* Longest body of one message of the stream, bytes. */
+static size_t
+stream_piece_bytes(const peer_stream_t *stream)
+{
+	if (stream->connection == NULL || !stream->bulk)
+		return STREAM_DATA_MAX_BYTES;
+	return link_piece_bytes(&stream->connection->peer->link);
+}
+
+/*
+ * Joins a small piece of a body with the last one in the queue, since a message costs
+ * far more memory than its bytes. True if it was joined, and destroyed.
+ */
+static bool
+last_message_join(peer_stream_t *stream, message_t *message)
+{
+	size_t size = peer_message_body(message);
+	message_t *last;
+
+	if (list_is_empty(&stream->queue) || size == 0)
+		return false;
+	last = LIST_ENTRY(stream->queue.prev, message_t, link);
+	if (last->type != message->type ||
+	    peer_message_body(last) + size > stream_piece_bytes(stream) ||
+	    !chunk_join(&last->u.data.chunk, message->u.data.chunk))
+		return false;
+	last->u.data.end = message->u.data.end;
+	message_destroy(message);
+	return true;
+}
+
 /*
  * Bodies are sent one after the other in order of urgency: with round-robin, all
  * would finish about as late as the last.
@@ -154,12 +186,13 @@
 bulk_append(peer_stream_t *stream, message_t *message)
 {
 	peer_connection_t *connection = stream->connection;
-
 	size_t arrived = MIN_OF(stream->expected_bytes, peer_message_body(message));
 
 	stream->expected_bytes -= arrived;
 	link_backlog_remove(&connection->peer->link, arrived);
 	link_backlog_add(&connection->peer->link, peer_message_body(message));
+	if (last_message_join(stream, message))
+		return;
 	list_append(&stream->queue, &message->link);
 	if (list_is_empty(&stream->body_link))
 		bulk_insert(connection->peer, stream);
@@ -169,7 +202,7 @@
 static void
 bulk_enqueue(peer_stream_t *stream, message_t *message)
 {
-	size_t piece = link_piece_bytes(&stream->connection->peer->link);
+	size_t piece = stream_piece_bytes(stream);
 
 	while (peer_message_body(message) > piece) {
 		chunk_t *chunk = message->u.data.chunk;
@@ -228,6 +261,8 @@
 		return;
 	}
 	stream->data_seen = true;
+	if (last_message_join(stream, message))
+		return;
 	list_append(&stream->queue, &message->link);
 	if (list_is_empty(&stream->body_link))
 		list_append(&connection->bodies, &stream->body_link);
@@ -348,10 +383,10 @@
 
 	if (taken == NULL)
 		return;
-	if (stream->connection == NULL)
-		list_append(&stream->queue, &taken->link);
-	else
+	if (stream->connection != NULL)
 		stream_enqueue(stream, taken);
+	else if (!last_message_join(stream, taken))
+		list_append(&stream->queue, &taken->link);
 }
 
 /* Adds the state of the host's link to the gate's load report. */
--- a/test/test_caller_server.cc
+++ b/test/test_caller_server.cc
@@ -15,6 +15,7 @@
 struct Request {
 	exchange_t *exchange;
 	std::string path, body;
+	size_t body_flushes = 0;
 	bool body_ended = false, ended = false, delivered = false, dropped = false;
 	std::string answer; // not read by the server yet
 	bool answer_ended = false, answer_cut = false;
@@ -26,8 +27,8 @@
 	void
 	SetUp() override
 	{
-		const caller_owner_t owner = {
-		    this, ahead_bytes, begin, body, body_end, read_answer, end};
+		const caller_owner_t owner = {this, ahead_bytes, begin, body, body_flush,
+		    body_end, read_answer, end};
 		address_t any = {0x7f000001, 0};
 
 		loop = ev_loop_new(EVFLAG_AUTO);
@@ -173,6 +174,11 @@
 		return size;
 	}
 	static void
+	body_flush(void *owner)
+	{
+		((Request *)owner)->body_flushes++;
+	}
+	static void
 	body_end(void *owner)
 	{
 		((Request *)owner)->body_ended = true;
--- a/test/test_entry_stream.cc
+++ b/test/test_entry_stream.cc
@@ -204,6 +204,70 @@
 	ASSERT_TRUE(run_until([&] { return caller->has("stored"); }));
 }
 
+// FAULT, LOST: a caller sends a body in chunks of one byte; a message for each of them
+// uses up the memory of the host, and the process ends with the requests of others.
+TEST_F(Entry, SmallPiecesOfABodyArePassedOnTogether)
+{
+	const size_t size = 4000;
+	std::string text = "PUT /katalogo/up/1 HTTP/1.1\r\nHost: h\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\n";
+	std::unique_ptr<RawConnection> caller;
+	Attempt first;
+
+	for (size_t i = 0; i < size; i++)
+		text += "1\r\nu\r\n";
+	text += "0\r\n\r\n";
+	ready();
+	caller = send_request(text);
+	first = attempt("/katalogo/up/1");
+	ASSERT_TRUE(
+	    run_until([&] { return gate->ended(MESSAGE_CALL_DATA, first.stream); }));
+	EXPECT_EQ(gate->body(MESSAGE_CALL_DATA, first.stream), std::string(size, 'u'));
+	// At most one for each read, and one for the end.
+	EXPECT_LE(gate->count(MESSAGE_CALL_DATA), text.size() / CALLER_READ_BYTES + 2);
+	answer(first, "stored", 6);
+	ASSERT_TRUE(run_until([&] { return caller->has("stored"); }));
+}
+
+// A body that the entry does not take at once, in pieces of all sizes, arrives whole.
+TEST_F(Entry, PiecesOfAnUploadThatWaitsArriveInOrder)
+{
+	const size_t sizes[] = {1, 1, 3, 900, 1, 17000, 2, 1100};
+	std::string text = "PUT /katalogo/up/1 HTTP/1.1\r\nHost: h\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\n";
+	std::unique_ptr<RawConnection> caller;
+	size_t written = 0, credited = 0;
+	std::string body;
+	Attempt first;
+
+	for (size_t i = 0; body.size() < 1000000; i++) {
+		std::string piece(sizes[i % 8], static_cast<char>('a' + i % 26));
+		char line[16];
+
+		snprintf(line, sizeof(line), "%zx\r\n", piece.size());
+		text += line + piece + "\r\n";
+		body += piece;
+	}
+	text += "0\r\n\r\n";
+	ready();
+	caller = connect_caller();
+	written = caller->write(text);
+	first = attempt("/katalogo/up/1");
+	ASSERT_TRUE(run_until([&] {
+		size_t got = gate->body(MESSAGE_CALL_DATA, first.stream).size();
+
+		EXPECT_LE(got - credited, size_t{STREAM_WINDOW_BYTES});
+		if (got - credited > STREAM_WINDOW_BYTES - STREAM_DATA_MAX_BYTES) {
+			gate->post_credit("entry", MESSAGE_CALL_CREDIT, 0, first.stream,
+			    static_cast<uint32_t>(got - credited));
+			credited = got;
+		}
+		written += caller->write(text, written);
+		return gate->ended(MESSAGE_CALL_DATA, first.stream);
+	}));
+	EXPECT_TRUE(gate->body(MESSAGE_CALL_DATA, first.stream) == body);
+}
+
 TEST_F(Entry, CreditFollowsTheCallersReading)
 {
 	std::unique_ptr<RawConnection> caller;
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -414,6 +414,25 @@
 	EXPECT_TRUE(entry->body(MESSAGE_ANSWER_DATA, 1) == body);
 }
 
+// FAULT, LOST: a faulty instance answers in chunks of one byte without end; a message for
+// each of them uses up the memory of the host.
+TEST_F(HostedGate, SmallPiecesOfAnAnswerArePassedOnTogether)
+{
+	const size_t size = 4000;
+	std::string answer = head("200 OK", "id-1",
+	    "X-Masticpitch-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n");
+
+	for (size_t i = 0; i < size; i++)
+		answer += "1\r\na\r\n";
+	answer += "0\r\n\r\n";
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(answer);
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 1), std::string(size, 'a'));
+	// libcurl reads up to 16 KB at once; some for reads that end early, and the end.
+	EXPECT_LE(entry->count(MESSAGE_ANSWER_DATA), answer.size() / (16 * 1024) + 4);
+}
+
 // MIXED, LOST: a chunk is spoiled in a part of the answer that waits for credit; neither
 // the node ends nor does the caller wait, whether more of the answer follows or not.
 TEST_F(HostedGate, ChunkSpoiledWhileTheAnswerWaitsIsBrokenOff)
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -294,6 +294,44 @@
 	    wait([&] { return kernel_is_idle(a.kernel) && kernel_is_idle(b.kernel); }));
 }
 
+// Joined pieces of a long answer are no longer than those that it is sent in otherwise,
+// which bound how long short frames wait.
+TEST_F(PeerOnNarrowLink, JoinedPiecesOfALongAnswerStayShort)
+{
+	const size_t size = 60000;
+	size_t received = 0, longest = 0;
+	bool ended = false;
+
+	b.gate.handler = [&](message_t *message) {
+		message_t *head;
+
+		if (message->type != MESSAGE_CALL_OPEN)
+			return;
+		head =
+		    message_create(MESSAGE_ANSWER_HEAD, message->node, message->stream);
+		head->u.answer = answer_head_create();
+		head->u.answer->status = 200;
+		head->u.answer->body_length = (int64_t)size;
+		b.gate.post(head);
+		for (size_t i = 0; i < size; i++)
+			b.data(b.gate, MESSAGE_ANSWER_DATA, message->node,
+			    message->stream, 1, i + 1 == size);
+	};
+	a.entry.handler = [&](message_t *message) {
+		if (message->type != MESSAGE_ANSWER_DATA)
+			return;
+		received += peer_message_body(message);
+		longest = std::max(longest, peer_message_body(message));
+		ended = message->u.data.end;
+	};
+	a.call(b.id, 1);
+	ASSERT_TRUE(wait([&] { return ended; }));
+	EXPECT_EQ(received, size);
+	EXPECT_LE(longest, (size_t)LINK_PIECE_MIN_BYTES);
+	EXPECT_LE(a.entry.counts[MESSAGE_ANSWER_DATA],
+	    (int)(2 * size / LINK_PIECE_MIN_BYTES + 2));
+}
+
 // Guards against accepting a call whose long answer cannot be sent in time.
 TEST_F(PeerOnNarrowLink, CallsWithLongAnswersAreRefusedWhenTheLinkIsSaturated)
 {
@@ -422,6 +460,29 @@
 	EXPECT_EQ(a.entry.counts[MESSAGE_STREAM_LOST], 0);
 }
 
+// FAULT, LOST: pieces of one byte that wait for a connection, or for a node that does not
+// read, cost a message each and use up the memory of the host.
+TEST_F(Peer, SmallPiecesThatWaitAreJoined)
+{
+	const size_t size = 100000;
+	size_t received = 0;
+	bool ended = false;
+
+	b.gate.handler = [&](message_t *message) {
+		if (message->type != MESSAGE_CALL_DATA)
+			return;
+		received += peer_message_body(message);
+		ended = message->u.data.end;
+	};
+	a.call(b.id, 1, true);
+	for (size_t i = 0; i < size; i++)
+		a.data(a.entry, MESSAGE_CALL_DATA, b.id, 1, 1, i + 1 == size);
+	ASSERT_TRUE(wait([&] { return ended; }));
+	EXPECT_EQ(received, size);
+	EXPECT_LE(b.gate.counts[MESSAGE_CALL_DATA],
+	    (int)(2 * size / STREAM_DATA_MAX_BYTES + 2));
+}
+
 TEST_F(Peer, SenderBeyondTheWindowIsDisconnected)
 {
 	a.call(b.id, 1, true);
--- a/test/test_util.cc
+++ b/test/test_util.cc
@@ -3,6 +3,7 @@
 // of hop-by-hop header fields. Also covers buffer limits, quantiles of histograms
 // and message delivery by the kernel.
 #include "buffer.h"
+#include "chunk_queue.h"
 #include "headers.h"
 #include "kernel.h"
 #include "metrics.h"
@@ -79,6 +80,59 @@
 	buffer_free(&buffer);
 }
 
+// FAULT, LOST: a queue that keeps each piece of a body by itself uses many times the
+// memory of its bytes.
+TEST(ChunkQueue, MemoryIsInProportionToTheBytes)
+{
+	const size_t size = 256 * 1024;
+	chunk_queue_t queue;
+	size_t capacity = 0;
+
+	chunk_queue_init(&queue);
+	for (size_t i = 0; i < size; i++)
+		ASSERT_EQ(chunk_queue_push(&queue, chunk_copy("x", 1)), 0);
+	for (size_t i = 0; i < queue.count; i++)
+		capacity += sizeof(chunk_t) + queue.slots[i].chunk->capacity;
+	EXPECT_EQ(queue.size, size);
+	EXPECT_LE(capacity + queue.capacity * sizeof(*queue.slots), 2 * size);
+	chunk_queue_free(&queue);
+}
+
+// Pieces of all sizes, some shared with another owner, come out as they went in.
+TEST(ChunkQueue, BytesKeepTheirOrder)
+{
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		std::string in, out;
+		chunk_queue_t queue;
+		char data[3000];
+		rng_t rng;
+
+		rng_init(&rng, seed);
+		chunk_queue_init(&queue);
+		for (int i = 0; i < 300; i++) {
+			size_t size = 1 + rng_below(&rng, rng_below(&rng, 2) ? 8 : 3000);
+			std::string piece(size, static_cast<char>('a' + i % 26));
+			chunk_t *chunk = chunk_copy(piece.data(), size);
+			chunk_t *other = i % 7 == 0 ? chunk_hold(chunk) : nullptr;
+
+			ASSERT_EQ(chunk_queue_push(&queue, chunk), 0);
+			in += piece;
+			if (rng_below(&rng, 3) == 0)
+				out.append(data, chunk_queue_read(&queue, data,
+						     1 + rng_below(&rng, sizeof(data))));
+			if (other != nullptr) {
+				ASSERT_EQ(
+				    std::string((char *)other->data, other->size), piece);
+				chunk_release(other);
+			}
+		}
+		while (queue.size > 0)
+			out.append(data, chunk_queue_read(&queue, data, sizeof(data)));
+		ASSERT_EQ(in, out) << "seed " << seed;
+		chunk_queue_free(&queue);
+	}
+}
+
 TEST(Metrics, QuantileLiesWithinABucketOfTheSample)
 {
 	metrics_t metrics = {};
@@ -123,3 +177,26 @@
 	kernel_service_unregister(kernel, &service);
 	kernel_destroy(kernel);
 }
+
+// FAULT: sockets that give more messages at once than the kernel delivers between two
+// polls let the queue grow without bound.
+TEST(Kernel, AllMessagesQueuedAtAPollAreDeliveredBeforeTheNext)
+{
+	const uint64_t count = 4 * KERNEL_MESSAGES_PER_ITERATION;
+	kernel_t *kernel;
+	std::vector<uint64_t> seen;
+	service_t service = {};
+
+	ASSERT_EQ(kernel_create(1, &kernel), 0);
+	service.name = "gate";
+	service.state = &seen;
+	service.receive = receive;
+	ASSERT_EQ(kernel_service_register(kernel, &service), 0);
+	for (uint64_t i = 0; i < count; i++)
+		kernel_message_post(
+		    kernel, NULL, &service, message_create(MESSAGE_CALL_CANCEL, 0, i));
+	ev_run(kernel_loop(kernel), EVRUN_NOWAIT);
+	EXPECT_EQ(seen.size(), count);
+	kernel_service_unregister(kernel, &service);
+	kernel_destroy(kernel);
+}
