Report the highest resident memory of a node

Nothing told a process that was killed for its memory from one that ended otherwise: the metric had the resident memory at the moment of the reading only. Now the metrics have its highest value, and the last line of a planned stop too. test_util checks that it stays after 64 MB have been returned.

--- a/src/metrics.c
+++ b/src/metrics.c
@@ -159,9 +159,12 @@
 	    "# TYPE process_cpu_seconds_total counter\n"
 	    "process_cpu_seconds_total %.6f\n"
 	    "# TYPE process_resident_memory_bytes gauge\n"
-	    "process_resident_memory_bytes %llu\n",
+	    "process_resident_memory_bytes %llu\n"
+	    "# TYPE process_peak_memory_bytes gauge\n"
+	    "process_peak_memory_bytes %llu\n",
 	    masticpitch_version(), MASTICPITCH_REVISION, (double)os_clock_cpu() / 1e9,
-	    (unsigned long long)os_memory_resident());
+	    (unsigned long long)os_memory_resident(),
+	    (unsigned long long)os_memory_peak());
 
 	for (int i = 0; error == MASTICPITCH_OK && i < METRIC_COUNT; i++)
 		error = buffer_printf(text,
--- a/src/node.c
+++ b/src/node.c
@@ -180,7 +180,8 @@
 		    message_create(MESSAGE_STOP_LISTENING, 0, 0));
 		return;
 	}
-	log_info(kernel_log(node->kernel), "shutdown: all requests finished, exiting");
+	log_info(kernel_log(node->kernel), "shutdown: all requests finished, exiting",
+	    LOG_NUMBER("peak_memory_bytes", os_memory_peak()));
 	kernel_stop(node->kernel);
 }
 
--- a/src/os.c
+++ b/src/os.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -54,6 +55,24 @@
 	return (uint64_t)resident * (uint64_t)sysconf(_SC_PAGESIZE);
 }
 
+uint64_t
+os_memory_peak(void)
+{
+	static const char name[] = "VmHWM:";
+	FILE *file = fopen("/proc/self/status", "r");
+	unsigned long kilobytes = 0;
+	char line[128];
+
+	if (file == NULL)
+		return 0;
+	while (kilobytes == 0 && fgets(line, sizeof(line), file) != NULL) {
+		if (strncmp(line, name, sizeof(name) - 1) == 0)
+			kilobytes = strtoul(line + sizeof(name) - 1, NULL, 10);
+	}
+	fclose(file);
+	return (uint64_t)kilobytes * 1024;
+}
+
 int
 address_parse(const char *text, address_t *address)
 {
--- a/src/os.h
+++ b/src/os.h
@@ -37,6 +37,8 @@
 uint64_t os_clock_cpu(void);
 /* Resident memory of this process, bytes; 0 if it cannot be read. */
 uint64_t os_memory_resident(void);
+/* Highest resident memory of this process so far, bytes; 0 if it cannot be read. */
+uint64_t os_memory_peak(void);
 
 /* Parses "A.B.C.D:PORT". Errors: MASTICPITCH_E_INVALID. */
 int address_parse(const char *text, address_t *address);
--- a/test/test_util.cc
+++ b/test/test_util.cc
@@ -80,6 +80,21 @@
 	buffer_free(&buffer);
 }
 
+// The highest memory of a process that is killed for it is known only from a metric.
+TEST(Os, PeakOfTheMemoryStaysAfterItIsReturned)
+{
+	uint64_t before = os_memory_peak();
+	const size_t size = 64 * 1024 * 1024;
+
+	ASSERT_GT(before, 0u);
+	{
+		std::vector<char> block(size, 'x');
+
+		EXPECT_GE(os_memory_peak(), os_memory_resident());
+	}
+	EXPECT_GE(os_memory_peak(), size);
+}
+
 // FAULT, LOST: a queue that keeps each piece of a body by itself uses many times the
 // memory of its bytes.
 TEST(ChunkQueue, MemoryIsInProportionToTheBytes)
