--- a/test/test_hosted_announcement.cc
+++ b/test/test_hosted_announcement.cc
@@ -67,7 +67,9 @@
 		{"\"seq\":4", "\"seq\":\"4\""}, {"\"slots\":9", "\"slots\":0"},
 		{"\"born\":17", "\"born\":1.5"}, {"\"born\":17", "\"age\":17"},
 		{"10.0.0.9:8080", "10.0.0.9"}, {"\"info\"", "\"inf\""},
-		{",\"born\":17}", ",\"born\":17"}, {"\"s1\"", "\"s 1\""}}) {
+		{",\"born\":17}", ",\"born\":17"}, {"\"s1\"", "\"s 1\""},
+		{"\"version\":\"v1\",", ""}, {"\"v1\"", "1"}, {"\"z\"", "4"},
+		{"\"zone\"", "\"place\""}}) {
 		std::string body = good;
 		std::string from = change[0];
 
