Deliver an answer that arrived before the body was in

Cause: the answer closes the stream and waits for the end of the body. At the deadline the request was refused with the run state of its attempts, which an answer did not change from "not run".

Change: an answer sets the run state, and a complete answer is delivered at the deadline or at the end of the grace period.

--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -387,6 +387,7 @@
 		return;
 	message->u.answer = NULL;
 	request->answer = answer;
+	request->run = RUN_YES;
 	request->first_byte_at = kernel_now(entry->kernel);
 	if (answer->status < 300 && answer->body_length >= 0)
 		answer_profile_record(&entry->answers, hash_string(request->route->name),
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -256,8 +256,8 @@
 void entry_request_body_flush(entry_request_t *request);
 void entry_request_body_end(entry_request_t *request);
 /*
- * Answers without a result a request that has no answer yet; the run state is that of
- * its attempts so far.
+ * Ends the wait for an answer and for the rest of the body: a complete answer is
+ * delivered, otherwise the request is refused with the run state of its attempts so far.
  */
 void entry_request_expire(entry_request_t *request, reason_t reason);
 
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -6,9 +6,11 @@
 void
 entry_request_expire(entry_request_t *request, reason_t reason)
 {
+	bool has_answer = request->answer != NULL && request->answer_end;
+
 	if (request->stream_open)
 		request->run = MAX_OF(request->run, RUN_UNKNOWN);
-	if (request->refusal.reason == REASON_NONE)
+	if (request->refusal.reason == REASON_NONE && !has_answer)
 		entry_request_refuse(request, reason, request->run, false);
 	/* The rest of the body is not waited for. */
 	if (request->state == REQUEST_BODY) {
--- a/test/test_entry_stream.cc
+++ b/test/test_entry_stream.cc
@@ -165,6 +165,26 @@
 	ASSERT_TRUE(run_until([&] { return is_idle(); }));
 }
 
+// REFUSED, TWICE: an instance answers before the body is in, and its answer is replaced
+// at the deadline by a refusal that says that the request was not run.
+TEST_F(Entry, EarlyAnswerIsDeliveredAtTheDeadline)
+{
+	std::unique_ptr<RawConnection> caller;
+	Attempt first;
+
+	ready();
+	caller = send_request("POST /katalogo/book/1 HTTP/1.1\r\nHost: h\r\n"
+			      "Masticpitch-Deadline-Ms: 300\r\n"
+			      "Content-Length: 100000\r\n\r\n" +
+			      std::string(5000, 'b'));
+	first = attempt("/katalogo/book/1");
+	answer(first, "failed", 6, true, 500);
+	ASSERT_TRUE(run_until([&] { return caller->has("HTTP/1.1 "); }));
+	EXPECT_TRUE(caller->has("HTTP/1.1 500")) << caller->input;
+	ASSERT_TRUE(run_until([&] { return caller->has("failed") && caller->closed; }));
+	EXPECT_EQ(gate->count(MESSAGE_CALL_OPEN), 1u);
+}
+
 TEST_F(Entry, UploadWaitsForCreditAndArrivesCompletely)
 {
 	std::string head = "PUT /katalogo/up/1 HTTP/1.1\r\nHost: h\r\n"
