Keep signals until a node can handle them

Operators and the platform send SIGHUP when settings have changed and SIGTERM to stop a node, also while it starts. Before the watchers of the loop were set, and after they were taken away at the end, the default action ended the process by the signal: a start that failed (SIGHUP), or a planned stop with a status other than 0.

Cause: the signals had no handler for a part of the life of the process.

A stop that came meanwhile is an orderly one, a reload reads the settings after the signal. Commands other than "node" unblock them at once. An embedding program gets its mask back.

Not changed: before main, the dynamic linker loads 42 shared libraries with the default actions in force. A signal in that time still ends the process.

--- a/masticpitch/masticpitch.h
+++ b/masticpitch/masticpitch.h
@@ -65,7 +65,10 @@
 int masticpitch_preset_check(const char *path, char *message, size_t size);
 
 /*
- * Creates a node from a settings file and binds its listen addresses.
+ * Creates a node from a settings file and binds its listen addresses. From then on
+ * SIGTERM and SIGINT stop the node and SIGHUP reloads its settings. Signals that come
+ * meanwhile are handled by masticpitch_node_run(); a program that blocks them before
+ * the call loses none.
  * Errors: as masticpitch_settings_check(), MASTICPITCH_E_ADDRESS_IN_USE.
  */
 int masticpitch_node_create(
@@ -84,7 +87,10 @@
  */
 void masticpitch_node_stop(masticpitch_node_t *node);
 
-/* Frees a node; NULL is allowed. Not allowed while masticpitch_node_run() runs. */
+/*
+ * Frees a node and restores the blocked signals as before its creation; NULL is allowed.
+ * Not allowed while masticpitch_node_run() runs.
+ */
 void masticpitch_node_destroy(masticpitch_node_t *node);
 
 #ifdef __cplusplus
--- a/src/cli.c
+++ b/src/cli.c
@@ -133,6 +133,8 @@
 		    argv[1], argc > 2 ? " " : "", argc > 2 ? argv[2] : "");
 		return CLI_EXIT_SYNTAX;
 	}
+	if (command->run != run_node)
+		os_signals_unblock();
 	return command->run(argc - words, argv + words, command);
 }
 
--- a/src/node.c
+++ b/src/node.c
@@ -49,7 +49,8 @@
 
 struct masticpitch_node {
 	settings_t settings;
-	char *path; /* of the settings file */
+	char *path;		 /* of the settings file */
+	sigset_t signals_before; /* blocked signals of the creating thread */
 	kernel_t *kernel;
 	membership_t *membership;
 	peer_t *peer;
@@ -256,6 +257,8 @@
 	ev_timer_init(&node->shutdown_poll, shutdown_poll_callback,
 	    SHUTDOWN_POLL_INTERVAL_S, SHUTDOWN_POLL_INTERVAL_S);
 	node->shutdown_poll.data = node;
+	/* Delivers the signals that came during the start. */
+	os_signals_unblock();
 }
 
 static void
@@ -263,6 +266,8 @@
 {
 	struct ev_loop *loop = kernel_loop(node->kernel);
 
+	/* Without its watcher, a signal would end the process. */
+	os_signals_block(NULL);
 	ev_async_stop(loop, &node->stop);
 	ev_timer_stop(loop, &node->shutdown_poll);
 	ev_signal_stop(loop, &node->reload);
@@ -335,6 +340,7 @@
 
 	if (node == NULL)
 		return MASTICPITCH_E_NOMEM;
+	os_signals_block(&node->signals_before);
 	memory_tune();
 	node->path = strdup(settings_path);
 	if (node->path == NULL) {
@@ -406,6 +412,7 @@
 	if (node->kernel != NULL)
 		node_stop_watchers(node);
 	kernel_destroy(node->kernel);
+	os_signals_restore(&node->signals_before);
 	free(node->path);
 	free(node);
 }
--- a/src/os.c
+++ b/src/os.c
@@ -73,6 +73,39 @@
 	return (uint64_t)kilobytes * 1024;
 }
 
+static void
+signals_fill(sigset_t *signals)
+{
+	sigemptyset(signals);
+	sigaddset(signals, SIGTERM);
+	sigaddset(signals, SIGINT);
+	sigaddset(signals, SIGHUP);
+}
+
+void
+os_signals_block(sigset_t *previous)
+{
+	sigset_t signals;
+
+	signals_fill(&signals);
+	pthread_sigmask(SIG_BLOCK, &signals, previous);
+}
+
+void
+os_signals_unblock(void)
+{
+	sigset_t signals;
+
+	signals_fill(&signals);
+	pthread_sigmask(SIG_UNBLOCK, &signals, NULL);
+}
+
+void
+os_signals_restore(const sigset_t *previous)
+{
+	pthread_sigmask(SIG_SETMASK, previous, NULL);
+}
+
 int
 address_parse(const char *text, address_t *address)
 {
--- a/src/os.h
+++ b/src/os.h
@@ -7,6 +7,7 @@
 #include "masticpitch/masticpitch.h"
 
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -40,6 +41,14 @@
 /* Highest resident memory of this process so far, bytes; 0 if it cannot be read. */
 uint64_t os_memory_peak(void);
 
+/*
+ * Blocks the signals that a node handles: SIGTERM, SIGINT and SIGHUP. They stay pending
+ * for the calling thread and the threads that it creates. previous may be NULL.
+ */
+void os_signals_block(sigset_t *previous);
+void os_signals_unblock(void);
+void os_signals_restore(const sigset_t *previous);
+
 /* Parses "A.B.C.D:PORT". Errors: MASTICPITCH_E_INVALID. */
 int address_parse(const char *text, address_t *address);
 void address_format(const address_t *address, char text[ADDRESS_TEXT_BYTES]);
