Refuse at once when the body of a refusal is slow

What callers saw: an instance answers that it has not run a request, and the body of that refusal stops or goes on slowly until the caller closes. The caller waited until its deadline for a body that it does not get, and had no time left for another instance.

Cause: a refusal was passed on when its body ended, or was longer than 64 KiB. At a byte every 3 ms that is never.

Change: the body has 100 ms, then the refusal is passed on and the connection is closed. A refusal that is still incomplete at the deadline of its call is passed on as that refusal, not as a passed deadline. masticpitch_backend_refusals_cut_total counts both.

--- a/src/gate.c
+++ b/src/gate.c
@@ -98,10 +98,14 @@
 {
 	gate_call_t *call = watcher->data;
 
+	if (call->shed) {
+		gate_exchange_break(call);
+		return;
+	}
 	gate_call_refuse(call, REASON_DEADLINE_PASSED,
-	    call->answered		? RUN_YES
-	    : call->sent && !call->shed ? RUN_UNKNOWN
-					: RUN_NO,
+	    call->answered ? RUN_YES
+	    : call->sent   ? RUN_UNKNOWN
+			   : RUN_NO,
 	    false);
 }
 
--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -122,6 +122,18 @@
 		gate_backend_leave(gate);
 }
 
+/* The caller does not wait for the body of a refusal, which it does not get. */
+static void
+refusal_deadline_set(gate_call_t *call)
+{
+	struct ev_loop *loop = kernel_loop(call->gate->kernel);
+	double left = ev_timer_remaining(loop, &call->deadline);
+
+	ev_timer_stop(loop, &call->deadline);
+	ev_timer_set(&call->deadline, MIN_OF(left, GATE_REFUSAL_BODY_MS / 1e3), 0.0);
+	ev_timer_start(loop, &call->deadline);
+}
+
 /* Posts the complete head, unless the call was shed or the answer is not genuine. */
 static void
 answer_head_post(gate_call_t *call)
@@ -135,6 +147,7 @@
 	call->shed_final = final;
 	if (answer_is_not_run(call) && !refusal_is_foreign(call)) {
 		call->shed = true;
+		refusal_deadline_set(call);
 		call->misdirected = answer->status == 421;
 		if (!call->misdirected)
 			backend_state_read(call);
--- a/src/gate_exchange.c
+++ b/src/gate_exchange.c
@@ -192,6 +192,9 @@
 	exchange_record(call, kernel_now(call->gate->kernel));
 	if (call->shed)
 		refused_record(call->gate, call->head);
+	if (call->shed && result != CURLE_OK)
+		metrics_add(
+		    kernel_metrics(call->gate->kernel), METRIC_BACKEND_REFUSALS_CUT, 1);
 	if (call->misdirected)
 		exchange_misdirected(call);
 	else if (call->shed)
@@ -306,6 +309,12 @@
 	call->lines = NULL;
 }
 
+void
+gate_exchange_break(gate_call_t *call)
+{
+	done_callback(NULL, call->easy, CURLE_WRITE_ERROR);
+}
+
 /* May end the call. */
 static void
 exchange_resume(gate_call_t *call)
@@ -313,7 +322,7 @@
 	curl_loop_unpause(call->gate->curl, call->easy);
 	/* libcurl does not end a transfer whose callback fails in here. */
 	if (call->answer_malformed || call->answer_failed)
-		done_callback(NULL, call->easy, CURLE_WRITE_ERROR);
+		gate_exchange_break(call);
 }
 
 void
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -57,6 +57,8 @@
  * answers, the body of a refusal. An answer with more is broken off.
  */
 #define GATE_ANSWER_OVERHEAD_MAX_BYTES (64 * 1024)
+/* Time for the body of a refusal to end, after which its connection is closed, ms. */
+#define GATE_REFUSAL_BODY_MS 100
 /* Queued and running calls of a gate; further calls are refused. */
 #define GATE_CALLS_MAX 8192
 /* Connect timeout: a working backend server on the same host accepts immediately. */
@@ -281,6 +283,8 @@
 int gate_exchange_start(gate_call_t *call);
 /* Aborts the exchange if it is still running. */
 void gate_exchange_stop(gate_call_t *call);
+/* Ends the exchange and its connection, and with it the call. */
+void gate_exchange_break(gate_call_t *call);
 /* More body or answer credit has arrived. Each may end the call. */
 void gate_exchange_resume_body(gate_call_t *call);
 void gate_exchange_resume_answer(gate_call_t *call);
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -316,6 +316,25 @@
 	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_SHED, RUN_NO);
 }
 
+// The same for a refusal whose body stops, or goes on slowly: a caller that waits for it
+// has no time left for another backend server.
+TEST_F(HostedGate, RefusalWithSlowBodyIsPassedOnImmediately)
+{
+	const uint64_t started_at = os_clock_monotonic();
+
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(head("503 Service Unavailable", "id-1",
+			      "X-Masticpitch-Not-Executed: 1\r\n"
+			      "Content-Length: 1000\r\n") +
+			  "no");
+	expect_refusal(*entry, MESSAGE_REFUSAL, 1, REASON_BACKEND_SHED, RUN_NO);
+	EXPECT_LT(os_clock_monotonic() - started_at, 2 * NS_PER_S);
+	EXPECT_TRUE(run_until([&] {
+		connection->read();
+		return connection->closed;
+	}));
+}
+
 // MIXED: a byte of a chunk's size or end is spoiled, so that the body ends early or has
 // other bytes; the answer must not look complete.
 TEST_F(HostedGate, AnswerWithSpoiledChunksIsBrokenOff)
