Refuse JSON texts whose tree uses up the memory of a host

All nodes watch the store, so all end at once.

The parser bounds the bytes of a text; an empty object has 3 of them and costs 790 in json-c.

Change: the pass over the raw text, which counts keys, also estimates the memory of the tree from brackets, commas and colons outside strings.

Evidence: test_util TreesThatAreTooLargeAreRefused (four kinds of small values, 1 MB) parses them without the change; LongStringsAreNotTaken- ForManyValues, the tests of presets, records, settings and the store pass.

--- a/src/json_text.c
+++ b/src/json_text.c
@@ -43,12 +43,22 @@
 	return error;
 }
 
-/* State of a pass over the raw text that blanks comments and counts keys. */
+/* What json-c allocates at least for an object, an array, a value and a key, bytes. */
+#define TREE_OBJECT_BYTES 800
+#define TREE_ARRAY_BYTES 400
+#define TREE_VALUE_BYTES 64
+#define TREE_KEY_BYTES 32
+
+/*
+ * State of a pass over the raw text that blanks comments, counts keys and estimates the
+ * memory of the tree.
+ */
 typedef struct scan {
 	char *text;
 	size_t size;
 	size_t offset;
 	uint64_t colons; /* outside strings: equals the number of keys */
+	size_t tree_bytes;
 } scan_t;
 
 static void
@@ -106,6 +116,19 @@
 			break;
 		case ':':
 			scan->colons++;
+			scan->tree_bytes += TREE_KEY_BYTES;
+			scan->offset++;
+			break;
+		case '{':
+			scan->tree_bytes += TREE_OBJECT_BYTES;
+			scan->offset++;
+			break;
+		case '[':
+			scan->tree_bytes += TREE_ARRAY_BYTES;
+			scan->offset++;
+			break;
+		case ',':
+			scan->tree_bytes += TREE_VALUE_BYTES;
 			scan->offset++;
 			break;
 		case '\0':
@@ -116,6 +139,9 @@
 			break;
 		}
 	}
+	if (scan->tree_bytes > JSON_TREE_MAX_BYTES)
+		return json_report_fail(report, MASTICPITCH_E_LIMIT, "",
+		    "too many values: about %zu bytes in memory", scan->tree_bytes);
 	return MASTICPITCH_OK;
 }
 
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -16,6 +16,8 @@
 #endif
 
 #define JSON_TEXT_DEPTH_MAX 8
+/* Largest tree of one text, bytes in memory as estimated from the text. */
+#define JSON_TREE_MAX_BYTES (32 * 1024 * 1024)
 /* Size of a buffer for the location in a message, with its terminator. */
 #define JSON_LOCATION_MAX_BYTES 192
 
@@ -35,7 +37,8 @@
     const char *format, ...) __attribute__((format(printf, 4, 5)));
 
 /*
- * Parses one JSON object. The result is released with json_object_put().
+ * Parses one JSON object. The result is released with json_object_put(). A text whose
+ * tree would exceed JSON_TREE_MAX_BYTES is refused before it is built.
  * Errors: MASTICPITCH_E_INVALID, MASTICPITCH_E_LIMIT, MASTICPITCH_E_NOMEM.
  */
 int json_text_parse(const char *text, size_t size, size_t size_max, bool comments,
--- a/test/test_util.cc
+++ b/test/test_util.cc
@@ -5,6 +5,7 @@
 #include "buffer.h"
 #include "chunk_queue.h"
 #include "headers.h"
+#include "json_text.h"
 #include "kernel.h"
 #include "metrics.h"
 #include "os.h"
@@ -148,6 +149,44 @@
 	}
 }
 
+// FAULT: a text of many small values, whose tree has hundreds of times its size, uses up
+// the memory of the host.
+TEST(JsonText, TreesThatAreTooLargeAreRefused)
+{
+	for (const char *item : {"{}", "[]", "0", "{\"a\":{}}"}) {
+		std::string text = "{\"list\":[" + std::string(item);
+		struct json_object *object = NULL;
+		json_report_t report;
+		char message[200];
+
+		while (text.size() < 1024 * 1024)
+			text += "," + std::string(item);
+		text += "]}";
+		json_report_init(&report, message, sizeof(message));
+		EXPECT_EQ(json_text_parse(text.data(), text.size(), text.size(), false,
+			      &object, &report),
+		    MASTICPITCH_E_LIMIT)
+		    << item;
+		EXPECT_NE(std::string(message).find("too many values"), std::string::npos)
+		    << message;
+		json_object_put(object);
+	}
+}
+
+// Brackets and commas in strings cost nothing.
+TEST(JsonText, LongStringsAreNotTakenForManyValues)
+{
+	std::string text = "{\"value\":\"" + std::string(1000000, '{') + "\"}";
+	struct json_object *object = NULL;
+	json_report_t report;
+
+	json_report_init(&report, NULL, 0);
+	EXPECT_EQ(json_text_parse(
+		      text.data(), text.size(), text.size(), false, &object, &report),
+	    0);
+	json_object_put(object);
+}
+
 TEST(Metrics, QuantileLiesWithinABucketOfTheSample)
 {
 	metrics_t metrics = {};
