Deliver a refusal that waits for its turn past its deadline

Cause: the timer of the deadline cuts an answer that is being written and has no end mark yet. A refusal never has one, though it is complete.

Change: only answers of instances are cut there.

Evidence: test_entry_stream RefusalThatWaitsForItsTurnOutlivesIts- Deadline fails without the change (no body, no third answer).

--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -32,7 +32,7 @@
 		return;
 	}
 	/* A caller may finish reading a complete answer after the deadline. */
-	if (!request->answer_end)
+	if (request->refusal.reason == REASON_NONE && !request->answer_end)
 		request->answer_cut = true;
 	entry_attempt_cancel(request);
 	entry_request_resume(request);
--- a/test/test_entry_stream.cc
+++ b/test/test_entry_stream.cc
@@ -185,6 +185,27 @@
 	EXPECT_EQ(gate->count(MESSAGE_CALL_OPEN), 1u);
 }
 
+// LOST: a refusal that waits for the answers ahead of it is cut at its deadline, and the
+// requests behind it get no answer.
+TEST_F(Entry, RefusalThatWaitsForItsTurnOutlivesItsDeadline)
+{
+	std::unique_ptr<RawConnection> caller;
+	uint64_t end;
+
+	ready();
+	caller = send_request(get("/katalogo/1") +
+			      get("/katalogo/2", "Masticpitch-Deadline-Ms: 200\r\n") +
+			      get("/katalogo/3"));
+	refuse(attempt("/katalogo/2"), REASON_DEADLINE_PASSED, RUN_UNKNOWN);
+	answer(attempt("/katalogo/3"), "three", 5);
+	end = os_clock_monotonic() + 300 * NS_PER_MS;
+	ASSERT_TRUE(run_until([&] { return os_clock_monotonic() > end; }));
+	answer(attempt("/katalogo/1"), "one", 3);
+	ASSERT_TRUE(run_until([&] { return caller->has("three") || caller->closed; }));
+	EXPECT_TRUE(caller->has("\"error\":\"deadline-passed\"")) << caller->input;
+	EXPECT_TRUE(caller->has("three")) << caller->input;
+}
+
 TEST_F(Entry, UploadWaitsForCreditAndArrivesCompletely)
 {
 	std::string head = "PUT /katalogo/up/1 HTTP/1.1\r\nHost: h\r\n"
