Try a listen address that is in use again at the start

A node that was started while another program held one of its addresses for a moment, as an outgoing connection or a node that still leaves may, ended at once with exit status 4: the host had no node until something started it again.

Cause: the first failure to bind was final. A taken address is a state that passes; it was handled as an invalid setting.

The services of a node are created by a table of steps. A step whose address is in use is repeated every 50 ms until 10 s after the start; a log line tells when the wait begins and when it ends. After that, the error and exit status 4 are the same as before. SIGTERM and SIGINT, which stay pending during the start, end the wait with exit status 0.

test/process_start.py holds each address (callers, backend servers, operators, peers by TCP and by UDP, readiness) until the node logs that it waits.

--- a/masticpitch/masticpitch.h
+++ b/masticpitch/masticpitch.h
@@ -68,8 +68,9 @@
  * Creates a node from a settings file and binds its listen addresses. From then on
  * SIGTERM and SIGINT stop the node and SIGHUP reloads its settings. Signals that come
  * meanwhile are handled by masticpitch_node_run(); a program that blocks them before
- * the call loses none.
- * Errors: as masticpitch_settings_check(), MASTICPITCH_E_ADDRESS_IN_USE.
+ * the call loses none. An address that is in use is tried again for 10 s.
+ * Errors: as masticpitch_settings_check(), MASTICPITCH_E_ADDRESS_IN_USE,
+ * MASTICPITCH_E_CANCELLED if SIGTERM or SIGINT was blocked and came meanwhile.
  */
 int masticpitch_node_create(
     const char *settings_path, masticpitch_node_t **node, char *message, size_t size);
--- a/src/cli.c
+++ b/src/cli.c
@@ -178,6 +178,8 @@
 	    masticpitch_node_create(settings->sval[0], &node, message, sizeof(message));
 	if (error == MASTICPITCH_OK)
 		error = masticpitch_node_run(node);
+	else if (error == MASTICPITCH_E_CANCELLED) /* by a planned stop */
+		error = MASTICPITCH_OK;
 	if (error != MASTICPITCH_OK)
 		fprintf(stderr, "masticpitch node: %s\n",
 		    message[0] != '\0' ? message : masticpitch_strerror(error));
--- a/src/node.c
+++ b/src/node.c
@@ -18,6 +18,7 @@
 #include <curl/curl.h>
 #include <malloc.h>
 #include <sodium.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -47,6 +48,13 @@
 /* Free bytes that are kept at the top of the heap. */
 #define MEMORY_TRIM_BYTES (64 * 1024)
 
+/*
+ * A listen address that is in use is tried again for this time from the start on: another
+ * node that leaves, or an outgoing connection of another program, may hold it.
+ */
+#define ADDRESS_RETRY_NS (10 * NS_PER_S)
+#define ADDRESS_RETRY_INTERVAL_NS (50 * NS_PER_MS)
+
 struct masticpitch_node {
 	settings_t settings;
 	char *path;		 /* of the settings file */
@@ -72,6 +80,13 @@
 	bool withdrawn;
 };
 
+/* Creates one service of a node; may be repeated after an error. */
+typedef struct start_step {
+	const char *key; /* of the settings */
+	size_t address;	 /* offset in settings_t */
+	int (*create)(masticpitch_node_t *node);
+} start_step_t;
+
 /* Services that get MESSAGE_LEAVE when the shutdown begins. */
 static const char *const leave_first_services[] = {
     "entry", "peer", "operators", "readiness"};
@@ -275,43 +290,116 @@
 		ev_signal_stop(loop, &node->signals[i]);
 }
 
-/* Creates the services; on failure *key is the settings key of the failed one. */
 static int
-node_create_services(
-    masticpitch_node_t *node, const char **key, const address_t **address)
+start_operators(masticpitch_node_t *node)
 {
-	settings_t *settings = &node->settings;
-	int error;
+	return operators_create(node->kernel, &node->settings, &node->operators);
+}
 
-	*key = "listen.operators";
-	*address = &settings->operators;
-	error = operators_create(node->kernel, settings, &node->operators);
-	if (error != MASTICPITCH_OK)
+static int
+start_peer(masticpitch_node_t *node)
+{
+	return peer_create(node->kernel, &node->settings, &node->peer);
+}
+
+static int
+start_membership(masticpitch_node_t *node)
+{
+	return membership_create(node->kernel, &node->settings, &node->membership);
+}
+
+static int
+start_gate(masticpitch_node_t *node)
+{
+	return gate_create(node->kernel, &node->settings, &node->gate);
+}
+
+static int
+start_readiness(masticpitch_node_t *node)
+{
+	return readiness_create(node->kernel, &node->settings, &node->readiness);
+}
+
+static int
+start_entry(masticpitch_node_t *node)
+{
+	return entry_create(node->kernel, &node->settings, &node->entry);
+}
+
+static int
+start_config(masticpitch_node_t *node)
+{
+	return config_create(node->kernel, &node->settings, &node->config);
+}
+
+/* The services in the order of their creation, with the settings key of their address. */
+static const start_step_t start_steps[] = {
+    {"listen.operators", offsetof(settings_t, operators), start_operators},
+    {"listen.peers", offsetof(settings_t, peers), start_peer},
+    {"listen.peers", offsetof(settings_t, peers), start_membership},
+    {"listen.backend_servers", offsetof(settings_t, backend_servers), start_gate},
+    {"listen.readiness", offsetof(settings_t, readiness), start_readiness},
+    {"listen.callers", offsetof(settings_t, callers), start_entry},
+    {"platform.url", offsetof(settings_t, callers), start_config},
+};
+
+/*
+ * Creates a service. While its address is in use, tries again until the deadline or a
+ * signal to stop. Errors: those of the service, MASTICPITCH_E_CANCELLED.
+ */
+static int
+node_start_service(masticpitch_node_t *node, const start_step_t *step,
+    const char *address, uint64_t deadline)
+{
+	log_t *log = kernel_log(node->kernel);
+	int error = step->create(node);
+
+	if (error != MASTICPITCH_E_ADDRESS_IN_USE)
 		return error;
-	*key = "listen.peers";
-	*address = &settings->peers;
-	error = peer_create(node->kernel, settings, &node->peer);
+	log_warning(log, "address in use, waiting", LOG_TEXT("key", step->key),
+	    LOG_TEXT("address", address));
+	while (error == MASTICPITCH_E_ADDRESS_IN_USE && os_clock_monotonic() < deadline) {
+		os_sleep_until(os_clock_monotonic() + ADDRESS_RETRY_INTERVAL_NS);
+		if (os_stop_is_pending())
+			return MASTICPITCH_E_CANCELLED;
+		error = step->create(node);
+	}
 	if (error == MASTICPITCH_OK)
-		error = membership_create(node->kernel, settings, &node->membership);
-	if (error != MASTICPITCH_OK)
-		return error;
-	*key = "listen.backend_servers";
-	*address = &settings->backend_servers;
-	error = gate_create(node->kernel, settings, &node->gate);
-	if (error != MASTICPITCH_OK)
-		return error;
-	*key = "listen.readiness";
-	*address = &settings->readiness;
-	error = readiness_create(node->kernel, settings, &node->readiness);
-	if (error != MASTICPITCH_OK)
-		return error;
-	*key = "listen.callers";
-	*address = &settings->callers;
-	error = entry_create(node->kernel, settings, &node->entry);
-	if (error != MASTICPITCH_OK)
-		return error;
-	*key = "platform.url";
-	return config_create(node->kernel, settings, &node->config);
+		log_info(log, "address is free, start continues",
+		    LOG_TEXT("key", step->key), LOG_TEXT("address", address));
+	return error;
+}
+
+/* Creates the services; message, of that size, describes an error. */
+static int
+node_start_services(masticpitch_node_t *node, char *message, size_t size)
+{
+	log_t *log = kernel_log(node->kernel);
+	uint64_t deadline = os_clock_monotonic() + ADDRESS_RETRY_NS;
+	char address[ADDRESS_TEXT_BYTES];
+	int error = MASTICPITCH_OK;
+
+	for (size_t i = 0; i < ARRAY_LENGTH(start_steps); i++) {
+		const start_step_t *step = &start_steps[i];
+
+		address_format(
+		    (const address_t *)((const char *)&node->settings + step->address),
+		    address);
+		error = node_start_service(node, step, address, deadline);
+		if (error == MASTICPITCH_E_CANCELLED) {
+			log_info(log, "shutdown: stopped during the start");
+			break;
+		}
+		if (error != MASTICPITCH_OK) {
+			snprintf(message, size, "%s: %s: %s: %s", node->path, step->key,
+			    address, masticpitch_strerror(error));
+			log_error(log, "node start failed", LOG_TEXT("key", step->key),
+			    LOG_TEXT("address", address),
+			    LOG_TEXT("reason", masticpitch_strerror(error)));
+			break;
+		}
+	}
+	return error;
 }
 
 /*
@@ -332,9 +420,6 @@
     const char *settings_path, masticpitch_node_t **result, char *message, size_t size)
 {
 	masticpitch_node_t *node = calloc(1, sizeof(*node));
-	const address_t *address;
-	const char *key;
-	char text[ADDRESS_TEXT_BYTES];
 	uint64_t seed;
 	int error;
 
@@ -359,16 +444,9 @@
 	kernel_log(node->kernel)->level = node->settings.log_level;
 	log_set_nonblocking(kernel_log(node->kernel));
 	address_format(&node->settings.peers, kernel_log(node->kernel)->node);
-	error = node_create_services(node, &key, &address);
-	if (error != MASTICPITCH_OK) {
-		address_format(address, text);
-		snprintf(message, size, "%s: %s: %s: %s", settings_path, key, text,
-		    masticpitch_strerror(error));
-		log_error(kernel_log(node->kernel), "node start failed",
-		    LOG_TEXT("key", key), LOG_TEXT("address", text),
-		    LOG_TEXT("reason", masticpitch_strerror(error)));
+	error = node_start_services(node, message, size);
+	if (error != MASTICPITCH_OK)
 		goto fail;
-	}
 	node->listening = true;
 	node_start_watchers(node);
 	*result = node;
--- a/src/os.c
+++ b/src/os.c
@@ -106,6 +106,25 @@
 	pthread_sigmask(SIG_SETMASK, previous, NULL);
 }
 
+bool
+os_stop_is_pending(void)
+{
+	sigset_t pending;
+
+	if (sigpending(&pending) != 0)
+		return false;
+	return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
+void
+os_sleep_until(uint64_t deadline)
+{
+	const struct timespec time = {.tv_sec = (time_t)(deadline / NS_PER_S),
+	    .tv_nsec = (long)(deadline % NS_PER_S)};
+
+	(void)clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &time, NULL);
+}
+
 int
 address_parse(const char *text, address_t *address)
 {
--- a/src/os.h
+++ b/src/os.h
@@ -8,6 +8,7 @@
 
 #include <netinet/in.h>
 #include <signal.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -48,6 +49,10 @@
 void os_signals_block(sigset_t *previous);
 void os_signals_unblock(void);
 void os_signals_restore(const sigset_t *previous);
+/* True if SIGTERM or SIGINT is blocked and pending. */
+bool os_stop_is_pending(void);
+/* Sleeps until that monotonic time, ns; signals that are not blocked end it earlier. */
+void os_sleep_until(uint64_t deadline);
 
 /* Parses "A.B.C.D:PORT". Errors: MASTICPITCH_E_INVALID. */
 int address_parse(const char *text, address_t *address);
--- a/test/process_start.py
+++ b/test/process_start.py
@@ -1,9 +1,10 @@
-"""Signals during the start and the end of a node."""
+"""Signals and taken addresses during the start and the end of a node."""
 
 import errno
 import json
 import os
 import signal
+import socket
 import time
 
 from common_process import check, check_equal, run, wait_for
@@ -114,4 +115,56 @@
         check_end(host, f"start {turn}")
 
 
-run(test_reload_during_the_start, test_stop_during_the_start, test_signals_without_pause)
+def address_hold(address, kind):
+    ip, _, port = address.partition(":")
+    holder = socket.socket(socket.AF_INET, kind)
+    holder.bind((ip, int(port)))
+    if kind == socket.SOCK_STREAM:
+        holder.listen()
+    return holder
+
+
+def addresses(fleet, host):
+    readiness = f"{host.ip}:{fleet.port + 6}"
+    host.settings = {"listen.readiness": readiness}
+    for key in ("callers", "backend_servers", "operators", "peers"):
+        yield f"listen.{key}", getattr(host, key), socket.SOCK_STREAM
+    yield "listen.readiness", readiness, socket.SOCK_STREAM
+    yield "listen.peers", host.peers, socket.SOCK_DGRAM
+
+
+def test_address_taken_for_a_moment(fleet):
+    """Guards against a node that ends because another program holds one of its addresses
+    for a moment, as an outgoing connection may."""
+    host = fleet.host_add(1, start=False)
+    for turn, (key, address, kind) in enumerate(addresses(fleet, host)):
+        host.name = f"taken-{turn}"
+        with address_hold(address, kind):
+            host.node_start()
+            wait_for(lambda key=key: not host.node.alive() or
+                     has_line(host, "address in use, waiting", key=key),
+                     f"the node waits for {key}")
+            check(host.node.alive(), f"{key}: exit status {host.node.popen.returncode}")
+        wait_for(lambda: has_line(host, "node started"), f"start after {key} was free")
+        check(has_line(host, "address is free, start continues", key=key),
+              f"{key}: no line about the end of the wait")
+        host.node.terminate()
+        check_end(host, f"stop after the wait for {key}")
+
+
+def test_stop_while_an_address_is_taken(fleet):
+    """Guards against a planned stop that a node notices only when an address is free."""
+    host = fleet.host_add(1, start=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        host.name = f"waiting-{number.name}"
+        with address_hold(host.callers, socket.SOCK_STREAM):
+            host.node_start()
+            wait_for(lambda: not host.node.alive() or
+                     has_line(host, "address in use, waiting"), "the node waits")
+            host.node.signal(number)
+            check_end(host, f"{number.name} while waiting")
+            check(not has_line(host, "node start failed"), "the stop counts as a failure")
+
+
+run(test_reload_during_the_start, test_stop_during_the_start, test_signals_without_pause,
+    test_address_taken_for_a_moment, test_stop_while_an_address_is_taken)
