Survive a log file that has reached its size limit

A node whose standard output is a file and whose process has a limit on file sizes (RLIMIT_FSIZE) ended by SIGXFSZ at the first line that did not fit, with the requests of its callers.

Cause: the default action of SIGXFSZ. The same class as SIGPIPE, which is ignored: a signal that reports a failed write of a log line.

Bodies and state are not written to files.

--- a/src/cli.c
+++ b/src/cli.c
@@ -116,6 +116,8 @@
 	int words;
 
 	signal(SIGPIPE, SIG_IGN);
+	/* A log file that may not grow any more loses lines, not the process. */
+	signal(SIGXFSZ, SIG_IGN);
 	if (argc < 2) {
 		print_help(stderr);
 		return CLI_EXIT_SYNTAX;
--- a/test/process_start.py
+++ b/test/process_start.py
@@ -1,4 +1,4 @@
-"""Signals and taken addresses during the start and the end of a node."""
+"""Signals, taken addresses and limits that may end a node, mostly during its start."""
 
 import errno
 import json
@@ -166,5 +166,23 @@
             check(not has_line(host, "node start failed"), "the stop counts as a failure")
 
 
+def test_log_file_reaches_its_limit(fleet):
+    """Guards against a node that ends by SIGXFSZ when the file of its log may not grow."""
+    host = fleet.host_add(1, start=False)
+    path = host.settings_write()
+    host.node = fleet.spawn("node-limit", [
+        "sh", "-c", 'ulimit -f 1; exec "$@"', "sh", fleet.program, "node", "--settings", path])
+
+    def reloaded():
+        check(host.node.alive(), f"exit status {host.node.popen.returncode}")
+        host.node.signal(signal.SIGHUP)
+        return host.metrics().get("log_suppressed_total", 0) > 0
+    wait_for(lambda: not host.node.alive() or host.status(), "the node answers")
+    wait_for(reloaded, "a line that cannot be written", pause=0.2)
+    host.node.terminate()
+    check_end(host, "SIGTERM with a log that may not grow")
+
+
 run(test_reload_during_the_start, test_stop_during_the_start, test_signals_without_pause,
-    test_address_taken_for_a_moment, test_stop_while_an_address_is_taken)
+    test_address_taken_for_a_moment, test_stop_while_an_address_is_taken,
+    test_log_file_reaches_its_limit)
