--- a/src/cli.c
+++ b/src/cli.c
@@ -116,6 +116,8 @@
 	int words;
 
 	signal(SIGPIPE, SIG_IGN);
+	/* A log file that may not grow any more loses lines, not the process. */
+	signal(SIGXFSZ, SIG_IGN);
 	if (argc < 2) {
 		print_help(stderr);
 		return CLI_EXIT_SYNTAX;
@@ -178,6 +180,8 @@
 	    masticpitch_node_create(settings->sval[0], &node, message, sizeof(message));
 	if (error == MASTICPITCH_OK)
 		error = masticpitch_node_run(node);
+	else if (error == MASTICPITCH_E_CANCELLED) /* by a planned stop */
+		error = MASTICPITCH_OK;
 	if (error != MASTICPITCH_OK)
 		fprintf(stderr, "masticpitch node: %s\n",
 		    message[0] != '\0' ? message : masticpitch_strerror(error));
