Reject an answer that begins within a line of another

What callers saw: MIXED. An instance that stutters begins an earlier answer once more, late, and breaks off within its status line; the answer to the next request follows at once. The caller got the next answer's fields, signature and body with the earlier one's status: 404 or 500 where the instance had said 200, and 200 where it had said 404 or 500. If the copy broke off within a field before its id, the caller got that field besides.

Cause: both parsers take what is behind a status for the reason phrase, and what is behind a colon for a value. The id that tells answers apart was that of the second answer. Class of fault: the status and the fields of a head are taken for one answer's, while only its id is checked.

Change: a line of a head in which a status line begins is malformed; the exchange ends with backend-protocol and an unknown outcome. A status line at the start of a line was rejected before, since '/' ends no name.

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -1,5 +1,6 @@
 #include "gate_internal.h"
 
+#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -312,16 +313,52 @@
 	       !call->foreign_answer;
 }
 
+static bool
+begins_with_status_line(const char *data, size_t length)
+{
+	static const char form[] = "HTTP/0.0 000"; /* 0: any digit */
+
+	if (length < sizeof(form) - 1)
+		return false;
+	for (size_t i = 0; i < sizeof(form) - 1; i++) {
+		if (form[i] == '0' ? !isdigit((unsigned char)data[i])
+				   : data[i] != form[i])
+			return false;
+	}
+	return true;
+}
+
+/*
+ * True if an answer begins within the line. The backend server broke off the one before
+ * it, whose status and fields would be taken for those of the answer.
+ */
+static bool
+line_joins_answers(const char *data, size_t length)
+{
+	for (size_t i = 1; i < length; i++) {
+		if (begins_with_status_line(data + i, length - i))
+			return true;
+	}
+	return false;
+}
+
+static bool
+answer_line_reject(gate_call_t *call, http_message_error_t error)
+{
+	call->answer_malformed = true;
+	answer_malformed_log(call, error);
+	return false;
+}
+
 bool
 gate_answer_line(gate_call_t *call, const char *data, size_t length)
 {
 	/* Counts interim answers too. */
 	call->answer_overhead += length;
-	if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES) {
-		call->answer_malformed = true;
-		answer_malformed_log(call, HTTP_MESSAGE_ERROR_TOO_LARGE);
-		return false;
-	}
+	if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES)
+		return answer_line_reject(call, HTTP_MESSAGE_ERROR_TOO_LARGE);
+	if (line_joins_answers(data, length))
+		return answer_line_reject(call, HTTP_MESSAGE_ERROR_SYNTAX);
 	return answer_parse(call, data, length);
 }
 
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -235,6 +235,26 @@
 		expect_unknown(++stream, line + answer.substr(answer.find("\r\n")));
 }
 
+// MIXED: the backend server begins an earlier answer once more, and the next one follows
+// where that ends, so that both read as one head.
+TEST_F(HostedGate, AnswerBehindTheBeginOfAnotherIsUnknown)
+{
+	const std::string answer = success("id-1", "ok");
+	const std::string id = "X-Masticpitch-Attempt-Id: id-0\r\n";
+	const std::string stamp = "X-Masticpitch-Server-Stamp: s0\r\n";
+	uint64_t stream = 0;
+
+	for (const std::string status :
+	    {"100 Continue", "200 OK", "404 Not Found", "500 Internal Server Error"}) {
+		for (const std::string &fields : {id + stamp, stamp + id}) {
+			const std::string early = "HTTP/1.1 " + status + "\r\n" + fields;
+
+			for (size_t cut = 1; cut <= early.size(); cut++)
+				expect_unknown(++stream, early.substr(0, cut) + answer);
+		}
+	}
+}
+
 // DENIED: answers whose framing is unusual but clear are passed on.
 TEST_F(HostedGate, AnswerWithUnusualFramingIsPassedOn)
 {
