Give each exchange with the backend server a libcurl handle of its own

What callers saw: FAULT, LOST. One spoiled byte in an answer, a blank in place of the first byte of its first field line, ended the node by SIGSEGV or SIGABRT, with the requests of all its callers and those that other nodes ran on its instance.

Cause: the gate kept handles for later calls. libcurl 7.88 keeps in the handle a pointer to the last field of an answer, frees the field when the next transfer begins and does not reset the pointer. A line that begins with a blank continues the field before it: behind the status line, that is the freed one, which is read and reallocated. The line is stored before the gate's parser sees it, so the strict parser cannot prevent it. Class of fault: state of one exchange that outlives it in a reused object. The HTTP client for the store and operators makes a handle for each call.

Change: a handle is made for each exchange and freed with it. Connections belong to the multi handle and are reused as before.

Evidence: test_gate_answer FoldedFirstFieldAfterAnEarlierAnswerIsUnknown fails under AddressSanitizer before (heap-use-after-free of 2 bytes in libcurl's reading of a field), passes now.

--- a/src/gate_exchange.c
+++ b/src/gate_exchange.c
@@ -202,7 +202,11 @@
 		exchange_failed(call, result);
 }
 
-/* Creates a handle with the options that are the same for every call. */
+/*
+ * Creates a handle with the options that are the same for every call. Each serves one
+ * exchange: libcurl 7.88 keeps a pointer to the last field of an answer over its release
+ * and appends a line to it that begins with a blank.
+ */
 static CURL *
 handle_create(void)
 {
@@ -224,22 +228,6 @@
 	return easy;
 }
 
-static CURL *
-handle_acquire(gate_t *gate)
-{
-	return gate->handle_count > 0 ? gate->handles[--gate->handle_count]
-				      : handle_create();
-}
-
-static void
-handle_release(gate_t *gate, CURL *easy)
-{
-	if (gate->handle_count < GATE_HANDLES_MAX)
-		gate->handles[gate->handle_count++] = easy;
-	else
-		curl_easy_cleanup(easy);
-}
-
 static bool
 exchange_set_options(gate_call_t *call)
 {
@@ -250,8 +238,6 @@
 
 	address_format(&call->gate->backend.address, address);
 	snprintf(url, sizeof(url), "http://%s/", address);
-	/* Resets a pooled handle to a GET without body. */
-	curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
 	if (strcmp(head->method, "HEAD") == 0)
 		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
 	if (head->has_body) {
@@ -280,7 +266,7 @@
 {
 	gate_t *gate = call->gate;
 
-	call->easy = handle_acquire(gate);
+	call->easy = handle_create();
 	if (call->easy == NULL)
 		return MASTICPITCH_E_NOMEM;
 	if (gate_lines_build(call) && exchange_set_options(call) &&
@@ -288,7 +274,7 @@
 		return MASTICPITCH_OK;
 	curl_slist_free_all(call->lines);
 	call->lines = NULL;
-	handle_release(gate, call->easy);
+	curl_easy_cleanup(call->easy);
 	call->easy = NULL;
 	return MASTICPITCH_E_NOMEM;
 }
@@ -300,7 +286,7 @@
 		return;
 	/* Does nothing if the exchange has ended and the handle was removed already. */
 	curl_loop_remove(call->gate->curl, call->easy);
-	handle_release(call->gate, call->easy);
+	curl_easy_cleanup(call->easy);
 	call->easy = NULL;
 	curl_slist_free_all(call->lines);
 	call->lines = NULL;
@@ -344,8 +330,6 @@
 void
 gate_exchange_close(gate_t *gate)
 {
-	while (gate->handle_count > 0)
-		curl_easy_cleanup(gate->handles[--gate->handle_count]);
 	curl_loop_destroy(gate->curl);
 	gate->curl = NULL;
 }
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -46,8 +46,6 @@
  */
 #define GATE_IDLE_TIMEOUT_S 5
 #define GATE_IDLE_TIMEOUT_MAX_S 3600
-/* Pooled libcurl handles; creating one costs more than a short call. */
-#define GATE_HANDLES_MAX 64
 /* Requests that the backend server refused last; see gate_t.refused. */
 #define GATE_REFUSED_MAX 256
 /* Request body bytes consumed after which credit is returned. */
@@ -80,8 +78,6 @@
 	const settings_t *settings;
 	http_server_t *announcements;
 	curl_loop_t *curl;
-	CURL *handles[GATE_HANDLES_MAX];
-	size_t handle_count;
 	stream_table_t streams;
 	list_t calls;  /* all calls, by arrival */
 	queue_t queue; /* queued calls */
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -255,6 +255,25 @@
 	}
 }
 
+// FAULT: a first field line that begins with a blank, in the answer behind another one,
+// makes libcurl append it to a field of the earlier answer, which it has freed.
+TEST_F(HostedGate, FoldedFirstFieldAfterAnEarlierAnswerIsUnknown)
+{
+	const std::string answer = success("id-1", "ok");
+	const size_t first_field = answer.find("\r\n") + 2;
+	uint64_t stream = 1;
+
+	connection = call_arrives(stream, "/katalogo/first", 1);
+	connection->write(answer);
+	ASSERT_TRUE(run_until([&] { return has_ended(stream); }));
+	for (const char blank : {' ', '\t'}) {
+		std::string folded = answer;
+
+		folded[first_field] = blank;
+		expect_unknown(++stream, folded);
+	}
+}
+
 // DENIED: answers whose framing is unusual but clear are passed on.
 TEST_F(HostedGate, AnswerWithUnusualFramingIsPassedOn)
 {
