Reject lines of an answer with a stray carriage return

What callers saw: MIXED. An answer in which the first byte of a field line is a carriage return was passed on as a success, with the rest of that line and the first bytes of the body in place of the body.

Cause: http-parser, as Debian builds it, takes the byte behind a carriage return for the line feed, whatever it is. libcurl takes the whole line for the end of the head. The gate's parser so read the rest of the line as the first bytes of the body, and the body ended that much early.

Change: a line of a head has a carriage return only before its line feed.

Evidence: test_gate_answer FieldThatBeginsWithACarriageReturnIsUnknown: before, the head of such a success was posted; now the outcome is unknown. The heads of callers' requests go through the same parser; there is no second one behind it that could disagree, since the gate writes the request anew.

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -342,6 +342,19 @@
 	return false;
 }
 
+/*
+ * True if the line has a carriage return that does not end it. http-parser takes the next
+ * byte for the line feed, whatever it is, and may so find the end of the head elsewhere
+ * than libcurl.
+ */
+static bool
+line_has_stray_return(const char *data, size_t length)
+{
+	const char *found = memchr(data, '\r', length);
+
+	return found != NULL && (found != data + length - 2 || found[1] != '\n');
+}
+
 static bool
 answer_line_reject(gate_call_t *call, http_message_error_t error)
 {
@@ -357,7 +370,7 @@
 	call->answer_overhead += length;
 	if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES)
 		return answer_line_reject(call, HTTP_MESSAGE_ERROR_TOO_LARGE);
-	if (line_joins_answers(data, length))
+	if (line_joins_answers(data, length) || line_has_stray_return(data, length))
 		return answer_line_reject(call, HTTP_MESSAGE_ERROR_SYNTAX);
 	return answer_parse(call, data, length);
 }
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -255,6 +255,22 @@
 	}
 }
 
+// MIXED: a carriage return in place of a field's first byte ends the head for one parser
+// and not for another.
+TEST_F(HostedGate, FieldThatBeginsWithACarriageReturnIsUnknown)
+{
+	const std::string body = "0123456789abcdefghij";
+	uint64_t stream = 0;
+
+	for (const std::string framing :
+	    {"Content-Length: 20\r\n", "Transfer-Encoding: chunked\r\n"})
+		expect_unknown(++stream,
+		    "HTTP/1.1 200 OK\r\nX-Masticpitch-Attempt-Id: id-1\r\n"
+		    "X-Masticpitch-Server-Stamp: s\r\n" +
+			framing + "\rontent-Type: a\r\n\r\n" +
+			(framing[0] == 'C' ? body : "14\r\n" + body + "\r\n0\r\n\r\n"));
+}
+
 // FAULT: a first field line that begins with a blank, in the answer behind another one,
 // makes libcurl append it to a field of the earlier answer, which it has freed.
 TEST_F(HostedGate, FoldedFirstFieldAfterAnEarlierAnswerIsUnknown)
