Take no answer without an id on a kept connection

What callers saw: MIXED. A caller got a signed success of another request, which its own request, still running, had not had. The instance had written an earlier answer once more, late, in which one byte of the name of the id's field was spoiled.

Cause: an answer without an id was taken for that of the call if it was signed. Refusals had the rule since: without an id, only the first answer on a connection is known not to be late. Class of fault: an absent identifier taken for the right one; a check that held for one kind of answer only.

Change: the rule holds for all answers of a dialect with signed answers, whose backend servers name the request in each. Answers of the native dialect are judged as before.

Evidence: test_gate_answer AnswerWithoutAnIdOnAKeptConnectionIsUnknown: before, the copy was passed on and no refusal came in 10 s.

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -41,12 +41,12 @@
 }
 
 /*
- * True if a refusal may be that of another request, which the backend server has written
+ * True if the answer may be that of another request, which the backend server has written
  * late. Backend servers of a dialect with signed answers name the request in each answer;
  * without its id, only the first answer on a connection is known not to be late.
  */
 static bool
-refusal_is_foreign(const gate_call_t *call)
+answer_is_foreign(const gate_call_t *call)
 {
 	const header_names_t *names = call->gate->names;
 	const char *id = answer_field(call, names->request_id);
@@ -58,21 +58,16 @@
 	return names->signature != NULL && connects == 0;
 }
 
-/*
- * True if the answer is the backend server's answer to this call: a late answer to
- * another request has that request's id, and a success is signed.
- */
+/* True if the answer may be passed on as the backend server's answer to this call. */
 static bool
 answer_is_genuine(const gate_call_t *call)
 {
 	const header_names_t *names = call->gate->names;
 	const answer_head_t *answer = call->answer;
-	const char *id;
 
 	if (names->signature == NULL)
 		return true;
-	id = answer_field(call, names->request_id);
-	if (id != NULL && strcmp(id, call->head->request_id) != 0)
+	if (answer_is_foreign(call))
 		return false;
 	if (answer->status < 300 && answer_field(call, names->signature) == NULL)
 		return false;
@@ -134,7 +129,7 @@
 	bool final = answer_field(call, final_name) != NULL;
 
 	call->shed_final = final;
-	if (answer_is_not_run(call) && !refusal_is_foreign(call)) {
+	if (answer_is_not_run(call) && !answer_is_foreign(call)) {
 		call->shed = true;
 		call->misdirected = answer->status == 421;
 		if (!call->misdirected)
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -255,6 +255,21 @@
 	}
 }
 
+// MIXED: a second copy of an earlier answer, whose id is spoiled, arrives where that to
+// the next request is expected.
+TEST_F(HostedGate, AnswerWithoutAnIdOnAKeptConnectionIsUnknown)
+{
+	std::string unnamed = success("id-1", "ok");
+
+	unnamed.replace(unnamed.find("Attempt-Id"), 10, "Attempt-xd");
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(unnamed);
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	ASSERT_EQ(call_arrives(2, "/katalogo/2", 2), connection);
+	connection->write(unnamed);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN);
+}
+
 // MIXED: a carriage return in place of a field's first byte ends the head for one parser
 // and not for another.
 TEST_F(HostedGate, FieldThatBeginsWithACarriageReturnIsUnknown)
