--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -1,5 +1,6 @@
 #include "gate_internal.h"
 
+#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -40,12 +41,12 @@
 }
 
 /*
- * True if a refusal may be that of another request, which the backend server has written
+ * True if the answer may be that of another request, which the backend server has written
  * late. Backend servers of a dialect with signed answers name the request in each answer;
  * without its id, only the first answer on a connection is known not to be late.
  */
 static bool
-refusal_is_foreign(const gate_call_t *call)
+answer_is_foreign(const gate_call_t *call)
 {
 	const header_names_t *names = call->gate->names;
 	const char *id = answer_field(call, names->request_id);
@@ -57,21 +58,16 @@
 	return names->signature != NULL && connects == 0;
 }
 
-/*
- * True if the answer is the backend server's answer to this call: a late answer to
- * another request has that request's id, and a success is signed.
- */
+/* True if the answer may be passed on as the backend server's answer to this call. */
 static bool
 answer_is_genuine(const gate_call_t *call)
 {
 	const header_names_t *names = call->gate->names;
 	const answer_head_t *answer = call->answer;
-	const char *id;
 
 	if (names->signature == NULL)
 		return true;
-	id = answer_field(call, names->request_id);
-	if (id != NULL && strcmp(id, call->head->request_id) != 0)
+	if (answer_is_foreign(call))
 		return false;
 	if (answer->status < 300 && answer_field(call, names->signature) == NULL)
 		return false;
@@ -145,7 +141,7 @@
 	bool final = answer_field(call, final_name) != NULL;
 
 	call->shed_final = final;
-	if (answer_is_not_run(call) && !refusal_is_foreign(call)) {
+	if (answer_is_not_run(call) && !answer_is_foreign(call)) {
 		call->shed = true;
 		refusal_deadline_set(call);
 		call->misdirected = answer->status == 421;
@@ -325,16 +321,65 @@
 	       !call->foreign_answer;
 }
 
+static bool
+begins_with_status_line(const char *data, size_t length)
+{
+	static const char form[] = "HTTP/0.0 000"; /* 0: any digit */
+
+	if (length < sizeof(form) - 1)
+		return false;
+	for (size_t i = 0; i < sizeof(form) - 1; i++) {
+		if (form[i] == '0' ? !isdigit((unsigned char)data[i])
+				   : data[i] != form[i])
+			return false;
+	}
+	return true;
+}
+
+/*
+ * True if an answer begins within the line. The backend server broke off the one before
+ * it, whose status and fields would be taken for those of the answer.
+ */
+static bool
+line_joins_answers(const char *data, size_t length)
+{
+	for (size_t i = 1; i < length; i++) {
+		if (begins_with_status_line(data + i, length - i))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * True if the line has a carriage return that does not end it. http-parser takes the next
+ * byte for the line feed, whatever it is, and may so find the end of the head elsewhere
+ * than libcurl.
+ */
+static bool
+line_has_stray_return(const char *data, size_t length)
+{
+	const char *found = memchr(data, '\r', length);
+
+	return found != NULL && (found != data + length - 2 || found[1] != '\n');
+}
+
+static bool
+answer_line_reject(gate_call_t *call, http_message_error_t error)
+{
+	call->answer_malformed = true;
+	answer_malformed_log(call, error);
+	return false;
+}
+
 bool
 gate_answer_line(gate_call_t *call, const char *data, size_t length)
 {
 	/* Counts interim answers too. */
 	call->answer_overhead += length;
-	if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES) {
-		call->answer_malformed = true;
-		answer_malformed_log(call, HTTP_MESSAGE_ERROR_TOO_LARGE);
-		return false;
-	}
+	if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES)
+		return answer_line_reject(call, HTTP_MESSAGE_ERROR_TOO_LARGE);
+	if (line_joins_answers(data, length) || line_has_stray_return(data, length))
+		return answer_line_reject(call, HTTP_MESSAGE_ERROR_SYNTAX);
 	return answer_parse(call, data, length);
 }
 
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -235,6 +235,76 @@
 		expect_unknown(++stream, line + answer.substr(answer.find("\r\n")));
 }
 
+// MIXED: the backend server begins an earlier answer once more, and the next one follows
+// where that ends, so that both read as one head.
+TEST_F(HostedGate, AnswerBehindTheBeginOfAnotherIsUnknown)
+{
+	const std::string answer = success("id-1", "ok");
+	const std::string id = "X-Masticpitch-Attempt-Id: id-0\r\n";
+	const std::string stamp = "X-Masticpitch-Server-Stamp: s0\r\n";
+	uint64_t stream = 0;
+
+	for (const std::string status :
+	    {"100 Continue", "200 OK", "404 Not Found", "500 Internal Server Error"}) {
+		for (const std::string &fields : {id + stamp, stamp + id}) {
+			const std::string early = "HTTP/1.1 " + status + "\r\n" + fields;
+
+			for (size_t cut = 1; cut <= early.size(); cut++)
+				expect_unknown(++stream, early.substr(0, cut) + answer);
+		}
+	}
+}
+
+// MIXED: a second copy of an earlier answer, whose id is spoiled, arrives where that to
+// the next request is expected.
+TEST_F(HostedGate, AnswerWithoutAnIdOnAKeptConnectionIsUnknown)
+{
+	std::string unnamed = success("id-1", "ok");
+
+	unnamed.replace(unnamed.find("Attempt-Id"), 10, "Attempt-xd");
+	connection = call_arrives(1, "/katalogo/1", 1);
+	connection->write(unnamed);
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	ASSERT_EQ(call_arrives(2, "/katalogo/2", 2), connection);
+	connection->write(unnamed);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN);
+}
+
+// MIXED: a carriage return in place of a field's first byte ends the head for one parser
+// and not for another.
+TEST_F(HostedGate, FieldThatBeginsWithACarriageReturnIsUnknown)
+{
+	const std::string body = "0123456789abcdefghij";
+	uint64_t stream = 0;
+
+	for (const std::string framing :
+	    {"Content-Length: 20\r\n", "Transfer-Encoding: chunked\r\n"})
+		expect_unknown(++stream,
+		    "HTTP/1.1 200 OK\r\nX-Masticpitch-Attempt-Id: id-1\r\n"
+		    "X-Masticpitch-Server-Stamp: s\r\n" +
+			framing + "\rontent-Type: a\r\n\r\n" +
+			(framing[0] == 'C' ? body : "14\r\n" + body + "\r\n0\r\n\r\n"));
+}
+
+// FAULT: a first field line that begins with a blank, in the answer behind another one,
+// makes libcurl append it to a field of the earlier answer, which it has freed.
+TEST_F(HostedGate, FoldedFirstFieldAfterAnEarlierAnswerIsUnknown)
+{
+	const std::string answer = success("id-1", "ok");
+	const size_t first_field = answer.find("\r\n") + 2;
+	uint64_t stream = 1;
+
+	connection = call_arrives(stream, "/katalogo/first", 1);
+	connection->write(answer);
+	ASSERT_TRUE(run_until([&] { return has_ended(stream); }));
+	for (const char blank : {' ', '\t'}) {
+		std::string folded = answer;
+
+		folded[first_field] = blank;
+		expect_unknown(++stream, folded);
+	}
+}
+
 // DENIED: answers whose framing is unusual but clear are passed on.
 TEST_F(HostedGate, AnswerWithUnusualFramingIsPassedOn)
 {
