Reject answers that name another request in the native dialect

Callers got the answer to another request (MIXED) when a backend server sent an answer twice and the copy arrived just after the next request had been sent on the connection. The gate compared the request id of an answer only if the dialect signs answers, so a native node passed on the copy even where it named the request it belongs to.

The id is now compared in both dialects; an answer without one is still accepted from native backend servers, as they need not return it.

The test fails without the change (state not reached in 10 s).

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -68,11 +68,11 @@
 	const answer_head_t *answer = call->answer;
 	const char *id;
 
-	if (names->signature == NULL)
-		return true;
 	id = answer_field(call, names->request_id);
 	if (id != NULL && strcmp(id, call->head->request_id) != 0)
 		return false;
+	if (names->signature == NULL)
+		return true;
 	if (answer->status < 300 && answer_field(call, names->signature) == NULL)
 		return false;
 	return answer_field(call, "Content-Encoding") == NULL &&
--- a/test/test_gate.cc
+++ b/test/test_gate.cc
@@ -305,6 +305,30 @@
 	ASSERT_TRUE(run_until([&] { return has_ended(2); }));
 }
 
+// MIXED: a second copy of an answer comes late, when the next request has been sent on
+// the connection.
+TEST_F(Gate, AnswerThatNamesAnotherRequestIsUnknown)
+{
+	const std::string answer = "HTTP/1.1 200 OK\r\nMasticpitch-Request-Id: id-1\r\n"
+				   "Content-Length: 2\r\n\r\nok";
+	RawConnection *connection;
+	message_t *next = call(0, 2, "POST", "/katalogo/y");
+
+	ASSERT_EQ(announce("ready"), 200);
+	entry->post("gate", call(0, 1, "GET", "/katalogo/x"));
+	ASSERT_TRUE(
+	    run_until([&] { return server->connection_with("\r\n\r\n") != nullptr; }));
+	connection = server->connections[0].get();
+	connection->write(answer);
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 1), "ok");
+	string_copy(next->u.call->request_id, REQUEST_ID_BYTES, "id-2");
+	entry->post("gate", next);
+	ASSERT_TRUE(run_until([&] { return connection->has("/katalogo/y"); }));
+	connection->write(answer);
+	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_BACKEND_PROTOCOL, RUN_UNKNOWN);
+}
+
 TEST_F(Gate, MalformedAnswerIsUnknown)
 {
 	ASSERT_EQ(announce("ready"), 200);
