--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -65,10 +65,10 @@
 	const header_names_t *names = call->gate->names;
 	const answer_head_t *answer = call->answer;
 
-	if (names->signature == NULL)
-		return true;
 	if (answer_is_foreign(call))
 		return false;
+	if (names->signature == NULL)
+		return true;
 	if (answer->status < 300 && answer_field(call, names->signature) == NULL)
 		return false;
 	return answer_field(call, "Content-Encoding") == NULL &&
