Estimate the memory of a JSON tree before it is built

A store whose answer of 4 MB is a list of empty objects makes each node grow from 11 to 1,074 MB, and none of its callers is answered while the tree is built and freed.

Cause: the length of a text is bounded, the tree that json-c builds of it was not. "{}," takes 3 bytes as text and some 760 as a tree.

Class: a bound counts the bytes that a peer sends and not what they cost here, as for the pieces of bodies.

Change: the pass over the text that counts keys also estimates the memory of the tree; above 32 MB the text is refused with MASTICPITCH_E_LIMIT. For an answer of the store that is an unknown outcome, which masticpitch_platform_errors_total and masticpitch_platform_unknown_total count.

LargestPageIsRead guards the other side, 500 items in 1 MB. test_preset and test_hosted_config, with the largest documents of the tests, pass.

--- a/src/json_text.c
+++ b/src/json_text.c
@@ -43,12 +43,23 @@
 	return error;
 }
 
-/* State of a pass over the raw text that blanks comments and counts keys. */
+/* Memory that json-c takes for an empty object and array, for a value and for a key,
+ * bytes. */
+#define TREE_OBJECT_BYTES 800
+#define TREE_ARRAY_BYTES 400
+#define TREE_VALUE_BYTES 64
+#define TREE_KEY_BYTES 192
+
+/*
+ * State of a pass over the raw text that blanks comments, counts keys and estimates the
+ * memory of the tree.
+ */
 typedef struct scan {
 	char *text;
 	size_t size;
 	size_t offset;
 	uint64_t colons; /* outside strings: equals the number of keys */
+	uint64_t tree_bytes;
 } scan_t;
 
 static void
@@ -90,6 +101,29 @@
 	return ended || kind == '/';
 }
 
+/* Counts a character outside strings. */
+static void
+scan_count(scan_t *scan, char character)
+{
+	switch (character) {
+	case '{':
+		scan->tree_bytes += TREE_OBJECT_BYTES;
+		break;
+	case '[':
+		scan->tree_bytes += TREE_ARRAY_BYTES;
+		break;
+	case ',':
+		scan->tree_bytes += TREE_VALUE_BYTES;
+		break;
+	case ':':
+		scan->colons++;
+		scan->tree_bytes += TREE_KEY_BYTES;
+		break;
+	default:
+		break;
+	}
+}
+
 static int
 scan_run(scan_t *scan, bool comments, json_report_t *report)
 {
@@ -104,18 +138,17 @@
 				    comments ? "unfinished comment"
 					     : "comments are not allowed here");
 			break;
-		case ':':
-			scan->colons++;
-			scan->offset++;
-			break;
 		case '\0':
 			return json_report_fail(
 			    report, MASTICPITCH_E_INVALID, "", "contains a zero byte");
 		default:
-			scan->offset++;
+			scan_count(scan, scan->text[scan->offset++]);
 			break;
 		}
 	}
+	if (scan->tree_bytes > JSON_TEXT_TREE_MAX_BYTES)
+		return json_report_fail(
+		    report, MASTICPITCH_E_LIMIT, "", "has too many values");
 	return MASTICPITCH_OK;
 }
 
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -16,6 +16,11 @@
 #endif
 
 #define JSON_TEXT_DEPTH_MAX 8
+/*
+ * Memory that the tree of a text may take, bytes, as estimated before it is built: the
+ * smallest values take some 250 times the size of their text.
+ */
+#define JSON_TEXT_TREE_MAX_BYTES (32 * 1024 * 1024)
 /* Size of a buffer for the location in a message, with its terminator. */
 #define JSON_LOCATION_MAX_BYTES 192
 
--- a/test/test_hosted_store.cc
+++ b/test/test_hosted_store.cc
@@ -148,6 +148,37 @@
 }
 
 // Guards: a watch returns an older event, or one of another key, as the newest.
+// FAULT: the store answers with a document of many small values; a tree of it, which
+// takes up to 250 times its size, exceeds the memory of the host.
+TEST_F(HostedStore, AnswerWithTooManyValuesIsNotRead)
+{
+	const size_t size = 4000000;
+
+	for (const std::string value : {"{}", "[]", "[[[]]]", "{\"\":0}", "0"}) {
+		std::string body = "{\"at\":5,\"hasMore\":false,\"items\":[" + value;
+
+		while (body.size() < size)
+			body += "," + value;
+		body += "]}";
+		EXPECT_EQ(decode(PLATFORM_CALL_LIST, "", 200, body), PLATFORM_UNKNOWN)
+		    << value;
+	}
+}
+
+// A page of the largest list that the store returns is read.
+TEST_F(HostedStore, LargestPageIsRead)
+{
+	std::string body = "{\"at\":5,\"hasMore\":true,\"items\":[";
+
+	for (int i = 0; i < 500; i++)
+		body += std::string(i == 0 ? "" : ",") + "{\"key\":\"masticpitch/" +
+			std::to_string(i) + "\",\"value\":\"" + std::string(2000, 'A') +
+			"\",\"revision\":4,\"createdAt\":4,\"lease\":0}";
+	body += "]}";
+	EXPECT_EQ(decode(PLATFORM_CALL_LIST, "", 200, body), PLATFORM_OK);
+	EXPECT_EQ(decoded.answer.entry_count, 500u);
+}
+
 TEST_F(HostedStore, TheLastEventOfTheKeyCounts)
 {
 	EXPECT_EQ(decode(PLATFORM_CALL_WATCH, "head", 200,
