Read answers in several iterations of the event loop

What callers saw: while 12 answers of one instance arrive as fast as they are read, the node beside it answers nobody else, deadlines included. With chunks of one byte and an extension of 4,000 bytes each the callers waited up to 5.0 s with a deadline of 3 s, and the two requests that another caller had time for got no answer within 2 s.

Cause: libcurl 7.88 goes on reading a connection, and then the next one that is ready, for as long as there are bytes. One second of strace on the node has 4,680 reads of 12 sockets and no poll of the event loop. Only the credit of the caller broke that off, which counts the body and not its framing.

Change: an answer is read up to 64 KiB in an iteration and paused until the next. masticpitch_backend_yields_total counts it.

test_gate_answer AnswerIsReadInSeveralIterations fails without the pause: 0 yields in place of 1 or more. All 20 tests of test_gate_answer pass with it.

--- a/src/gate.c
+++ b/src/gate.c
@@ -124,6 +124,7 @@
 	call->stream.node = message->node;
 	call->stream.stream = message->stream;
 	list_init(&call->item.link);
+	list_init(&call->yield_link);
 	/* With one byte more the ticket table recognises a body that is too large. */
 	buffer_init(&call->ticket_body, TICKET_BODY_MAX_BYTES + 1);
 	chunk_queue_init(&call->body);
@@ -394,6 +395,7 @@
 	gate->service.receive = gate_receive;
 	gate->service.is_idle = gate_is_idle;
 	list_init(&gate->calls);
+	list_init(&gate->yielded);
 	list_init(&gate->service.link);
 	gate->naive = settings->routing_policy == ROUTING_NAIVE;
 	queue_init(&gate->queue, 0, 1, !gate->naive);
--- a/src/gate_exchange.c
+++ b/src/gate_exchange.c
@@ -65,6 +65,30 @@
 	return gate_answer_line(call, data, length) ? length : 0;
 }
 
+/* True if the answer has used up its part of this iteration, and is read on in the next.
+ */
+static bool
+answer_yield(gate_call_t *call, size_t length)
+{
+	gate_t *gate = call->gate;
+	unsigned iteration = ev_iteration(kernel_loop(gate->kernel));
+
+	if (call->iteration != iteration) {
+		call->iteration = iteration;
+		call->iteration_read = 0;
+	}
+	if (call->iteration_read < GATE_ITERATION_READ_MAX_BYTES) {
+		call->iteration_read += length;
+		return false;
+	}
+	if (list_is_empty(&call->yield_link)) {
+		list_append(&gate->yielded, &call->yield_link);
+		defer_start(&gate->yield);
+		metrics_add(kernel_metrics(gate->kernel), METRIC_BACKEND_YIELDS, 1);
+	}
+	return true;
+}
+
 /* Gets the body as it is on the wire, with the framing of its chunks. */
 static size_t
 answer_callback(char *data, size_t size, size_t count, void *state)
@@ -76,6 +100,8 @@
 		call->answer_paused = true;
 		return CURL_WRITEFUNC_PAUSE;
 	}
+	if (answer_yield(call, length))
+		return CURL_WRITEFUNC_PAUSE;
 	return gate_answer_body(call, data, length) ? length : 0;
 }
 
@@ -299,6 +325,7 @@
 void
 gate_exchange_stop(gate_call_t *call)
 {
+	list_remove(&call->yield_link);
 	if (call->easy == NULL)
 		return;
 	/* Does nothing if the exchange has ended and the handle was removed already. */
@@ -325,6 +352,20 @@
 		gate_exchange_break(call);
 }
 
+static void
+yield_callback(void *state)
+{
+	gate_t *gate = state;
+	list_t ready, *node;
+
+	/* A call may yield again, to the next iteration. */
+	list_init(&ready);
+	while ((node = list_take_first(&gate->yielded)) != NULL)
+		list_append(&ready, node);
+	while ((node = list_take_first(&ready)) != NULL)
+		exchange_resume(LIST_ENTRY(node, gate_call_t, yield_link));
+}
+
 void
 gate_exchange_resume_body(gate_call_t *call)
 {
@@ -346,6 +387,7 @@
 int
 gate_exchange_open(gate_t *gate)
 {
+	defer_init(&gate->yield, kernel_loop(gate->kernel), yield_callback, gate);
 	return curl_loop_create(
 	    kernel_loop(gate->kernel), done_callback, gate, &gate->curl);
 }
@@ -355,6 +397,7 @@
 {
 	while (gate->handle_count > 0)
 		curl_easy_cleanup(gate->handles[--gate->handle_count]);
+	defer_stop(&gate->yield);
 	curl_loop_destroy(gate->curl);
 	gate->curl = NULL;
 }
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -14,6 +14,7 @@
 #include "announcement.h"
 #include "chunk_queue.h"
 #include "curl_loop.h"
+#include "defer.h"
 #include "gate.h"
 #include "http_message.h"
 #include "http_server.h"
@@ -57,6 +58,11 @@
  * answers, the body of a refusal. An answer with more is broken off.
  */
 #define GATE_ANSWER_OVERHEAD_MAX_BYTES (64 * 1024)
+/*
+ * Bytes of one answer that are read in one iteration of the event loop; libcurl goes on
+ * for as long as more arrive.
+ */
+#define GATE_ITERATION_READ_MAX_BYTES (64 * 1024)
 /* Time for the body of a refusal to end, after which its connection is closed, ms. */
 #define GATE_REFUSAL_BODY_MS 100
 /* Queued and running calls of a gate; further calls are refused. */
@@ -84,6 +90,8 @@
 	curl_loop_t *curl;
 	CURL *handles[GATE_HANDLES_MAX];
 	size_t handle_count;
+	list_t yielded; /* calls whose answer is read on in the next iteration */
+	defer_t yield;
 	stream_table_t streams;
 	list_t calls;  /* all calls, by arrival */
 	queue_t queue; /* queued calls */
@@ -177,6 +185,9 @@
 	chunk_t *answer_chunk;		/* bytes of the body that are not posted yet */
 	uint32_t answer_credit;
 	bool answer_paused;
+	unsigned iteration;    /* of the event loop, in which the answer was read last */
+	size_t iteration_read; /* bytes of the answer read in it */
+	list_t yield_link;     /* in gate_t.yielded */
 } gate_call_t;
 
 /* gate.c */
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -304,6 +304,24 @@
 	expect_refusal(*entry, MESSAGE_ANSWER_ABORT, 1, REASON_BACKEND_PROTOCOL, RUN_YES);
 }
 
+// FAULT, LOST: answers whose bytes arrive as fast as they are read keep the node in
+// libcurl; nobody else is answered, and no deadline ends the answers.
+TEST_F(HostedGate, AnswerIsReadInSeveralIterations)
+{
+	const size_t size = 64;
+	std::string answer = head("200 OK", "id-1",
+	    "X-Masticpitch-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n");
+
+	for (size_t i = 0; i < size; i++)
+		answer += "1;" + std::string(4000, 'x') + "\r\na\r\n";
+	answer += "0\r\n\r\n";
+	connection = call_arrives(1, "/katalogo/1", 1);
+	ASSERT_EQ(connection->write(answer), answer.size());
+	ASSERT_TRUE(run_until([&] { return has_ended(1); }));
+	EXPECT_EQ(entry->body(MESSAGE_ANSWER_DATA, 1), std::string(size, 'a'));
+	EXPECT_GE(metric(METRIC_BACKEND_YIELDS), answer.size() / (128 * 1024));
+}
+
 // A refusal whose body goes on until the gate closes is passed on at once, not at the
 // deadline of the request.
 TEST_F(HostedGate, RefusalWithoutEndIsPassedOnImmediately)
