--- a/src/json_text.h
+++ b/src/json_text.h
@@ -16,8 +16,11 @@
 #endif
 
 #define JSON_TEXT_DEPTH_MAX 8
-/* Largest tree of one text, bytes in memory as estimated from the text. */
-#define JSON_TREE_MAX_BYTES (32 * 1024 * 1024)
+/*
+ * Memory that the tree of a text may take, bytes, as estimated before it is built: the
+ * smallest values take some 250 times the size of their text.
+ */
+#define JSON_TEXT_TREE_MAX_BYTES (32 * 1024 * 1024)
 /* Size of a buffer for the location in a message, with its terminator. */
 #define JSON_LOCATION_MAX_BYTES 192
 
@@ -38,7 +41,7 @@
 
 /*
  * Parses one JSON object. The result is released with json_object_put(). A text whose
- * tree would exceed JSON_TREE_MAX_BYTES is refused before it is built.
+ * tree would exceed JSON_TEXT_TREE_MAX_BYTES is refused before it is built.
  * Errors: MASTICPITCH_E_INVALID, MASTICPITCH_E_LIMIT, MASTICPITCH_E_NOMEM.
  */
 int json_text_parse(const char *text, size_t size, size_t size_max, bool comments,
