Reject lines of an answer that end without a carriage return

What callers saw: MIXED. An instance spoiled one byte, a line feed in place of the carriage return that ends the last field. The caller got a success whose body began with the two bytes left of the end of the head: 9,002 bytes of 9,000, where the answer ended with its connection.

Cause: both parsers take a line feed alone for the end of a line. Same class as the stray carriage return: lenient reading of what ends a line moves the border between head and body.

Change: each line of an answer's head ends with a carriage return and a line feed, and has no other carriage return.

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -338,16 +338,15 @@
 }
 
 /*
- * True if the line has a carriage return that does not end it. http-parser takes the next
- * byte for the line feed, whatever it is, and may so find the end of the head elsewhere
- * than libcurl.
+ * True if the line ends with its only carriage return and a line feed. http-parser takes
+ * any byte behind a carriage return for the line feed, and a line feed alone for the end;
+ * it may so find the end of the head elsewhere than the backend server or libcurl.
  */
 static bool
-line_has_stray_return(const char *data, size_t length)
+line_end_is_valid(const char *data, size_t length)
 {
-	const char *found = memchr(data, '\r', length);
-
-	return found != NULL && (found != data + length - 2 || found[1] != '\n');
+	return length >= 2 && memchr(data, '\r', length) == data + length - 2 &&
+	       data[length - 1] == '\n';
 }
 
 static bool
@@ -365,7 +364,7 @@
 	call->answer_overhead += length;
 	if (call->answer_overhead > GATE_ANSWER_OVERHEAD_MAX_BYTES)
 		return answer_line_reject(call, HTTP_MESSAGE_ERROR_TOO_LARGE);
-	if (line_joins_answers(data, length) || line_has_stray_return(data, length))
+	if (line_joins_answers(data, length) || !line_end_is_valid(data, length))
 		return answer_line_reject(call, HTTP_MESSAGE_ERROR_SYNTAX);
 	return answer_parse(call, data, length);
 }
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -286,6 +286,19 @@
 			(framing[0] == 'C' ? body : "14\r\n" + body + "\r\n0\r\n\r\n"));
 }
 
+// MIXED: a line feed in place of a carriage return ends the head early, and what is left
+// of its end reads as the first bytes of the body.
+TEST_F(HostedGate, LineWithoutACarriageReturnIsUnknown)
+{
+	uint64_t stream = 0;
+
+	for (const std::string framing : {"Content-Length: 20", "Connection: close"})
+		expect_unknown(
+		    ++stream, "HTTP/1.1 200 OK\r\nX-Masticpitch-Attempt-Id: id-1\r\n"
+			      "X-Masticpitch-Server-Stamp: s\r\n" +
+				  framing + "\n\n\r\n0123456789abcdefghij");
+}
+
 // FAULT: a first field line that begins with a blank, in the answer behind another one,
 // makes libcurl append it to a field of the earlier answer, which it has freed.
 TEST_F(HostedGate, FoldedFirstFieldAfterAnEarlierAnswerIsUnknown)
