Test an answer that is read on after it waited for its caller

An answer of 2 MB waits for credit and then gets a whole window at once, which is more than one iteration of the event loop reads; it must arrive whole.

--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -322,6 +322,32 @@
 	EXPECT_GE(metric(METRIC_BACKEND_YIELDS), answer.size() / (128 * 1024));
 }
 
+// The same for an answer that waited for its caller, which then takes a whole window.
+TEST_F(HostedGate, AnswerThatWaitedIsReadInSeveralIterations)
+{
+	const std::string body(2000000, 'a');
+	const std::string answer = success("id-1", body);
+	size_t written = 0, credited = 0;
+
+	connection = call_arrives(1, "/katalogo/1", 1);
+	for (int i = 0; i < 100; i++) {
+		written += connection->write(answer, written);
+		run_until_idle();
+	}
+	ASSERT_TRUE(run_until([&] {
+		size_t got = entry->body(MESSAGE_ANSWER_DATA, 1).size();
+
+		if (got - credited > STREAM_WINDOW_BYTES - STREAM_DATA_MAX_BYTES) {
+			entry->post_credit("gate", MESSAGE_ANSWER_CREDIT, 0, 1,
+			    static_cast<uint32_t>(got - credited));
+			credited = got;
+		}
+		written += connection->write(answer, written);
+		return has_ended(1);
+	}));
+	EXPECT_TRUE(entry->body(MESSAGE_ANSWER_DATA, 1) == body);
+}
+
 // A refusal whose body goes on until the gate closes is passed on at once, not at the
 // deadline of the request.
 TEST_F(HostedGate, RefusalWithoutEndIsPassedOnImmediately)
