Answer large chunked uploads that are refused before their route is known

The same where a node has no configuration yet or the route is unknown. Cause: the body of a refused request is read to its end if its length is not known, up to the limit of its route, and beyond it the connection is aborted. Without a route the limit is 64 KiB, however much callers may send, and the refusal that is ready by then was not sent. Class of fault: a bound on input whose excess drops an answer that is ready. Change: at the limit the refusal is sent with the connection's end, as it is for bodies whose length is known to be above it.

--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -192,7 +192,10 @@
 		entry_attempt_pump(request);
 }
 
-/* Counts body bytes that are not needed; aborts the request above the limit. */
+/*
+ * Counts body bytes that are not needed. Above the limit, a refusal is sent without
+ * waiting for the end of the body, and anything else is aborted.
+ */
 static void
 body_discard(entry_request_t *request, size_t size)
 {
@@ -201,8 +204,14 @@
 	if (request->route != NULL)
 		limit = MAX_OF(limit, request->route->body_limit_bytes);
 	request->body_discarded += size;
-	if (request->body_discarded > limit)
+	if (request->body_discarded <= limit)
+		return;
+	if (request->refusal.reason == REASON_NONE) {
 		exchange_abort(request->exchange);
+	} else if (request->state == REQUEST_BODY) {
+		request->close = true;
+		entry_request_answer(request);
+	}
 }
 
 size_t
--- a/test/test_entry_stream.cc
+++ b/test/test_entry_stream.cc
@@ -423,6 +423,23 @@
 	EXPECT_TRUE(run_until([&] { return is_idle(); }));
 }
 
+// LOST: guards against a large chunked upload that gets no answer where it is refused
+// before its route is known.
+TEST_F(Entry, LargeChunkedUploadsAreRefusedWithAnAnswer)
+{
+	const size_t size = ENTRY_BODY_DISCARDED_MAX_BYTES + 10000;
+	char length[16];
+	std::string upload = "PUT /katalogo/up/1 HTTP/1.1\r\nHost: h\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n";
+
+	snprintf(length, sizeof(length), "%zx\r\n", size);
+	upload += length + std::string(size, 'u') + "\r\n0\r\n\r\n";
+	ready();
+	config->post("entry", message_create(MESSAGE_LEAVE, 0, 0));
+	run_until_idle();
+	expect_refused(answer_to(upload), 503, "shutdown", "no");
+}
+
 // Guards against a planned stop that resets connections which are established
 // but not accepted yet.
 TEST_F(Entry, ConnectionsMadeBeforeTheEndOfListeningAreAnswered)
