Watch the nodes of the soak and spoil answers, uploads and starts

The soak could not see what users saw as FAULT and MIXED: it never looked at the exit status or the memory of a node, and its backend servers always answered once and whole.

- The end of a node that was not asked for, and a peak of resident memory above 110 MB, break a seed as FAULT.
- New faults: series of SIGHUP, also right after a start; an address of a node taken for 0.2 to 1 s around its start; uploads in chunks of one byte; a proxy before backend servers that sends answers twice, in chunks of one byte, or without end in head, body or trailers.
- The stand-in for backend servers names the request in its answers, and may announce another address than its own.
- A second node or backend server is no longer started beside the first one of its host when two faults overlap.
- A seed with an error of the harness counts as broken and no longer ends the run.
Logs are kept for each seed.

--- a/test/common_standin.c
+++ b/test/common_standin.c
@@ -1,5 +1,7 @@
 #include "common_standin.h"
 
+#include "headers.h"
+
 #include <arpa/inet.h>
 #include <poll.h>
 #include <stdio.h>
@@ -154,10 +156,14 @@
 {
 	struct MHD_Response *response = MHD_create_response_from_buffer(
 	    size, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+	const char *id =
+	    MHD_lookup_connection_value(connection, MHD_HEADER_KIND, HEADER_REQUEST_ID);
 	enum MHD_Result result;
 
 	if (response == NULL)
 		return MHD_NO;
+	if (id != NULL)
+		(void)MHD_add_response_header(response, HEADER_REQUEST_ID, id);
 	if (header != NULL)
 		(void)MHD_add_response_header(response, header, value);
 	result = MHD_queue_response(connection, status, response);
--- a/test/standin_backend.c
+++ b/test/standin_backend.c
@@ -4,7 +4,8 @@
  * begins and one when it ends, so that tests see the runs even after a crash:
  *   run ID once|many METHOD URI MS (wall clock)
  *   end ID done|gone|late MS
- * Options: --listen IP:PORT --announce IP:PORT (or none) --entry IP:PORT
+ * Options: --listen IP:PORT --address IP:PORT (announced, in place of the one it
+ * listens at) --announce IP:PORT (or none) --entry IP:PORT
  * --service NAME --instance NAME --slots N --connections N --work-ms N
  * --cold-ms N --lag-ms N --load-lie X --rate-limit X --seed N.
  * --cold-ms delays the state "ready", --lag-ms makes the announced load that old,
@@ -447,13 +448,15 @@
 {
 	backend_t own = {0};
 	backend_t *backend = &own;
+	const char *listen_address;
 	pthread_t thread;
 	sigset_t signals;
 	int signal_number;
 
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
 		return 1;
-	backend->address = standin_option(argc, argv, "listen", "127.0.0.1:0");
+	listen_address = standin_option(argc, argv, "listen", "127.0.0.1:0");
+	backend->address = standin_option(argc, argv, "address", listen_address);
 	backend->announce = standin_option(argc, argv, "announce", NULL);
 	backend->entry = standin_option(argc, argv, "entry", NULL);
 	backend->service = standin_option(argc, argv, "service", "katalogo");
@@ -478,7 +481,7 @@
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	(void)standin_listen(
-	    backend->address, handle, request_close, request_open, backend);
+	    listen_address, handle, request_close, request_open, backend);
 	pthread_create(&thread, NULL, announce_thread, backend);
 	sigwait(&signals, &signal_number);
 	backend->leaving = true;
--- a/tools/harness.py
+++ b/tools/harness.py
@@ -224,9 +224,9 @@
             self.keep_logs()
         self.close()
 
-    def keep_logs(self):
+    def keep_logs(self, name=None):
         """Copies the logs of a failed run to the directory "failed" of the build."""
-        target = os.path.join(BUILD, "failed", os.path.basename(sys.argv[0]))
+        target = os.path.join(BUILD, "failed", name or os.path.basename(sys.argv[0]))
         shutil.rmtree(target, ignore_errors=True)
         shutil.copytree(self.directory, target)
         print(f"logs of the failed run: {os.path.relpath(target, ROOT)}", file=sys.stderr)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,22 +1,25 @@
 #!/usr/bin/env python3
 """The fault soak: real processes under random injected faults, drawn from a seed.
 
-usage: tools/soak.py [--seconds S] [--hosts N] FIRST..LAST
+usage: tools/soak.py [--seconds S] [--hosts N] FIRST..LAST | regressions
 
 Each seed starts a mesh, callers that send directly and through proxies, and a schedule
 of overlapping faults. During the run no node may revert to an older version unless it
-restarts; at the end the outcomes that callers got are compared with the runs of backend
-servers. One line per seed goes to standard output, with the faults injected; the exit
-status is 1 if any seed violated a guarantee. Logs of such a seed are kept in the build
-directory.
+restarts, end without being asked to, or exceed the memory of the smallest host; at the
+end the outcomes that callers got are compared with the runs of backend servers. One line
+per seed goes to standard output, with the faults injected; the exit status is 1 if any
+seed violated a guarantee. Logs of such a seed are kept in the build directory.
 """
 import argparse
 import random
+import re
+import signal
+import socket
 import sys
 import time
 
 from harness import Fleet, HarnessError, preset_make
-from soak_proxy import Proxy
+from soak_proxy import AnswerProxy, Proxy
 
 SERVICE = "katalogo"
 PRESETS = (("normal", 2000), ("peak", 1500), ("maintenance", 4000))
@@ -27,6 +30,18 @@
 ANSWERED_MIN_SHARE = 0.3  # share of the requests of a seed that must be answered
 WORK_MS = 25  # of a run; long enough that a crash interrupts some runs
 SETTLE_S = 2.0  # without new faults, so that the mesh recovers before the end
+MEMORY_MAX_KB = 110 * 1024  # of a node: the memory of the smallest host
+ANSWER_PROXIES_MAX = 4  # one thread each
+# Seeds that failed once, by cause.
+REGRESSIONS = (
+    # SIGHUP ended a node that was starting.
+    7003, 7005, 7007, 7009, 7011, 7014, 7018, 7019, 7022,
+    # The same; besides, this soak started a second node beside the first one of a host.
+    7015,
+    # The same; besides, a node ended where its address was in use for less than 1 s.
+    7013,
+    # A late copy of an answer was taken for the answer to the next request.
+    7010, 7016, 7020)
 
 
 class Soak:
@@ -41,13 +56,26 @@
         self.injected = {}
         self.scheduled = []  # (time, function)
         self.proxies = []
+        self.answer_proxies = []
         self.versions = {}  # (host, pid of its node): highest version
+        self.ends = {}  # pid of a node: statuses that it may end with
+        self.found = set()  # pids of nodes that are at fault
+        self.peak_kb = 0  # highest resident memory of a node
+        self.before_main = {}  # pid of a node: status by a signal that came too early
+        self.known = []  # cases of KNOWN-RED.txt
+        self.uploads = []  # connections that send bodies in small chunks
         self.broken = []
 
     def start(self):
         for number in range(self.host_count):
-            self.fleet.host_add(number % len(self.fleet.zones) + 1, SERVICE,
-                                work_ms=WORK_MS)
+            host = self.fleet.host_add(number % len(self.fleet.zones) + 1, SERVICE,
+                                       start=False, work_ms=WORK_MS)
+            if number < ANSWER_PROXIES_MAX:
+                address = f"{host.ip}:{self.fleet.port + 6}"
+                host.backend_options["address"] = address
+                self.answer_proxies.append(AnswerProxy(
+                    address, host.backend_address, self.seed + number))
+            host.start()
         for name, deadline in PRESETS:
             self.fleet.preset_create(name, preset_make([SERVICE], deadline))
         self.fleet.wait_versions(self.fleet.use("normal"))
@@ -70,9 +98,59 @@
 
     # Faults; each one schedules its own end.
 
+    def node_start(self, host):
+        if host.node.alive():
+            return  # started already, by the end of another fault
+        host.node_start()
+        if self.random.random() < 0.4:
+            self.hang_up(host)
+
+    def hang_up(self, host):
+        """A series of reloads."""
+        for _ in range(self.random.randint(1, 8)):
+            time.sleep(self.random.choice((0.0, 0.001, 0.002, 0.008)))
+            self.process_signal(host.node, signal.SIGHUP)
+
+    def process_signal(self, process, number):
+        """Sends a signal, and notes whether the program has begun: as its first statement
+        it blocks the signals that it handles. KNOWN-RED.txt has the time before."""
+        if process.alive():
+            with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
+                masks = re.findall(r"Sig(?:Blk|Cgt):\s*([0-9a-f]+)", file.read())
+            if any(int(mask, 16) >> (number - 1) & 1 for mask in masks):
+                self.before_main.pop(process.pid, None)
+            else:
+                self.before_main[process.pid] = -number
+            process.signal(number)
+
+    def end_expect(self, node, status):
+        self.ends.setdefault(node.pid, set()).add(status)
+
     def node_kill(self, host):
+        self.end_expect(host.node, -signal.SIGKILL)
         host.node.kill()
-        self.schedule(self.random.uniform(0.05, 1.5), host.node_start)
+        if self.random.random() < 0.3:
+            self.address_hold(host)
+        self.schedule(self.random.uniform(0.05, 1.5), lambda: self.node_start(host))
+
+    def address_hold(self, host):
+        """Another program takes an address of a node that is about to start."""
+        address = self.random.choice(
+            (host.callers, host.backend_servers, host.peers, host.operators))
+        kind = socket.SOCK_STREAM
+        if address == host.peers:  # datagrams and streams
+            kind = self.random.choice((socket.SOCK_DGRAM, socket.SOCK_STREAM))
+        holder = socket.socket(socket.AF_INET, kind)
+        try:
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind(Proxy.split(address))
+            if kind == socket.SOCK_STREAM:
+                holder.listen(0)
+        except OSError:
+            holder.close()
+            return
+        self.injected["address_hold"] = self.injected.get("address_hold", 0) + 1
+        self.schedule(self.random.uniform(0.2, 1.0), holder.close)
 
     def node_pause(self, host):
         node = host.node
@@ -81,7 +159,7 @@
 
     def restart(self, process, start):
         """Stops a process as planned and starts it again once it has ended."""
-        process.terminate()
+        self.process_signal(process, signal.SIGTERM)
 
         def start_again():
             if process.alive():
@@ -91,12 +169,17 @@
         self.schedule(0.1, start_again)
 
     def node_restart(self, host):
-        self.restart(host.node, host.node_start)
+        self.end_expect(host.node, 0)
+        self.restart(host.node, lambda: self.node_start(host))
 
     def backend_kill(self, host):
         if host.backend.alive():
             host.backend.kill()
-            self.schedule(self.random.uniform(0.1, 2.0), host.backend_start)
+            self.schedule(self.random.uniform(0.1, 2.0), lambda: self.backend_start(host))
+
+    def backend_start(self, host):
+        if not host.backend.alive():
+            host.backend_start()
 
     def backend_pause(self, host):
         backend = host.backend
@@ -104,7 +187,7 @@
         self.schedule(self.random.uniform(0.2, 1.5), backend.resume)
 
     def backend_leave(self, host):
-        self.restart(host.backend, host.backend_start)
+        self.restart(host.backend, lambda: self.backend_start(host))
 
     def platform_fault(self, _host):
         name, value, normal = self.random.choice((
@@ -134,6 +217,43 @@
         proxy.set(self.random.choice(Proxy.MODES), self.random.uniform(0.005, 0.05))
         self.schedule(self.random.uniform(0.3, 1.5), lambda: proxy.set(None))
 
+    def answer_fault(self, _host):
+        proxy = self.random.choice(self.answer_proxies)
+        proxy.set(self.random.choice(AnswerProxy.MODES))
+        self.schedule(self.random.uniform(0.3, 1.5), lambda: proxy.set(None))
+
+    def small_chunks(self, host):
+        """Callers send bodies in chunks of one byte, and read nothing; often to a backend
+        server that does not read either."""
+        if self.random.random() < 0.7:
+            self.backend_pause(host)
+        uploads = []
+        for number in range(self.random.randint(2, 8)):
+            try:
+                upload = socket.create_connection(Proxy.split(host.callers), 0.2)
+                upload.sendall(b"POST /%s/upload/x?id=c%d-%d HTTP/1.1\r\nHost: x\r\n"
+                               b"Transfer-Encoding: chunked\r\n\r\n" % (
+                                   SERVICE.encode(), len(self.uploads), number))
+                upload.setblocking(False)
+                uploads.append(upload)
+            except OSError:
+                pass  # the node is leaving or paused
+        self.uploads += uploads
+
+        def end():
+            for upload in uploads:
+                self.uploads.remove(upload)
+                upload.close()
+        self.schedule(self.random.uniform(0.5, 3.0), end)
+
+    def uploads_continue(self):
+        for upload in self.uploads:
+            try:
+                while upload.send(b"1\r\nx\r\n" * 8000) > 24000:
+                    pass
+            except OSError:
+                pass  # the node reads no more for now, or has closed
+
     def configuration_change(self, _host):
         try:
             self.fleet.use_directly(self.random.choice(PRESETS)[0])
@@ -142,7 +262,8 @@
 
     FAULTS = (node_kill, node_pause, node_restart, backend_kill, backend_pause,
               backend_leave, platform_fault, platform_restore, proxy_fault, proxy_fault,
-              configuration_change, configuration_change)
+              configuration_change, configuration_change, hang_up, answer_fault,
+              answer_fault, small_chunks)
 
     def run_scheduled(self, everything=False):
         now = time.monotonic()
@@ -165,6 +286,31 @@
                 self.broken.append(f"{host.name} reverted from version {highest} to {version}")
             self.versions[key] = max(highest, version)
 
+    def check_processes(self):
+        """No node ends by itself, nor uses more memory than its host has."""
+        for process in self.fleet.processes:
+            if not process.name.startswith("node-") or process.pid in self.found:
+                continue
+            status = process.popen.poll()
+            if status is not None:
+                fault = f"ended with status {status}"
+                ended = status not in self.ends.get(process.pid, ())
+                if ended and self.before_main.get(process.pid) == status:
+                    self.found.add(process.pid)
+                    self.known.append(f"KNOWN: {process.name}, pid {process.pid}, {fault}, "
+                                      "a signal before main")
+                    continue
+            else:
+                with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
+                    peak = re.search(r"VmHWM:\s*(\d+) kB", file.read())
+                peak_kb = int(peak.group(1)) if peak else 0
+                self.peak_kb = max(self.peak_kb, peak_kb)
+                fault = f"used {peak_kb // 1024} MB"
+                ended = peak_kb > MEMORY_MAX_KB
+            if ended:
+                self.found.add(process.pid)
+                self.broken.append(f"FAULT: {process.name}, pid {process.pid}, {fault}")
+
     def run(self):
         callers = self.start()
         end = time.monotonic() + self.seconds
@@ -181,12 +327,15 @@
                 # Often two or three faults in quick succession, then a pause.
                 next_fault += self.random.choice((0.0, 0.1, 0.6, 1.2))
             self.check_versions()
+            self.check_processes()
+            self.uploads_continue()
             time.sleep(0.03)
         self.run_scheduled(everything=True)
-        for proxy in self.proxies:
+        for proxy in self.proxies + self.answer_proxies:
             proxy.set(None)
         for caller in callers:
             caller.wait(90)
+        self.check_processes()
         verdict = self.fleet.verdict()
         self.broken += [f"{name}: {verdict[name]}" for name in GUARANTEES if verdict[name]]
         if verdict["answered"] < ANSWERED_MIN_SHARE * verdict["sent"]:
@@ -195,7 +344,7 @@
         return verdict
 
     def close(self):
-        for proxy in self.proxies:
+        for proxy in self.proxies + self.answer_proxies:
             proxy.close()
 
 
@@ -203,17 +352,20 @@
     """Runs one seed; True if every guarantee held."""
     with Fleet(zones=2) as fleet:
         soak = Soak(fleet, seed, seconds, hosts)
+        verdict = {name: 0 for name in ("sent", "answered", "refused", "unknown", "cut")}
         try:
             verdict = soak.run()
+        except (OSError, HarnessError) as error:
+            soak.broken.append(f"error: {error!r}")
         finally:
             soak.close()
         if soak.broken:
-            fleet.keep_logs()
+            fleet.keep_logs(f"soak-{seed}")
     faults = " ".join(f"{name}={count}" for name, count in sorted(soak.injected.items()))
     print(f"seed {seed}: {'BROKEN ' + '; '.join(soak.broken) if soak.broken else 'held'} "
           f"requests {verdict['sent']} answered {verdict['answered']} refused "
           f"{verdict['refused']} unknown {verdict['unknown']} cut {verdict['cut']} "
-          f"faults {faults}", flush=True)
+          f"peak {soak.peak_kb // 1024} MB faults {faults} {'; '.join(soak.known)}", flush=True)
     return not soak.broken
 
 
@@ -221,11 +373,14 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seconds", type=float, default=8.0, help="of faults a seed")
     parser.add_argument("--hosts", type=int, default=6)
-    parser.add_argument("seeds", help="FIRST..LAST")
+    parser.add_argument("seeds", help="FIRST..LAST, or regressions")
     arguments = parser.parse_args()
-    first, _, last = arguments.seeds.partition("..")
+    seeds = REGRESSIONS
+    if arguments.seeds != "regressions":
+        first, _, last = arguments.seeds.partition("..")
+        seeds = range(int(first), int(last or first) + 1)
     failed = 0
-    for seed in range(int(first), int(last or first) + 1):
+    for seed in seeds:
         failed += not seed_run(seed, arguments.seconds, arguments.hosts)
     return 1 if failed else 0
 
--- a/tools/soak_proxy.py
+++ b/tools/soak_proxy.py
@@ -1,7 +1,8 @@
-"""A fault-injecting loopback proxy between callers and a node, or between a node and the
-platform. It delays or resets connections, or stops forwarding in both directions or in
-one."""
+"""Fault-injecting loopback proxies: between callers and a node, where connections are
+delayed, reset or silenced, and between a node and its backend server, where answers are
+spoiled."""
 
+import random
 import selectors
 import socket
 import struct
@@ -10,6 +11,7 @@
 
 PIECE = 65536  # bytes
 POLL_S = 0.05
+SEND_TIMEOUT_S = 0.5  # an end that takes no bytes for so long is disconnected
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER that makes close() send a reset
 
 
@@ -67,7 +69,8 @@
         except OSError:
             caller.close()
             return
-        target.settimeout(None)
+        for end in (caller, target):
+            end.settimeout(SEND_TIMEOUT_S)
         self.pairs[caller], self.pairs[target] = target, caller
         self.inward.add(caller)
         for end in (caller, target):
@@ -86,12 +89,18 @@
             if self.mode == "delay":
                 time.sleep(self.delay_s)
             if data:
-                other.sendall(data)
+                self.send(connection, other, data)
         except OSError:
             data = b""
         if not data:
             self.drop(connection)
 
+    def send(self, _connection, other, data):
+        other.sendall(data)
+
+    def idle(self):
+        """Called between polls."""
+
     def run(self):
         self.selector = selectors.DefaultSelector()
         self.selector.register(self.listener, selectors.EVENT_READ)
@@ -102,6 +111,7 @@
                         self.accept()
                     else:
                         self.forward(key.fileobj)
+            self.idle()
         self.listener.close()
         for connection in list(self.pairs):
             self.drop(connection)
@@ -109,3 +119,89 @@
     def close(self):
         self.stopping = True
         self.thread.join(5.0)
+
+
+class AnswerProxy(Proxy):
+    """Forwards whole answers of a backend server, and spoils them according to its mode:
+    a second copy that comes late, a body in chunks of one byte, or bytes without end in
+    the head, the body or the trailers until the caller disconnects."""
+
+    MODES = ("stutter", "tiny", "endless_head", "endless_body", "endless_trailers")
+    COPY_DELAY_MAX_S = 0.1
+    FILLER = {"endless_head": b"Filler: x\r\n", "endless_body": b"1\r\nx\r\n",
+              "endless_trailers": b"Filler: x\r\n"}
+    CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    BEGINNINGS = {"endless_head": b"HTTP/1.1 200 OK\r\n", "endless_body": CHUNKED,
+                  "endless_trailers": CHUNKED + b"0\r\n"}
+
+    def __init__(self, listen, target, seed):
+        self.random = random.Random(seed)
+        self.partial = {}  # socket of a backend server: start of an answer
+        self.copies = []  # (time, socket, answer)
+        self.endless = {}  # socket of a caller: bytes to repeat
+        super().__init__(listen, target)
+
+    @staticmethod
+    def answer_split(data):
+        """(head, body, rest) of the first answer, or None if it is not whole."""
+        head, end, rest = data.partition(b"\r\n\r\n")
+        size = 0
+        for line in head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                size = int(value)
+        return (head + end, rest[:size], rest[size:]) if end and len(rest) >= size else None
+
+    def send(self, connection, other, data):
+        if connection in self.inward:
+            other.sendall(data)
+            return
+        data = self.partial.pop(connection, b"") + data
+        while answer := self.answer_split(data):
+            data = answer[2]
+            if other not in self.endless:
+                self.answer_send(other, *answer[:2])
+        if data:
+            self.partial[connection] = data
+
+    def answer_send(self, caller, head, body):
+        mode = self.mode
+        if mode in self.FILLER and body:
+            caller.sendall(self.BEGINNINGS[mode])
+            self.endless[caller] = self.FILLER[mode] * 2000
+        elif mode == "tiny" and body:
+            lines = [line for line in head.split(b"\r\n")
+                     if not line.lower().startswith(b"content-length")]
+            lines.insert(1, b"Transfer-Encoding: chunked")
+            caller.sendall(b"\r\n".join(lines) + b"".join(
+                b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\n\r\n")
+        else:
+            caller.sendall(head + body)
+            if mode == "stutter" and body:
+                delay_s = self.random.uniform(0, self.COPY_DELAY_MAX_S)
+                self.copies.append((time.monotonic() + delay_s, caller, head + body))
+
+    def idle(self):
+        now = time.monotonic()
+        due = [copy for copy in self.copies if copy[0] <= now]
+        self.copies = [copy for copy in self.copies if copy[0] > now]
+        with self.lock:
+            for _, caller, answer in due:
+                self.extra_send(caller, answer)
+            for caller, filler in list(self.endless.items()):
+                self.extra_send(caller, filler)
+            if self.endless:
+                time.sleep(0.001)
+
+    def extra_send(self, caller, data):
+        if caller in self.pairs:
+            try:
+                caller.sendall(data)
+            except OSError:
+                self.drop(caller)
+
+    def drop(self, connection, reset=False):
+        for end in (connection, self.pairs.get(connection)):
+            self.endless.pop(end, None)
+            self.partial.pop(end, None)
+        super().drop(connection, reset)
