Answer running requests before a late node ends its planned stop

What callers saw: at the end of a planned stop's grace period, requests end with their connection and without an answer (LOST).

Cause: the answers are due 300 ms before the end of the grace period, the end is decided by the clock alone. A process that does not run in these 300 ms goes straight to the end.

Change: the node ends only after both services were told to answer and another 100 ms have passed. The operator's kill comes 500 ms after the grace period at the earliest.

Evidence: process_uploads test_stop_of_a_node_that_is_late pauses a node over the end of its grace period: both calls end without a response before, 503 with an unknown outcome now.

--- a/src/node.c
+++ b/src/node.c
@@ -42,6 +42,8 @@
  * answered without a result.
  */
 #define SHUTDOWN_ANSWER_NS (300 * NS_PER_MS)
+/* Time for these answers to be sent, also if the process was late. */
+#define SHUTDOWN_SEND_NS (100 * NS_PER_MS)
 
 /* Allocations of at least this size use mmap(); half the size of a document. */
 #define MEMORY_MMAP_BYTES (32 * 1024)
@@ -74,6 +76,7 @@
 	bool leaving;
 	uint64_t grace_deadline;
 	size_t stopped_waiting; /* services that got MESSAGE_STOP_WAITING */
+	uint64_t send_deadline; /* of the answers to these messages */
 	bool listening;
 	uint64_t next_stage_at; /* earliest time of the next step of the shutdown */
 	uint64_t withdraw_at; /* the instance accepts work from other nodes until then */
@@ -167,6 +170,16 @@
 	    kernel_service_find(kernel, stop_waiting_services[node->stopped_waiting]),
 	    message_create(MESSAGE_STOP_WAITING, 0, 0));
 	node->stopped_waiting++;
+	node->send_deadline = kernel_now(kernel) + SHUTDOWN_SEND_NS;
+}
+
+/* A process that was late answers its requests before it ends. */
+static bool
+node_grace_is_over(const masticpitch_node_t *node, uint64_t now)
+{
+	return now >= node->grace_deadline &&
+	       node->stopped_waiting == ARRAY_LENGTH(stop_waiting_services) &&
+	       now >= node->send_deadline;
 }
 
 static void
@@ -175,7 +188,7 @@
 	masticpitch_node_t *node = watcher->data;
 	uint64_t now = kernel_now(node->kernel);
 
-	if (now >= node->grace_deadline) {
+	if (node_grace_is_over(node, now)) {
 		const service_t *busy = kernel_busy_service(node->kernel);
 
 		log_error(kernel_log(node->kernel),
--- a/test/process_uploads.py
+++ b/test/process_uploads.py
@@ -1,10 +1,12 @@
 """Hosts are stopped as planned while uploads and calls run."""
 
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from common_process import check, check_equal, check_outcomes, run, start_mesh, wait_for
 from harness import http_call
 
+GRACE_MS = 1000
 
 def test_rolling_restart(fleet):
     """Guards against a planned stop that cuts or loses a request or runs it twice."""
@@ -26,9 +28,8 @@
     check_outcomes(fleet)
 
 
-def test_stop_beside_a_silent_backend(fleet):
-    """Guards against a planned stop that cuts a request at the end of the grace period in
-    place of answering it (LOST)."""
+def stop_beside_silent_backends(fleet, between):
+    """Stops a node while two of its calls run; between() is done in the grace period."""
     start_mesh(fleet, hosts_per_zone=1)
     host = fleet.hosts[0]
     for other in fleet.hosts:
@@ -39,6 +40,7 @@
                                             ("POST", "/katalogo/call/x?id=2", "x"))]
         wait_for(lambda: host.metrics()["requests_in_flight"] == 2, "the calls run")
         host.node.terminate()
+        between(host)
         check_equal(host.node.wait(10), 0, "exit code")
         for call in calls:
             status, headers, _ = call.result()
@@ -47,7 +49,25 @@
                         (503, "shutdown", "unknown"), "answer at the end of the grace period")
 
 
-test_stop_beside_a_silent_backend.fleet = {"settings": {"shutdown.grace_ms": 1000}}
+def test_stop_beside_a_silent_backend(fleet):
+    """Guards against a planned stop that cuts a request at the end of the grace period in
+    place of answering it (LOST)."""
+    stop_beside_silent_backends(fleet, lambda host: None)
+
+
+def test_stop_of_a_node_that_is_late(fleet):
+    """Guards against a planned stop that cuts its requests because the process did not run
+    at the end of the grace period (LOST)."""
+    def pause(host):
+        wait_for(lambda: "shutdown started" in host.node.log(), "the stop begins")
+        host.node.pause()
+        time.sleep(1.5 * GRACE_MS / 1000)
+        host.node.resume()
+    stop_beside_silent_backends(fleet, pause)
+
+
+for test in (test_stop_beside_a_silent_backend, test_stop_of_a_node_that_is_late):
+    test.fleet = {"settings": {"shutdown.grace_ms": GRACE_MS}}
 
 
-run(test_rolling_restart, test_stop_beside_a_silent_backend)
+run(test_rolling_restart, test_stop_beside_a_silent_backend, test_stop_of_a_node_that_is_late)
