Pass on answers whose Via field names a protocol and an address

Cause: the check for an answer that begins within a line took the first digits of the address for a status.

Change: behind a status come a blank or the end of the line.

Evidence: test_gate_answer AnswerWithUnusualFramingIsPassedOn has such a field now and fails without the change; the 82 cuts of AnswerBehindTheBeginOfAnotherIsUnknown are refused as before.

--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -325,15 +325,17 @@
 begins_with_status_line(const char *data, size_t length)
 {
 	static const char form[] = "HTTP/0.0 000"; /* 0: any digit */
+	const size_t end = sizeof(form) - 1;
 
-	if (length < sizeof(form) - 1)
+	if (length <= end)
 		return false;
-	for (size_t i = 0; i < sizeof(form) - 1; i++) {
+	for (size_t i = 0; i < end; i++) {
 		if (form[i] == '0' ? !isdigit((unsigned char)data[i])
 				   : data[i] != form[i])
 			return false;
 	}
-	return true;
+	/* Another byte follows in a Via field: "HTTP/1.1 192.0.2.1". */
+	return data[end] == ' ' || data[end] == '\r';
 }
 
 /*
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -328,6 +328,7 @@
 	    "Transfer-Encoding: chunked\r\n\r\n0001\r\no\r\n1\r\nk\r\n0\r\n\r\n",
 	    "Connection: close\r\n\r\nok",
 	    "X-Latin: \xe9\r\n\r\nok",
+	    "Via: HTTP/1.1 192.0.2.1:80\r\n\r\nok",
 	};
 	uint64_t stream = 0;
 
