Log which nodes watch the platform, failed reads and failed pulls

Change: lines for beginning and ending to watch, a head that could not be read, a newer version that is known and a failed pull; the counters config_reads_failed_total and config_pulls_failed_total, the gauges config_watching and config_version_max, and `watching` in the status. No decision changes.

--- a/src/config_report.c
+++ b/src/config_report.c
@@ -2,6 +2,26 @@
 
 #include "util.h"
 
+/* A head that could not be read; on level info, since lines of level debug are off. */
+static void
+failed_read_report(
+    const config_report_t *report, const char *call, const platform_answer_t *answer)
+{
+	log_info(report->log, "configuration not read from the platform",
+	    LOG_TEXT("call", call),
+	    LOG_TEXT("outcome", platform_outcome_text(answer->outcome)),
+	    LOG_NUMBER("status", answer->status),
+	    LOG_NUMBER("duration_ms", (int64_t)(answer->duration / NS_PER_MS)));
+}
+
+static bool
+is_failed_read(spread_call_t call, platform_outcome_t outcome)
+{
+	return (call == SPREAD_CALL_GET_HEAD || call == SPREAD_CALL_WATCH_HEAD) &&
+	       (outcome == PLATFORM_REFUSED || outcome == PLATFORM_NOT_SENT ||
+		   outcome == PLATFORM_UNKNOWN);
+}
+
 void
 config_report_answer(
     config_report_t *report, spread_call_t call, const platform_answer_t *answer)
@@ -25,6 +45,8 @@
 	    LOG_NUMBER("store_epoch", answer->store_epoch),
 	    LOG_NUMBER("lease", answer->lease),
 	    LOG_NUMBER("duration_us", answer->duration / 1000));
+	if (is_failed_read(call, answer->outcome))
+		failed_read_report(report, calls[call], answer);
 }
 
 static void
@@ -59,8 +81,14 @@
 	metrics_add(metrics, METRIC_CONFIG_PULLS, now->pulls - old->pulls);
 	metrics_add(metrics, METRIC_CONFIG_PUSHES, now->pushes - old->pushes);
 	metrics_add(metrics, METRIC_CONFIG_DROPPED, now->dropped - old->dropped);
+	metrics_add(
+	    metrics, METRIC_CONFIG_READS_FAILED, now->reads_failed - old->reads_failed);
+	metrics_add(
+	    metrics, METRIC_CONFIG_PULLS_FAILED, now->pulls_failed - old->pulls_failed);
 	metrics_add(metrics, METRIC_PLATFORM_OUTDATED, now->outdated - old->outdated);
 	metrics_set(metrics, METRIC_CONFIG_VERSION, status->version);
+	metrics_set(metrics, METRIC_CONFIG_VERSION_MAX, status->version_max);
+	metrics_set(metrics, METRIC_CONFIG_WATCHING, status->watching);
 	metrics_set(metrics, METRIC_CONFIG_RELAY, status->relay);
 	metrics_set(metrics, METRIC_PLATFORM_REGRESSED, status->regressed);
 	if (status->regressed && !reported->regressed)
@@ -84,6 +112,22 @@
 	if (status->relay != reported->relay)
 		log_info(log, status->relay ? "assumed the relay role of the zone"
 					    : "gave up the relay role of the zone");
+	if (status->watching != reported->watching)
+		log_info(log,
+		    status->watching ? "watches the platform"
+				     : "no longer watches the platform",
+		    LOG_NUMBER("version", status->version));
+	if (status->version_max > status->version &&
+	    status->version_max > reported->version_max)
+		log_info(log, "newer configuration is known",
+		    LOG_NUMBER("version", status->version),
+		    LOG_NUMBER("version_max", status->version_max),
+		    LOG_TEXT("watching", status->watching ? "yes" : "no"));
+	if (now->pulls_failed != old->pulls_failed)
+		log_info(log, "pull of a newer configuration failed",
+		    LOG_NUMBER("version", status->version),
+		    LOG_NUMBER("version_max", status->version_max),
+		    LOG_NUMBER("failed", (int64_t)now->pulls_failed));
 	reachability_report(report, platform);
 	report->reported = *status;
 }
@@ -141,6 +185,8 @@
 	json_object_object_add(
 	    platform, "regressed", json_object_new_boolean(status->regressed));
 	json_object_object_add(report, "platform", platform);
+	json_object_object_add(
+	    report, "watching", json_object_new_boolean(status->watching));
 	json_object_object_add(report, "relay", json_object_new_boolean(status->relay));
 	if (status->refused[0] != '\0')
 		json_object_object_add(
--- a/src/spread.c
+++ b/src/spread.c
@@ -427,6 +427,7 @@
 	    .accepted_at = spread->accepted.accepted_at,
 	    .store_epoch = spread->store_epoch,
 	    .regressed = spread->regressed,
+	    .watching = spread->reader.is_continuous,
 	    .refused = spread->refused,
 	    .refused_version = spread->refused_version,
 	    .counters = spread->counters,
--- a/src/spread.h
+++ b/src/spread.h
@@ -164,8 +164,10 @@
 	uint64_t refused; /* records refused by validation */
 	uint64_t stale;	  /* heads not newer than the accepted one, or below the floor */
 	uint64_t pulls;
-	uint64_t pushes;  /* including announcements */
-	uint64_t dropped; /* events lost to a full table, or unexpected messages */
+	uint64_t pushes;       /* including announcements */
+	uint64_t dropped;      /* events lost to a full table, or unexpected messages */
+	uint64_t reads_failed; /* reads and watches of the head without a usable answer */
+	uint64_t pulls_failed; /* pulls that no node answered in time */
 	/* Answers that the platform's store gave before it was restored from a copy. */
 	uint64_t outdated;
 } spread_counters_t;
@@ -178,6 +180,7 @@
 	const char *preset;    /* in force, or "" */
 	uint64_t accepted_at;  /* monotonic ns, of the accepted version; 0: none */
 	uint64_t confirmed_at; /* the platform last had the accepted version; 0: never */
+	bool watching;	       /* this node reads and watches the platform */
 	bool relay;
 	bool lease_held;
 	uint64_t lease;	      /* of the relay's key; 0: none */
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -59,6 +59,7 @@
 	bool watch_pending;
 	bool get_requested;    /* one read of the head is needed */
 	bool get_before_watch; /* a read must precede the next watch */
+	bool is_continuous;    /* watches are repeated, as of the last run */
 	uint64_t revision;
 	uint64_t get_sent_at;
 	uint64_t watch_sent_at;
--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -29,6 +29,7 @@
 	spread_reader_t *reader = &spread->reader;
 	bool continuous = spread_reader_is_continuous(spread);
 
+	reader->is_continuous = continuous;
 	if (!continuous && reader->watch_pending) {
 		(void)spread_action_add(spread, SPREAD_WATCH_CANCEL);
 		reader->watch_pending = false;
@@ -66,6 +67,7 @@
 	bool relay = spread->variant.kind == CONFIG_SOURCE_RELAY &&
 		     spread_reader_is_continuous(spread);
 
+	spread->counters.reads_failed++;
 	reader->get_before_watch = true;
 	reader->next_at =
 	    now + spread_backoff_next(spread, &reader->backoff_ns,
--- a/src/spread_push.c
+++ b/src/spread_push.c
@@ -211,6 +211,7 @@
 	    spread_accepted_version(spread) + 1, pull->node);
 	uint64_t bound = SPREAD_PULL_JITTER_FAST_NS << MIN_OF(pull->attempts, 5);
 
+	spread->counters.pulls_failed++;
 	if (source != 0)
 		pull->node = source;
 	if (++pull->attempts > SPREAD_PULL_ATTEMPTS) {
