Test nodes whose sources of new versions cannot deliver

Change: the simulation of stores refuses single hosts, loses the answer to a host's watch and drops messages between hosts, none of which membership notices. Six tests; the bound is that of the guarantee P9, 3 s.

--- a/test/restorable_store.h
+++ b/test/restorable_store.h
@@ -1,5 +1,7 @@
-// Hosts that read a store which is restored from a copy, in virtual time: revisions and
-// leases go back and are given out again, and the store's epoch rises.
+// Hosts that read a store, in virtual time. The store is restored from a copy: revisions
+// and leases go back and are given out again, and its epoch rises. It refuses some hosts
+// or falls silent to them; messages between hosts are lost. Membership notices none of
+// it.
 #ifndef RESTORABLE_STORE_H
 #define RESTORABLE_STORE_H
 
@@ -12,6 +14,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
+#include <set>
 #include <string.h>
 #include <string>
 #include <vector>
@@ -35,6 +38,8 @@
 		std::map<uint64_t, uint64_t> in_force_at; // by version
 		std::map<spread_call_t, uint64_t> calls;  // number by kind
 		std::vector<uint64_t> revoked;		  // leases
+		bool refused = false;	      // the store refuses all its calls
+		bool watch_is_silent = false; // the answer to its watch is lost
 	};
 
 	uint64_t now = 100 * NS_PER_S;
@@ -47,6 +52,8 @@
 	uint64_t head_answer_delay = LATENCY_NS; // of reads of the head
 	uint64_t message_latency = LATENCY_NS;	 // between hosts
 	std::map<uint64_t, uint64_t> written_at; // by version
+	// Pairs of hosts of which the second one gets no message of the first one.
+	std::set<std::pair<size_t, size_t>> cuts;
 
 	RestorableStore()
 	{
@@ -59,7 +66,7 @@
 			spread_destroy(host.spread);
 		record_parts_clear(&parts);
 	}
-	// A host that is the only one of its zone; the result is its index.
+	// A host that knows no other one yet; the result is its index.
 	size_t
 	host_start(const char *zone)
 	{
@@ -130,6 +137,28 @@
 	{
 		hosts[host].frozen_until = now + duration;
 	}
+	// The store refuses all calls of the host, a waiting watch too.
+	void
+	refuse(size_t host)
+	{
+		FakePlatform::Answer refused;
+
+		hosts[host].refused = true;
+		refused.answer.outcome = PLATFORM_REFUSED;
+		if (!hosts[host].watching)
+			return;
+		watch_forget(host);
+		answer(host, SPREAD_CALL_WATCH_HEAD, {}, refused);
+	}
+	// No message passes between the host and any other one.
+	void
+	cut_off(size_t host)
+	{
+		for (size_t other = 0; other < hosts.size(); other++) {
+			cuts.insert({host, other});
+			cuts.insert({other, host});
+		}
+	}
 	uint64_t
 	version(size_t host) const
 	{
@@ -227,7 +256,7 @@
 	send(size_t from, uint64_t to, spread_message_t *text)
 	{
 		for (size_t i = 0; i < hosts.size(); i++)
-			if (hosts[i].id == to)
+			if (hosts[i].id == to && cuts.count({from, i}) == 0)
 				message(hosts[from].id, i, text);
 	}
 	void
@@ -303,6 +332,15 @@
 		std::string key = "relay/" + zones[index];
 
 		hosts[index].calls[kind]++;
+		if (hosts[index].refused) {
+			FakePlatform::Answer refused;
+
+			if (kind == SPREAD_CALL_WATCH_HEAD)
+				watch_forget(index);
+			refused.answer.outcome = PLATFORM_REFUSED;
+			answer(index, kind, digest, refused, 2 * LATENCY_NS);
+			return;
+		}
 		if (kind == SPREAD_CALL_LEASE_REVOKE)
 			hosts[index].revoked.push_back(lease);
 		if (kind == SPREAD_CALL_WATCH_HEAD) {
@@ -382,7 +420,7 @@
 			if (hosts[index].watch_serial != serial || !hosts[index].watching)
 				return;
 			unchanged.answer.outcome = PLATFORM_UNCHANGED;
-			if (watches_are_silent)
+			if (watches_are_silent || hosts[index].watch_is_silent)
 				return;
 			watch_forget(index);
 			answer(index, SPREAD_CALL_WATCH_HEAD, {}, stamped(unchanged));
@@ -407,7 +445,7 @@
 
 			if (!hosts[i].watching || result.answer.outcome != PLATFORM_OK ||
 			    result.answer.revision <= hosts[i].watch_after ||
-			    watches_are_silent)
+			    watches_are_silent || hosts[i].watch_is_silent)
 				continue;
 			watch_forget(i);
 			answer(i, SPREAD_CALL_WATCH_HEAD, {}, stamped(result));
--- /dev/null
+++ b/test/test_spread_freshness.cc
@@ -0,0 +1,132 @@
+// Guards against nodes that serve an older version because the nodes that are to tell
+// them of a newer one cannot, while the platform would serve them (issue 44).
+#include "restorable_store.h"
+
+namespace
+{
+
+const uint64_t MS = NS_PER_MS;
+// Time from a commit until the version is in force everywhere, guarantee P9.
+const uint64_t APPLY_NS = 3000 * NS_PER_MS;
+
+// Three zones of four hosts that know each other and have version 1 in force.
+class ThreeZones : public testing::Test
+{
+      protected:
+	RestorableStore world;
+	uint64_t newest = 1;
+
+	void
+	SetUp() override
+	{
+		world.write(1);
+		for (const char *zone : {"zone-a", "zone-b", "zone-c"})
+			for (int i = 0; i < 4; i++)
+				world.host_start(zone);
+		for (size_t host = 0; host < world.hosts.size(); host++)
+			for (size_t about = 0; about < world.hosts.size(); about++)
+				if (about != host)
+					world.member(host, about);
+		world.run(8000 * MS);
+		for (size_t host = 0; host < world.hosts.size(); host++)
+			ASSERT_EQ(world.version(host), 1u) << "host " << host;
+	}
+	std::set<size_t>
+	watchers(size_t first = 0, size_t last = 11) const
+	{
+		std::set<size_t> found;
+
+		for (size_t host = first; host <= last; host++)
+			if (spread_status(world.hosts[host].spread).watching)
+				found.insert(host);
+		return found;
+	}
+	// Commits a version; it must be in force in time on all hosts but the excluded.
+	void
+	commit_and_check(const std::set<size_t> &excluded)
+	{
+		world.write(++newest);
+		world.run(APPLY_NS);
+		for (size_t host = 0; host < world.hosts.size(); host++)
+			if (excluded.count(host) == 0) {
+				EXPECT_EQ(world.version(host), newest) << "host " << host;
+			}
+	}
+};
+
+// CONFIG: the platform refuses exactly the nodes that watch it, in each zone. Nobody else
+// reads it, so no node gets the version.
+TEST_F(ThreeZones, VersionArrivesWhileAllWatchersAreRefused)
+{
+	std::set<size_t> refused = watchers();
+
+	ASSERT_EQ(refused.size(), 6u);
+	for (size_t host : refused)
+		world.refuse(host);
+	for (int i = 0; i < 3; i++)
+		commit_and_check({});
+}
+
+// CONFIG: the platform serves one node only, which has no role.
+TEST_F(ThreeZones, VersionArrivesWhileOneNodeIsServed)
+{
+	std::set<size_t> refused = watchers();
+	size_t served = 0;
+
+	while (refused.count(served) != 0)
+		served++;
+	for (size_t host = 0; host < world.hosts.size(); host++)
+		if (host != served)
+			world.refuse(host);
+	for (int i = 0; i < 3; i++)
+		commit_and_check({});
+}
+
+// CONFIG: a node without a role is cut off from all others at the moment of a change,
+// before membership notices, and serves the older version (seen with real nodes: 4.0 s).
+TEST_F(ThreeZones, NodeCutOffFromAllOthersReadsThePlatform)
+{
+	std::set<size_t> roles = watchers();
+	size_t alone = 0;
+
+	while (roles.count(alone) != 0)
+		alone++;
+	world.cut_off(alone);
+	for (int i = 0; i < 3; i++)
+		commit_and_check({});
+}
+
+// CONFIG: a zone is cut off from the others, and the platform refuses its watchers.
+TEST_F(ThreeZones, ZoneThatIsCutOffReplacesWatchersThatAreRefused)
+{
+	for (size_t host : watchers(0, 3))
+		world.refuse(host);
+	for (size_t host = 0; host < 4; host++)
+		for (size_t other = 4; other < 12; other++) {
+			world.cuts.insert({host, other});
+			world.cuts.insert({other, host});
+		}
+	for (int i = 0; i < 3; i++)
+		commit_and_check({});
+}
+
+// CONFIG: the answers to all waiting watches are lost, while reads are answered.
+TEST_F(ThreeZones, VersionArrivesWhileAllWatchesAreSilent)
+{
+	world.watches_are_silent = true;
+	for (int i = 0; i < 3; i++)
+		commit_and_check({});
+}
+
+// CONFIG: all nodes that watch stand still, before membership notices.
+TEST_F(ThreeZones, VersionArrivesWhileAllWatchersStandStill)
+{
+	std::set<size_t> frozen = watchers();
+
+	for (size_t host : frozen)
+		world.freeze(host, 20000 * MS);
+	for (int i = 0; i < 3; i++)
+		commit_and_check(frozen);
+}
+
+} // namespace
