Read the platform on nodes that nobody tells that their version is the newest

What callers saw: a node that is cut off from all others, while the platform serves it, answers 404 for a route that was committed 4 s ago, or runs requests by the older version; alone of twelve. With the nodes that watch refused by the platform (503, 429, resets, silence) all nodes do, for as long as that lasts. Cause: a node without the role of its zone gets versions only from others, and who reads the platform follows from the members that are alive. A node can't tell that there is nothing new from that nobody is able to tell it. Class: freshness is assumed where it should be shown. Change: nodes that watch verify at least each half of bounds.apply_ms that there is no newer version, and tell the others along the push tree (VERIFIED). A node that learns of no verification for 0.6 of apply_ms reads the platform itself, in slots by rank, and watches for 5 s and until others verify again. A watch ends half of apply_ms after the last verification in place of 2 s. Nodes whose own reads fail pull at once. ReadsEndWithTheRelayRole: the hosts that take over the role now verify, as they do in a mesh; the check is as before. WatchFollowsTheStore...: the bound of calls follows the shorter wait. Nodes without the role read nothing in 20 calm changes.

--- a/src/config.c
+++ b/src/config.c
@@ -394,8 +394,8 @@
 		spread_action_destroy(action);
 	}
 	status = spread_status(config->spread);
-	config_report_changes(
-	    &config->report, &status, platform_health(config->platform));
+	config_report_changes(&config->report, &status, platform_health(config->platform),
+	    kernel_now(config->kernel));
 	relay_list_run(config, &status);
 	timer_set(config);
 }
@@ -523,6 +523,7 @@
 	    .source = settings->config_source,
 	    .watchers = settings->config_watchers,
 	    .dialect = settings->dialect,
+	    .apply_ns = settings->bounds.apply_ms * NS_PER_MS,
 	    .seed = rng_next(kernel_rng(kernel)) ^ kernel_boot_id(kernel)};
 	int error =
 	    http_client_create(kernel_loop(kernel), CONNECTIONS_MAX, &config->http);
--- a/src/config_report.c
+++ b/src/config_report.c
@@ -65,27 +65,35 @@
 		    LOG_NUMBER("failed_calls", health.failures));
 }
 
+static uint64_t
+age_ms(uint64_t now, uint64_t at)
+{
+	return at != 0 && now > at ? (now - at) / NS_PER_MS : 0;
+}
+
 void
-config_report_changes(
-    config_report_t *report, const spread_status_t *status, platform_health_t platform)
+config_report_changes(config_report_t *report, const spread_status_t *status,
+    platform_health_t platform, uint64_t now)
 {
 	const spread_status_t *reported = &report->reported;
-	const spread_counters_t *now = &status->counters;
+	const spread_counters_t *new = &status->counters;
 	const spread_counters_t *old = &reported->counters;
 	metrics_t *metrics = report->metrics;
 	log_t *log = report->log;
 
-	metrics_add(metrics, METRIC_CONFIG_APPLIED, now->applied - old->applied);
-	metrics_add(metrics, METRIC_CONFIG_REFUSED, now->refused - old->refused);
-	metrics_add(metrics, METRIC_CONFIG_STALE, now->stale - old->stale);
-	metrics_add(metrics, METRIC_CONFIG_PULLS, now->pulls - old->pulls);
-	metrics_add(metrics, METRIC_CONFIG_PUSHES, now->pushes - old->pushes);
-	metrics_add(metrics, METRIC_CONFIG_DROPPED, now->dropped - old->dropped);
+	metrics_add(metrics, METRIC_CONFIG_APPLIED, new->applied - old->applied);
+	metrics_add(metrics, METRIC_CONFIG_REFUSED, new->refused - old->refused);
+	metrics_add(metrics, METRIC_CONFIG_STALE, new->stale - old->stale);
+	metrics_add(metrics, METRIC_CONFIG_PULLS, new->pulls - old->pulls);
+	metrics_add(metrics, METRIC_CONFIG_PUSHES, new->pushes - old->pushes);
+	metrics_add(metrics, METRIC_CONFIG_DROPPED, new->dropped - old->dropped);
 	metrics_add(
-	    metrics, METRIC_CONFIG_READS_FAILED, now->reads_failed - old->reads_failed);
+	    metrics, METRIC_CONFIG_READS_FAILED, new->reads_failed - old->reads_failed);
 	metrics_add(
-	    metrics, METRIC_CONFIG_PULLS_FAILED, now->pulls_failed - old->pulls_failed);
-	metrics_add(metrics, METRIC_PLATFORM_OUTDATED, now->outdated - old->outdated);
+	    metrics, METRIC_CONFIG_PULLS_FAILED, new->pulls_failed - old->pulls_failed);
+	metrics_add(
+	    metrics, METRIC_CONFIG_STALE_READS, new->stale_reads - old->stale_reads);
+	metrics_add(metrics, METRIC_PLATFORM_OUTDATED, new->outdated - old->outdated);
 	metrics_set(metrics, METRIC_CONFIG_VERSION, status->version);
 	metrics_set(metrics, METRIC_CONFIG_VERSION_MAX, status->version_max);
 	metrics_set(metrics, METRIC_CONFIG_WATCHING, status->watching);
@@ -123,21 +131,20 @@
 		    LOG_NUMBER("version", status->version),
 		    LOG_NUMBER("version_max", status->version_max),
 		    LOG_TEXT("watching", status->watching ? "yes" : "no"));
-	if (now->pulls_failed != old->pulls_failed)
+	if (new->pulls_failed != old->pulls_failed)
 		log_info(log, "pull of a newer configuration failed",
 		    LOG_NUMBER("version", status->version),
 		    LOG_NUMBER("version_max", status->version_max),
-		    LOG_NUMBER("failed", (int64_t)now->pulls_failed));
+		    LOG_NUMBER("failed", (int64_t) new->pulls_failed));
+	if (new->stale_reads != old->stale_reads)
+		log_info(log, "configuration not verified in time, reading the platform",
+		    LOG_NUMBER("version", status->version),
+		    LOG_NUMBER("version_max", status->version_max),
+		    LOG_NUMBER("verified_age_ms", age_ms(now, status->verified_at)));
 	reachability_report(report, platform);
 	report->reported = *status;
 }
 
-static uint64_t
-age_ms(uint64_t now, uint64_t at)
-{
-	return at != 0 && now > at ? (now - at) / NS_PER_MS : 0;
-}
-
 static void
 alarms_add(const spread_status_t *status, bool reachable, struct json_object *report)
 {
@@ -174,6 +181,9 @@
 	if (status->confirmed_at != 0)
 		json_object_object_add(report, "confirmed_age_ms",
 		    json_object_new_uint64(age_ms(now, status->confirmed_at)));
+	if (status->verified_at != 0)
+		json_object_object_add(report, "verified_age_ms",
+		    json_object_new_uint64(age_ms(now, status->verified_at)));
 	json_object_object_add(
 	    report, "version_floor", json_object_new_uint64(status->floor));
 	json_object_object_add(
--- a/src/config_report.h
+++ b/src/config_report.h
@@ -26,9 +26,9 @@
 /* Logs one answer of the platform, on level debug. */
 void config_report_answer(
     config_report_t *report, spread_call_t call, const platform_answer_t *answer);
-/* Reports changes since the last call to metrics and log. */
-void config_report_changes(
-    config_report_t *report, const spread_status_t *status, platform_health_t platform);
+/* Reports changes since the last call to metrics and log. now: monotonic, ns. */
+void config_report_changes(config_report_t *report, const spread_status_t *status,
+    platform_health_t platform, uint64_t now);
 /* The operators' status; the caller owns the object. now: monotonic, ns. */
 struct json_object *config_report_status(
     const spread_status_t *status, platform_health_t platform, uint64_t now);
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -3063,7 +3063,7 @@
   (ProtobufCMessageInit) masticpitch__part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue masticpitch__config_message__kind__enum_values_by_number[7] =
+static const ProtobufCEnumValue masticpitch__config_message__kind__enum_values_by_number[8] =
 {
   { "ANNOUNCE", "MASTICPITCH__CONFIG_MESSAGE__KIND__ANNOUNCE", 0 },
   { "PUSH", "MASTICPITCH__CONFIG_MESSAGE__KIND__PUSH", 1 },
@@ -3072,11 +3072,12 @@
   { "PARTS", "MASTICPITCH__CONFIG_MESSAGE__KIND__PARTS", 4 },
   { "ASK_VERSION", "MASTICPITCH__CONFIG_MESSAGE__KIND__ASK_VERSION", 5 },
   { "VERSION", "MASTICPITCH__CONFIG_MESSAGE__KIND__VERSION", 6 },
+  { "VERIFIED", "MASTICPITCH__CONFIG_MESSAGE__KIND__VERIFIED", 7 },
 };
 static const ProtobufCIntRange masticpitch__config_message__kind__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex masticpitch__config_message__kind__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex masticpitch__config_message__kind__enum_values_by_name[8] =
 {
   { "ANNOUNCE", 0 },
   { "ASK_VERSION", 5 },
@@ -3084,6 +3085,7 @@
   { "PULL_HEAD", 2 },
   { "PULL_PARTS", 3 },
   { "PUSH", 1 },
+  { "VERIFIED", 7 },
   { "VERSION", 6 },
 };
 const ProtobufCEnumDescriptor masticpitch__config_message__kind__descriptor =
@@ -3093,9 +3095,9 @@
   "Kind",
   "Masticpitch__ConfigMessage__Kind",
   "masticpitch",
-  7,
+  8,
   masticpitch__config_message__kind__enum_values_by_number,
-  7,
+  8,
   masticpitch__config_message__kind__enum_values_by_name,
   1,
   masticpitch__config_message__kind__value_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -69,7 +69,11 @@
    * sent by a node at startup
    */
   MASTICPITCH__CONFIG_MESSAGE__KIND__ASK_VERSION = 5,
-  MASTICPITCH__CONFIG_MESSAGE__KIND__VERSION = 6
+  MASTICPITCH__CONFIG_MESSAGE__KIND__VERSION = 6,
+  /*
+   * the platform had no newer version, confirmed_age_ms ago
+   */
+  MASTICPITCH__CONFIG_MESSAGE__KIND__VERIFIED = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MASTICPITCH__CONFIG_MESSAGE__KIND)
 } Masticpitch__ConfigMessage__Kind;
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -411,6 +411,7 @@
 		reader_fail(reader, MASTICPITCH_E_INVALID, "platform.bounds: %s", reason);
 		return;
 	}
+	read_number(reader, root, "bounds.apply_ms", 500, 3600000, &bounds->apply_ms);
 	read_number(reader, root, "bounds.drain_ms", 0, 3600000, &bounds->drain_ms);
 	read_number(reader, root, "bounds.retry_percent", 0, 100, &bounds->retry_percent);
 	read_number(reader, root, "bounds.retry_window_ms", 100, 3600000,
@@ -454,7 +455,8 @@
 	settings->streams_per_peer_max = 1024;
 	settings->shutdown_grace_ms = 600 * 1000;
 	settings->backend.announce_ms = 1000;
-	settings->bounds = (settings_bounds_t){.drain_ms = 2000,
+	settings->bounds = (settings_bounds_t){.apply_ms = 3000,
+	    .drain_ms = 2000,
 	    .retry_percent = 10,
 	    .retry_window_ms = 10000,
 	    .retry_extra = 0};
@@ -476,8 +478,8 @@
     {"listen", {"callers", "backend_servers", "peers", "operators", "readiness", NULL}},
     {"platform", {"url", "prefix", "timeout_ms", "dialect", "bounds", "seeds", NULL}},
     {"backend_server", {"service", "address", "announce_ms", NULL}},
-    {"bounds",
-	{"drain_ms", "retry_percent", "retry_window_ms", "retry_extra", "kill_ms", NULL}},
+    {"bounds", {"apply_ms", "drain_ms", "retry_percent", "retry_window_ms", "retry_extra",
+		   "kill_ms", NULL}},
     {"mesh", {"seeds", "keys", NULL}},
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", "watchers", NULL}},
--- a/src/settings.h
+++ b/src/settings.h
@@ -38,6 +38,7 @@
 
 /* Bounds that the platform's operator guarantees to callers and backend servers. */
 typedef struct settings_bounds {
+	uint32_t apply_ms;	  /* from a commit until it is in force on every node */
 	uint32_t drain_ms;	  /* a leaving instance gets no new work after it */
 	uint32_t retry_percent;	  /* retries, as a share of a service's requests */
 	uint32_t retry_window_ms; /* window over which the share applies */
--- a/src/spread.c
+++ b/src/spread.c
@@ -17,6 +17,8 @@
 	spread->watchers = MAX_OF(options->watchers, 1U);
 	spread->link_mbps = options->link_mbps;
 	spread->variant.kind = options->source;
+	spread->apply_ns = options->apply_ns != 0 ? options->apply_ns : SPREAD_APPLY_NS;
+	spread->freshness.read_at = TIME_NEVER;
 	rng_init(&spread->rng, options->seed);
 	list_init(&spread->actions);
 	spread_members_init(&spread->members, options->node, options->link_mbps,
@@ -122,9 +124,9 @@
 		action->transfer_ns = spread_document_transfer(spread);
 	if (call == SPREAD_CALL_WATCH_HEAD) {
 		action->revision = spread->reader.revision;
-		action->wait_ms = spread->variant.kind == CONFIG_SOURCE_RELAY
-				      ? SPREAD_WATCH_WAIT_RELAY_MS
-				      : SPREAD_WATCH_WAIT_MS;
+		action->wait_ms = (uint32_t)((spread->reader.watch_ends_at -
+						 spread->reader.watch_sent_at) /
+					     NS_PER_MS);
 	}
 }
 
@@ -170,6 +172,8 @@
 	spread_startup_run(spread, now);
 	spread_candidate_run(spread, now);
 	spread_activation_run(spread, now);
+	if (spread->variant.kind == CONFIG_SOURCE_RELAY)
+		spread_freshness_run(spread, now);
 	spread_reader_run(spread, now);
 }
 
@@ -299,6 +303,10 @@
 		spread_version_receive(spread, node, message, now);
 		version_record(spread, node, message->version, 0, now);
 		break;
+	case SPREAD_VERIFIED:
+		spread_verification_receive(spread, node, message, now);
+		version_record(spread, node, message->version, 0, now);
+		break;
 	case SPREAD_KIND_COUNT:
 		break;
 	}
@@ -425,6 +433,7 @@
 	    .version_max = spread->version_max,
 	    .preset = head != NULL && spread->in_force ? head->in_force : "",
 	    .accepted_at = spread->accepted.accepted_at,
+	    .verified_at = spread->freshness.verified_at,
 	    .store_epoch = spread->store_epoch,
 	    .regressed = spread->regressed,
 	    .watching = spread->reader.is_continuous,
--- a/src/spread.h
+++ b/src/spread.h
@@ -55,12 +55,36 @@
  * without one; longer than the lease's time to live.
  */
 #define SPREAD_LEASE_ACQUIRE_TIMEOUT_NS (8000 * NS_PER_MS)
+/* Default of spread_options_t.apply_ns: guarantee P9. */
+#define SPREAD_APPLY_NS (3000 * NS_PER_MS)
 /*
- * Longest wait of one watch. The read that follows detects a regression of the
- * platform, after which a watch would wait for a revision that no longer exists.
- * The naive baseline waits longer, since each of its nodes watches.
+ * Shares of apply_ns. Nodes that watch verify at the end of each watch that there is no
+ * newer version; a node that learns of no verification for the second time reads the
+ * platform itself, which leaves the rest for the slots of read_delay() and the read.
  */
-#define SPREAD_WATCH_WAIT_RELAY_MS 2000
+#define SPREAD_VERIFY_SHARE 0.5
+#define SPREAD_STALE_SHARE 0.6
+#define SPREAD_READ_SLOT_SHARE 0.05
+/* Longest delay of a verification by a slow platform or busy nodes that is allowed for.
+ */
+#define SPREAD_VERIFIED_DELAY_SHARE 0.1
+/* A node sends or passes on verifications that are so much later than the last one. */
+#define SPREAD_VERIFIED_SEND_SHARE 0.2
+/* Nodes of a zone that read in the first slot; each further slot has twice as many. */
+#define SPREAD_FIRST_READERS 8
+#define SPREAD_READ_SLOTS_MAX 4
+/* A node without the role that had to read watches for so long at least. */
+#define SPREAD_STALE_WATCH_NS (5000 * NS_PER_MS)
+/* First bound of its backoff, up to SPREAD_BACKOFF_MAX_NS. */
+#define SPREAD_BACKOFF_STALE_NS (1000 * NS_PER_MS)
+/* Verifications of a greater age are dropped; far above that of any delayed message. */
+#define SPREAD_VERIFIED_AGE_MAX_MS (24 * 3600 * UINT64_C(1000))
+/* Shortest wait of a watch, for calls behind a version that arrived late in the last. */
+#define SPREAD_WATCH_WAIT_MIN_MS 200
+/* An empty answer that comes earlier than this before the end of the wait was cut short.
+ */
+#define SPREAD_WATCH_EARLY_NS (20 * NS_PER_MS)
+/* The naive baseline waits longer, since each of its nodes watches. */
 #define SPREAD_WATCH_WAIT_MS 10000
 /* Backoff before a retry at the platform: random below a doubling bound. */
 #define SPREAD_BACKOFF_MIN_NS (100 * NS_PER_MS)
@@ -122,6 +146,7 @@
 	uint64_t seed;
 	dialect_t dialect; /* of the parts */
 	unsigned fan_out;  /* 0: SPREAD_FAN_OUT */
+	uint64_t apply_ns; /* from a commit until it is in force; 0: SPREAD_APPLY_NS */
 } spread_options_t;
 
 /* Calls on the platform; the answer repeats the kind. */
@@ -168,6 +193,7 @@
 	uint64_t dropped;      /* events lost to a full table, or unexpected messages */
 	uint64_t reads_failed; /* reads and watches of the head without a usable answer */
 	uint64_t pulls_failed; /* pulls that no node answered in time */
+	uint64_t stale_reads;  /* reads since no node verified the version in time */
 	/* Answers that the platform's store gave before it was restored from a copy. */
 	uint64_t outdated;
 } spread_counters_t;
@@ -180,6 +206,7 @@
 	const char *preset;    /* in force, or "" */
 	uint64_t accepted_at;  /* monotonic ns, of the accepted version; 0: none */
 	uint64_t confirmed_at; /* the platform last had the accepted version; 0: never */
+	uint64_t verified_at;  /* it last had no newer one, as far as known; 0: never */
 	bool watching;	       /* this node reads and watches the platform */
 	bool relay;
 	bool lease_held;
--- a/src/spread_accept.c
+++ b/src/spread_accept.c
@@ -148,8 +148,11 @@
 			    spread_accepted_version(spread) < spread->floor;
 		return;
 	}
-	if (is_refused(spread, &digest))
+	if (is_refused(spread, &digest)) {
+		if (source == SOURCE_PLATFORM)
+			spread_verified(spread, at, now);
 		return;
+	}
 	if (spread->candidate.head != NULL &&
 	    digest_equal(&digest, &spread->candidate.digest)) {
 		spread_confirm(spread, spread->candidate.head->version, at);
@@ -237,7 +240,8 @@
 	    snapshot_create(candidate->head->version, candidate->head->in_force, preset);
 	record_cache_retain(&spread->cache, candidate->head);
 	if (snapshot == NULL) {
-		spread_candidate_drop(spread); /* a timer offers the head again */
+		spread_candidate_drop(spread);
+		spread->reader.get_before_watch = true;
 		return;
 	}
 	candidate_accept(spread, snapshot, now);
@@ -251,7 +255,7 @@
 	uint64_t source = spread_members_source(
 	    &spread->members, &spread->rng, candidate->head->version, candidate->source);
 
-	if (spread_reader_is_continuous(spread) &&
+	if (spread_reader_has_role(spread) &&
 	    (candidate->source != SOURCE_PLATFORM || source == 0))
 		candidate->source = SOURCE_PLATFORM;
 	else if (source != 0 && spread->variant.kind == CONFIG_SOURCE_RELAY)
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -63,12 +63,25 @@
 	uint64_t revision;
 	uint64_t get_sent_at;
 	uint64_t watch_sent_at;
+	uint64_t watch_ends_at; /* its wait, as the platform counts it */
+	bool is_failing;	/* since the last usable answer */
 	uint64_t next_at;
 	uint64_t backoff_ns; /* bound of the next pause */
 	digest_t pending_parts[SPREAD_PART_READS];
 	size_t pending_part_count;
 } spread_reader_t;
 
+/* Freshness of the accepted version, see spread_freshness.c. */
+typedef struct spread_freshness {
+	uint64_t verified_at; /* the platform had no newer version then; 0: not known */
+	uint64_t stale_at;    /* without a later verification */
+	uint64_t read_at;     /* read of the platform by a stale node; TIME_NEVER: none */
+	bool watches;	      /* without the role, since it was stale */
+	uint64_t watch_until; /* at least */
+	uint64_t told_until;  /* another node has verified lately */
+	uint64_t send_from;   /* verified_at of the next message to other nodes */
+} spread_freshness_t;
+
 /* From the start of the node until a version is in force. */
 typedef struct spread_startup {
 	uint64_t started_at;
@@ -117,6 +130,7 @@
 	spread_mode_t mode;
 	unsigned watchers;  /* of a zone; at least 1 */
 	uint32_t link_mbps; /* of this host's link; 0: not known */
+	uint64_t apply_ns;  /* from a commit until it is in force */
 	rng_t rng;
 	list_t actions;
 	uint64_t next_wake_at;
@@ -137,6 +151,7 @@
 	bool regressed;
 	spread_pull_t pull;
 	spread_reader_t reader;
+	spread_freshness_t freshness;
 	spread_startup_t startup;
 	spread_waiter_t waiters[SPREAD_WAITERS_MAX];
 	size_t waiter_count;
@@ -229,8 +244,21 @@
 /* Schedules the next attempt, at another node if there is one. */
 void spread_pull_failed(spread_t *spread, uint64_t now);
 
+/* spread_freshness.c */
+/* Interval at which nodes that watch verify the version, ns. */
+uint64_t spread_verify_interval(const spread_t *spread);
+/* The platform has told this node that it had no newer acceptable version at that time.
+ */
+void spread_verified(spread_t *spread, uint64_t at, uint64_t now);
+void spread_verification_receive(
+    spread_t *spread, uint64_t node, const spread_message_t *message, uint64_t now);
+/* Reads the platform if the accepted version was not verified in time. */
+void spread_freshness_run(spread_t *spread, uint64_t now);
+
 /* spread_platform.c */
-/* True if this node watches the platform, as a relay or watcher of its zone. */
+/* True if this node is to watch the platform, as a relay or watcher of its zone. */
+bool spread_reader_has_role(spread_t *spread);
+/* True if it watches, with the role or since its version was not verified in time. */
 bool spread_reader_is_continuous(spread_t *spread);
 void spread_reader_run(spread_t *spread, uint64_t now);
 /* The store was restored: its revisions are void, so the head is read again. */
--- a/src/spread_message.h
+++ b/src/spread_message.h
@@ -26,6 +26,7 @@
 	SPREAD_PARTS,	    /* parts or pieces of parts */
 	SPREAD_ASK_VERSION, /* from a starting node; age: since its start */
 	SPREAD_VERSION,	    /* answer to ASK_VERSION */
+	SPREAD_VERIFIED,    /* version: the platform had no newer one, age ago */
 	SPREAD_KIND_COUNT
 } spread_kind_t;
 
@@ -51,10 +52,11 @@
 	uint64_t version_max; /* largest version the sender has seen anywhere */
 	/* The platform had the sender's head as its newest confirmed_age_ms ago. */
 	bool confirmed;
-	uint64_t confirmed_age_ms; /* ASK_VERSION: time since the sender's start */
-	uint64_t token;		   /* of ASK_VERSION; VERSION repeats it */
-	bool accepts_lz4;	   /* PULL_PARTS: the answer may be compressed */
-	bool compress;		   /* PARTS: packed as an LZ4 block */
+	/* VERIFIED: age; ASK_VERSION: time since the sender's start. */
+	uint64_t confirmed_age_ms;
+	uint64_t token;	  /* of ASK_VERSION; VERSION repeats it */
+	bool accepts_lz4; /* PULL_PARTS: the answer may be compressed */
+	bool compress;	  /* PARTS: packed as an LZ4 block */
 } spread_message_t;
 
 /* NULL: no memory. */
--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 bool
-spread_reader_is_continuous(spread_t *spread)
+spread_reader_has_role(spread_t *spread)
 {
 	switch (spread->variant.kind) {
 	case CONFIG_SOURCE_RELAY:
@@ -23,6 +23,26 @@
 	return false;
 }
 
+bool
+spread_reader_is_continuous(spread_t *spread)
+{
+	return spread->freshness.watches || spread_reader_has_role(spread);
+}
+
+/* The end of a watch that starts now. */
+static uint64_t
+watch_end(const spread_t *spread, uint64_t now)
+{
+	uint64_t earliest = now + SPREAD_WATCH_WAIT_MIN_MS * NS_PER_MS;
+	uint64_t interval = spread_verify_interval(spread);
+
+	if (spread->variant.kind == CONFIG_SOURCE_WATCH)
+		return now + SPREAD_WATCH_WAIT_MS * NS_PER_MS;
+	if (now >= spread->freshness.verified_at + 2 * interval)
+		return now + interval;
+	return MAX_OF(earliest, spread->freshness.verified_at + interval);
+}
+
 void
 spread_reader_run(spread_t *spread, uint64_t now)
 {
@@ -55,6 +75,7 @@
 	} else {
 		reader->watch_pending = true;
 		reader->watch_sent_at = now;
+		reader->watch_ends_at = watch_end(spread, now);
 		spread_call(spread, SPREAD_CALL_WATCH_HEAD);
 	}
 }
@@ -64,16 +85,38 @@
 {
 	spread_reader_t *reader = &spread->reader;
 
-	bool relay = spread->variant.kind == CONFIG_SOURCE_RELAY &&
-		     spread_reader_is_continuous(spread);
+	bool relay =
+	    spread->variant.kind == CONFIG_SOURCE_RELAY && spread_reader_has_role(spread);
 
 	spread->counters.reads_failed++;
+	reader->is_failing = true;
 	reader->get_before_watch = true;
 	reader->next_at =
 	    now + spread_backoff_next(spread, &reader->backoff_ns,
 		      relay ? SPREAD_BACKOFF_RELAY_MAX_NS : SPREAD_BACKOFF_MAX_NS);
 }
 
+static void
+reader_succeeded(spread_t *spread)
+{
+	spread->reader.backoff_ns = SPREAD_BACKOFF_MIN_NS;
+	spread->reader.is_failing = false;
+}
+
+/*
+ * Latest time for which an answer without a version says that there is none: a watch is
+ * answered at the end of its wait.
+ */
+static uint64_t
+answer_valid_at(const spread_reader_t *reader, spread_call_t call, uint64_t now)
+{
+	if (call == SPREAD_CALL_GET_HEAD)
+		return reader->get_sent_at;
+	return now + SPREAD_WATCH_EARLY_NS < reader->watch_ends_at
+		   ? reader->watch_sent_at
+		   : MIN_OF(now, reader->watch_ends_at);
+}
+
 /*
  * Notifies starting nodes that the platform was read after their start. Nodes that
  * queried after this read was sent wait for the next one.
@@ -116,7 +159,7 @@
 	 * watch is refused once the store has dropped that part of its history.
 	 */
 	reader->revision = MAX_OF(answer->revision, answer->store_revision);
-	reader->backoff_ns = SPREAD_BACKOFF_MIN_NS;
+	reader_succeeded(spread);
 	if (text == NULL) {
 		reader_failed(spread, now);
 		return;
@@ -124,6 +167,9 @@
 	spread_head_offer(spread, text, SOURCE_PLATFORM, sent, now);
 	chunk_release(text);
 	spread_candidate_advance(spread, now);
+	if (spread->confirmed_at >= sent &&
+	    spread->confirmed_version <= spread_accepted_version(spread))
+		spread_verified(spread, sent, now);
 	waiters_answer(spread, sent, now);
 }
 
@@ -167,7 +213,8 @@
 		reader->get_requested = false;
 		reader->get_before_watch = false;
 		reader->revision = answer->store_revision;
-		reader->backoff_ns = SPREAD_BACKOFF_MIN_NS;
+		reader_succeeded(spread);
+		spread_verified(spread, answer_valid_at(reader, call, now), now);
 		spread->waiter_count = 0;
 		spread->regressed =
 		    spread_accepted_version(spread) != 0 || spread->floor != 0;
@@ -176,7 +223,10 @@
 		/* An answer with a store revision excludes a regression. */
 		reader->get_before_watch |= answer->store_revision == 0;
 		reader->revision = MAX_OF(reader->revision, answer->store_revision);
-		reader->backoff_ns = SPREAD_BACKOFF_MIN_NS;
+		reader_succeeded(spread);
+		/* Otherwise the version that was read last was given up. */
+		if (!reader->get_before_watch)
+			spread_verified(spread, answer_valid_at(reader, call, now), now);
 		break;
 	case PLATFORM_CONFLICT:
 	case PLATFORM_REFUSED:
--- a/src/spread_push.c
+++ b/src/spread_push.c
@@ -162,7 +162,8 @@
 	if (!spread->in_force && spread_accepted_version(spread) != 0)
 		return 0;
 	/* On a narrow link the parts that peers send arrive before the document. */
-	return spread->watchers > 1 && spread_reader_is_continuous(spread) &&
+	return spread->watchers > 1 && spread_reader_has_role(spread) &&
+		       !spread->reader.is_failing &&
 		       spread_document_transfer(spread) < SPREAD_PULL_DELAY_WATCHER_NS
 		   ? SPREAD_PULL_DELAY_WATCHER_NS
 		   : 0;
--- a/test/restorable_store.h
+++ b/test/restorable_store.h
@@ -51,6 +51,7 @@
 	bool parts_are_unavailable = false;
 	uint64_t head_answer_delay = LATENCY_NS; // of reads of the head
 	uint64_t message_latency = LATENCY_NS;	 // between hosts
+	uint64_t apply_ns = 0;			 // of hosts that start; 0: the default
 	std::map<uint64_t, uint64_t> written_at; // by version
 	// Pairs of hosts of which the second one gets no message of the first one.
 	std::set<std::pair<size_t, size_t>> cuts;
@@ -84,6 +85,7 @@
 		options.watchers = 2;
 		options.link_mbps = LINK_MBPS;
 		options.seed = hosts.size() + 1;
+		options.apply_ns = apply_ns;
 		hosts.push_back(host);
 		zones.push_back(zone);
 		EXPECT_EQ(spread_create(&options, now, &hosts.back().spread), 0);
--- a/test/test_spread.cc
+++ b/test/test_spread.cc
@@ -718,6 +718,14 @@
 		}
 		if (ms == 4500)
 			reads_as_relay = reads;
+		/* The hosts that watch now verify that there is no newer version. */
+		if (ms >= 4000 && ms % 1000 == 0) {
+			spread_message_t *verified =
+			    spread_message_create(SPREAD_VERIFIED, 1);
+
+			spread_message_receive(spread, 11, verified, now);
+			spread_message_release(verified);
+		}
 		while ((action = spread_action_take(spread)) != nullptr) {
 			platform_answer_t answer = {};
 			bool is_read = action->kind == SPREAD_CALL &&
--- a/test/test_spread_freshness.cc
+++ b/test/test_spread_freshness.cc
@@ -6,11 +6,10 @@
 {
 
 const uint64_t MS = NS_PER_MS;
-// Time from a commit until the version is in force everywhere, guarantee P9.
-const uint64_t APPLY_NS = 3000 * NS_PER_MS;
 
-// Three zones of four hosts that know each other and have version 1 in force.
-class ThreeZones : public testing::Test
+// Three zones of four hosts that know each other and have version 1 in force. The
+// parameter: time from a commit until the version is in force everywhere, ms.
+class ThreeZones : public testing::TestWithParam<uint64_t>
 {
       protected:
 	RestorableStore world;
@@ -19,6 +18,7 @@
 	void
 	SetUp() override
 	{
+		world.apply_ns = GetParam() * MS;
 		world.write(1);
 		for (const char *zone : {"zone-a", "zone-b", "zone-c"})
 			for (int i = 0; i < 4; i++)
@@ -46,7 +46,7 @@
 	commit_and_check(const std::set<size_t> &excluded)
 	{
 		world.write(++newest);
-		world.run(APPLY_NS);
+		world.run(world.apply_ns);
 		for (size_t host = 0; host < world.hosts.size(); host++)
 			if (excluded.count(host) == 0) {
 				EXPECT_EQ(world.version(host), newest) << "host " << host;
@@ -56,7 +56,7 @@
 
 // CONFIG: the platform refuses exactly the nodes that watch it, in each zone. Nobody else
 // reads it, so no node gets the version.
-TEST_F(ThreeZones, VersionArrivesWhileAllWatchersAreRefused)
+TEST_P(ThreeZones, VersionArrivesWhileAllWatchersAreRefused)
 {
 	std::set<size_t> refused = watchers();
 
@@ -68,7 +68,7 @@
 }
 
 // CONFIG: the platform serves one node only, which has no role.
-TEST_F(ThreeZones, VersionArrivesWhileOneNodeIsServed)
+TEST_P(ThreeZones, VersionArrivesWhileOneNodeIsServed)
 {
 	std::set<size_t> refused = watchers();
 	size_t served = 0;
@@ -84,7 +84,7 @@
 
 // CONFIG: a node without a role is cut off from all others at the moment of a change,
 // before membership notices, and serves the older version (seen with real nodes: 4.0 s).
-TEST_F(ThreeZones, NodeCutOffFromAllOthersReadsThePlatform)
+TEST_P(ThreeZones, NodeCutOffFromAllOthersReadsThePlatform)
 {
 	std::set<size_t> roles = watchers();
 	size_t alone = 0;
@@ -97,7 +97,7 @@
 }
 
 // CONFIG: a zone is cut off from the others, and the platform refuses its watchers.
-TEST_F(ThreeZones, ZoneThatIsCutOffReplacesWatchersThatAreRefused)
+TEST_P(ThreeZones, ZoneThatIsCutOffReplacesWatchersThatAreRefused)
 {
 	for (size_t host : watchers(0, 3))
 		world.refuse(host);
@@ -111,7 +111,7 @@
 }
 
 // CONFIG: the answers to all waiting watches are lost, while reads are answered.
-TEST_F(ThreeZones, VersionArrivesWhileAllWatchesAreSilent)
+TEST_P(ThreeZones, VersionArrivesWhileAllWatchesAreSilent)
 {
 	world.watches_are_silent = true;
 	for (int i = 0; i < 3; i++)
@@ -119,7 +119,7 @@
 }
 
 // CONFIG: all nodes that watch stand still, before membership notices.
-TEST_F(ThreeZones, VersionArrivesWhileAllWatchersStandStill)
+TEST_P(ThreeZones, VersionArrivesWhileAllWatchersStandStill)
 {
 	std::set<size_t> frozen = watchers();
 
@@ -129,4 +129,63 @@
 		commit_and_check(frozen);
 }
 
+// A calm platform is read and watched by the nodes with the role only.
+TEST_P(ThreeZones, CalmNodesWithoutTheRoleDoNotReadThePlatform)
+{
+	std::set<size_t> roles = watchers();
+	std::vector<uint64_t> reads;
+
+	for (const RestorableStore::Host &host : world.hosts)
+		reads.push_back(spread_status(host.spread).counters.stale_reads);
+	for (int i = 0; i < 20; i++) {
+		commit_and_check({});
+		world.run(700 * MS);
+	}
+	for (size_t host = 0; host < world.hosts.size(); host++)
+		EXPECT_EQ(spread_status(world.hosts[host].spread).counters.stale_reads,
+		    reads[host])
+		    << "host " << host;
+	EXPECT_EQ(watchers(), roles);
+}
+
+// A node that had to read the platform gives up its watch when others tell it again.
+TEST_P(ThreeZones, NodeThatWasCutOffEndsItsWatch)
+{
+	std::set<size_t> roles = watchers();
+	size_t alone = 0;
+
+	while (roles.count(alone) != 0)
+		alone++;
+	world.cut_off(alone);
+	world.run(world.apply_ns);
+	ASSERT_EQ(watchers().count(alone), 1u);
+	world.cuts.clear();
+	world.run(SPREAD_STALE_WATCH_NS + world.apply_ns);
+	EXPECT_EQ(watchers(), roles);
+	commit_and_check({});
+}
+
+// A platform that answers nobody is not called more and more: each node without the role
+// waits longer after each failure, a second at first.
+TEST_P(ThreeZones, CallsOfAPlatformThatRefusesAllNodesAreBounded)
+{
+	std::set<size_t> roles = watchers();
+	uint64_t before = 0, calls = 0;
+
+	for (size_t host = 0; host < world.hosts.size(); host++)
+		world.refuse(host);
+	for (size_t host = 0; host < world.hosts.size(); host++)
+		if (roles.count(host) == 0)
+			before += world.hosts[host].calls[SPREAD_CALL_GET_HEAD];
+	world.run(30000 * MS);
+	for (size_t host = 0; host < world.hosts.size(); host++)
+		if (roles.count(host) == 0)
+			calls += world.hosts[host].calls[SPREAD_CALL_GET_HEAD];
+	/* Random pauses below 1, 2, 4, 8 and 10 s: some 8 reads in 30 s on average. */
+	EXPECT_LE(calls - before, 6u * 15u);
+	EXPECT_GE(calls - before, 6u);
+}
+
+INSTANTIATE_TEST_SUITE_P(ApplyTimes, ThreeZones, testing::Values(2000, 2500, 3000));
+
 } // namespace
--- a/test/test_spread_platform.cc
+++ b/test/test_spread_platform.cc
@@ -8,6 +8,9 @@
 const uint64_t MS = NS_PER_MS;
 // Time from a write to the version in force, as the operators are promised.
 const uint64_t APPLY_NS = 2000 * NS_PER_MS;
+// Wait of a watch of the hosts, which have the default of apply_ns.
+const uint64_t WATCH_WAIT_MS =
+    (uint64_t)(SPREAD_VERIFY_SHARE * SPREAD_APPLY_NS) / NS_PER_MS;
 
 // A host with version 1 in force that watches on from a revision to which other writes
 // have brought the store since its copy was taken.
@@ -133,7 +136,7 @@
 	world.run((SPREAD_PULL_ATTEMPTS + 1) * SPREAD_PULL_TIMEOUT_NS + 100 * MS);
 	ASSERT_EQ(world.version(host), 1u);
 	world.parts_are_unavailable = false;
-	world.run(SPREAD_WATCH_WAIT_RELAY_MS * MS + APPLY_NS);
+	world.run(WATCH_WAIT_MS * MS + APPLY_NS);
 	EXPECT_EQ(world.version(host), 2u);
 }
 
@@ -238,7 +241,7 @@
 				world.copy_restore();
 		}
 		EXPECT_LE(world.hosts[host].calls[SPREAD_CALL_WATCH_HEAD] - before,
-		    29000 / SPREAD_WATCH_WAIT_RELAY_MS + 2);
+		    29000 / WATCH_WAIT_MS + 2);
 		EXPECT_LE(world.hosts[host].calls[SPREAD_CALL_GET_HEAD], 6u);
 		world.write(2);
 		world.run(50 * MS);
