Read the head of the platform on a new connection

Cause: open connections to the platform may go silent without notice while new ones work. A node whose watch went silent reads the head, on a kept connection that may be just as dead, and waits for its deadline of 1 s. Change: reads of the head, which follow a start, a failure or a stale version, open a new connection.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -207,6 +207,7 @@
 
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request->new_connection ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -33,7 +33,8 @@
 	const char *authorization; /* header value or NULL */
 	const char *body;	   /* NULL: none */
 	size_t body_size;
-	uint64_t deadline; /* monotonic, ns */
+	bool new_connection; /* a kept one may have gone silent without notice */
+	uint64_t deadline;   /* monotonic, ns */
 	size_t answer_max_bytes;
 } http_request_t;
 
--- a/src/platform.c
+++ b/src/platform.c
@@ -199,6 +199,8 @@
 	    .url = url,
 	    .body = wire->body.size > 0 ? (const char *)wire->body.data : NULL,
 	    .body_size = wire->body.size,
+	    .new_connection = call->request.kind == PLATFORM_CALL_GET &&
+			      strcmp(call->request.key, PLATFORM_KEY_HEAD) == 0,
 	    .deadline = deadline,
 	    .answer_max_bytes = wire->answer_max_bytes};
 
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -93,7 +93,8 @@
 	}
 	http_call_t *
 	start(const char *method, const std::string &path, const std::string &body,
-	    Answer *answer, uint64_t deadline_ms = 10000, size_t answer_max_bytes = 1000)
+	    Answer *answer, uint64_t deadline_ms = 10000, size_t answer_max_bytes = 1000,
+	    bool new_connection = false)
 	{
 		std::string full = url + path;
 		http_request_t request = {};
@@ -106,6 +107,7 @@
 		request.body_size = body.size();
 		request.deadline = os_clock_monotonic() + deadline_ms * NS_PER_MS;
 		request.answer_max_bytes = answer_max_bytes;
+		request.new_connection = new_connection;
 		EXPECT_EQ(
 		    http_client_call(client, &request, store_answer, answer, &call), 0);
 		return call;
@@ -271,6 +273,33 @@
 	close(listener);
 }
 
+// Guards against a read that is sent on a kept connection which has gone silent, and
+// waits there for its deadline although the server answers on new ones.
+TEST_F(Http, NewConnectionIsUsedInPlaceOfASilentOne)
+{
+	static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	int listener, silent = -1, fresh = -1;
+	char buffer[4096];
+	Answer first, second;
+
+	ASSERT_EQ(os_socket_listen(&address, &listener), 0);
+	start("GET", "/first", "", &first);
+	run_until([&] { return (silent = accept(listener, nullptr, nullptr)) >= 0; });
+	run_until([&] { return recv(silent, buffer, sizeof(buffer), MSG_DONTWAIT) > 0; });
+	ASSERT_GT(send(silent, reply, sizeof(reply) - 1, 0), 0);
+	run_until([&] { return first.done; });
+	start("GET", "/second", "", &second, 10000, 1000, true);
+	run_until([&] { return (fresh = accept(listener, nullptr, nullptr)) >= 0; });
+	run_until([&] { return recv(fresh, buffer, sizeof(buffer), MSG_DONTWAIT) > 0; });
+	ASSERT_GT(send(fresh, reply, sizeof(reply) - 1, 0), 0);
+	run_until([&] { return second.done; });
+	EXPECT_EQ(second.status, 200);
+	EXPECT_LT(recv(silent, buffer, sizeof(buffer), MSG_DONTWAIT), 0);
+	close(fresh);
+	close(silent);
+	close(listener);
+}
+
 // Guards against a write that counts as done, or a value that counts as empty, after an
 // answer that ended in its head.
 TEST_F(Http, AnswerThatEndsInItsHeadIsNoAnswer)
