Bound the pause before a stale node's next read of the platform

Cause: a node without the role that reads the platform backed off up to 10 s. Served again after a long refusal while still cut off from others, it had an older version in force for that time. Change: its pauses grow to twice bounds.apply_ms.

--- a/src/spread.h
+++ b/src/spread.h
@@ -75,8 +75,9 @@
 #define SPREAD_READ_SLOTS_MAX 4
 /* A node without the role that had to read watches for so long at least. */
 #define SPREAD_STALE_WATCH_NS (5000 * NS_PER_MS)
-/* First bound of its backoff, up to SPREAD_BACKOFF_MAX_NS. */
+/* Bounds of its backoff: the first one, and the largest one as a share of apply_ns. */
 #define SPREAD_BACKOFF_STALE_NS (1000 * NS_PER_MS)
+#define SPREAD_BACKOFF_STALE_MAX_SHARE 2
 /* Verifications of a greater age are dropped; far above that of any delayed message. */
 #define SPREAD_VERIFIED_AGE_MAX_MS (24 * 3600 * UINT64_C(1000))
 /* Shortest wait of a watch, for calls behind a version that arrived late in the last. */
--- a/src/spread_platform.c
+++ b/src/spread_platform.c
@@ -84,16 +84,16 @@
 reader_failed(spread_t *spread, uint64_t now)
 {
 	spread_reader_t *reader = &spread->reader;
+	uint64_t max_ns = SPREAD_BACKOFF_MAX_NS;
 
-	bool relay =
-	    spread->variant.kind == CONFIG_SOURCE_RELAY && spread_reader_has_role(spread);
-
+	if (spread->variant.kind == CONFIG_SOURCE_RELAY && spread_reader_has_role(spread))
+		max_ns = SPREAD_BACKOFF_RELAY_MAX_NS;
+	else if (spread->freshness.watches)
+		max_ns = SPREAD_BACKOFF_STALE_MAX_SHARE * spread->apply_ns;
 	spread->counters.reads_failed++;
 	reader->is_failing = true;
 	reader->get_before_watch = true;
-	reader->next_at =
-	    now + spread_backoff_next(spread, &reader->backoff_ns,
-		      relay ? SPREAD_BACKOFF_RELAY_MAX_NS : SPREAD_BACKOFF_MAX_NS);
+	reader->next_at = now + spread_backoff_next(spread, &reader->backoff_ns, max_ns);
 }
 
 static void
