Soak: cut nodes off with a change, and check the time of changes

Change: a second sequence of faults with a generator of its own, so that seeds keep their faults: a node is cut off from all others at the moment of a change (in builds with fault hooks), the platform answers no node of a zone. A change must be in force within 3 s on each node that was undisturbed, unless the platform was.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,7 +5,7 @@
 
 Each seed starts a mesh, callers that send directly and through proxies, and a schedule
 of overlapping faults. During the run no node may revert to an older version unless it
-restarts, end without being asked to, or exceed the memory of the smallest host; at the
+restarts, miss the time for a version while neither it nor the platform is disturbed, end without being asked to, or exceed the memory of the smallest host; at the
 end the outcomes that callers got are compared with the runs of backend servers. One line
 per seed goes to standard output, with the faults injected; the exit status is 1 if any
 seed violated a guarantee. Logs of such a seed are kept in the build directory.
@@ -30,6 +30,9 @@
 ANSWERED_MIN_SHARE = 0.3  # share of the requests of a seed that must be answered
 WORK_MS = 25  # of a run; long enough that a crash interrupts some runs
 SETTLE_S = 2.0  # without new faults, so that the mesh recovers before the end
+APPLY_S = 3.0  # from a change until it is in force everywhere, guarantee P9
+CALM_S = 3.0  # after a fault, until its process counts as undisturbed again
+CUT_S = 4.0  # of a node from all others
 MEMORY_MAX_KB = 110 * 1024  # of a node: the memory of the smallest host
 ANSWER_PROXIES_MAX = 4  # one thread each
 # Seeds that failed once, by cause.
@@ -52,6 +55,8 @@
     def __init__(self, fleet, seed, seconds, hosts):
         self.fleet = fleet
         self.random = random.Random(seed)
+        # Cuts have a generator of their own, so that a seed keeps its other faults.
+        self.cut_random = random.Random(f"cuts {seed}")
         self.seed = seed
         self.seconds = seconds
         self.host_count = hosts
@@ -60,6 +65,9 @@
         self.proxies = []
         self.answer_proxies = []
         self.versions = {}  # (host, pid of its node): highest version
+        self.disturbed = {}  # host, None for the platform: until when
+        self.cut_until = 0.0  # of the cut of a node that lasts
+        self.changes = []  # (time, version) whose time to apply is not over yet
         self.ends = {}  # pid of a node: statuses that it may end with
         self.found = set()  # pids of nodes that are at fault
         self.peak_kb = 0  # highest resident memory of a node
@@ -98,9 +106,15 @@
         living = self.fleet.living()
         return self.random.choice(living) if len(living) > 2 else None
 
+    def disturb(self, host, seconds):
+        """The host is undisturbed again CALM_S after that; None: the platform."""
+        until = time.monotonic() + seconds + CALM_S
+        self.disturbed[host] = max(self.disturbed.get(host, 0.0), until)
+
     # Faults; each one schedules its own end.
 
     def node_start(self, host):
+        self.disturb(host, 0.0)
         if host.node.alive():
             return  # started already, by the end of another fault
         host.node_start()
@@ -109,6 +123,7 @@
 
     def hang_up(self, host):
         """A series of reloads."""
+        self.disturb(host, 0.0)
         for _ in range(self.random.randint(1, 8)):
             time.sleep(self.random.choice((0.0, 0.001, 0.002, 0.008)))
             self.process_signal(host.node, signal.SIGHUP)
@@ -129,6 +144,7 @@
         self.ends.setdefault(node.pid, set()).add(status)
 
     def node_kill(self, host):
+        self.disturb(host, 60.0)
         self.end_expect(host.node, -signal.SIGKILL)
         host.node.kill()
         if self.random.random() < 0.3:
@@ -156,8 +172,47 @@
 
     def node_pause(self, host):
         node = host.node
+        seconds = self.random.choice((0.2, 1.0, 4.0))
+        self.disturb(host, seconds + 1.0)
         node.pause()
-        self.schedule(self.random.choice((0.2, 1.0, 4.0)), node.resume)
+        self.schedule(seconds, node.resume)
+
+    def node_cut(self, host):
+        """Cuts a node off from all others, with a change at the same moment; the platform
+        serves it. Needs a build with fault hooks."""
+        now = time.monotonic()
+        others = [other for other in self.fleet.living() if other is not host]
+        if self.cut_until > now or any(
+                self.disturbed.get(other, 0.0) > now for other in [host] + others):
+            return
+        self.cut_until = now + CUT_S
+        try:
+            for other in others:
+                host.fault(f"cut {other.ip}")
+                other.fault(f"cut {host.ip}")
+            self.change(self.cut_random)
+            self.injected["node_cut"] = self.injected.get("node_cut", 0) + 1
+        except HarnessError:
+            pass  # built without hooks
+        finally:
+            self.schedule(CUT_S, lambda: self.heal([host] + others))
+
+    @staticmethod
+    def heal(hosts):
+        for host in hosts:
+            if host.node.alive():
+                try:
+                    host.fault("heal")
+                except HarnessError:
+                    pass  # paused; the fault ends with the seed
+
+    def platform_cut(self, _host):
+        """The platform answers no node of a zone."""
+        zone = self.cut_random.randint(1, len(self.fleet.zones))
+        self.fleet.faults(cut=self.fleet.platform_of(zone))
+        self.schedule(self.cut_random.uniform(0.5, 4.0),
+                      lambda: self.fleet.faults(cut=""))
+        self.injected["platform_cut"] = self.injected.get("platform_cut", 0) + 1
 
     def restart(self, process, start):
         """Stops a process as planned and starts it again once it has ended."""
@@ -171,6 +226,7 @@
         self.schedule(0.1, start_again)
 
     def node_restart(self, host):
+        self.disturb(host, 60.0)
         self.end_expect(host.node, 0)
         self.restart(host.node, lambda: self.node_start(host))
 
@@ -194,12 +250,14 @@
     def platform_fault(self, _host):
         name, value, normal = self.random.choice((
             ("outage", True, False), ("slow_ms", 700, 0), ("lose_answers", 0.5, 0)))
+        seconds = self.random.uniform(0.5, 3.0)
+        self.disturb(None, seconds + 1.0)
         self.fleet.faults(**{name: value})
-        self.schedule(self.random.uniform(0.5, 3.0), lambda: self.fleet.faults(
-            **{name: normal}))
+        self.schedule(seconds, lambda: self.fleet.faults(**{name: normal}))
 
     def platform_restore(self, _host):
         """Restores the store from a copy; the operators write again what they wrote."""
+        self.disturb(None, 5.0)
         copy = self.fleet.counts()
 
         def restore():
@@ -257,8 +315,12 @@
                 pass  # the node reads no more for now, or has closed
 
     def configuration_change(self, _host):
+        self.change(self.random)
+
+    def change(self, generator):
         try:
-            self.fleet.use_directly(self.random.choice(PRESETS)[0])
+            version, _ = self.fleet.use_directly(generator.choice(PRESETS)[0])
+            self.changes.append((time.monotonic(), version))
         except (OSError, HarnessError):
             pass  # a platform fault is active
 
@@ -266,6 +328,7 @@
               backend_leave, platform_fault, platform_restore, proxy_fault, proxy_fault,
               configuration_change, configuration_change, hang_up, answer_fault,
               answer_fault, small_chunks)
+    CUTS = (node_cut, node_cut, platform_cut)
 
     def run_scheduled(self, everything=False):
         now = time.monotonic()
@@ -288,6 +351,22 @@
                 self.broken.append(f"{host.name} reverted from version {highest} to {version}")
             self.versions[key] = max(highest, version)
 
+    def check_changes(self):
+        """A change is in force in time on each host that was undisturbed all the while."""
+        now = time.monotonic()
+        due = [change for change in self.changes if now >= change[0] + APPLY_S]
+        for change in due:
+            self.changes.remove(change)
+            changed_at, version = change
+            if self.disturbed.get(None, 0.0) > changed_at:
+                continue
+            for host in self.fleet.living():
+                calm = self.disturbed.get(host, 0.0) < changed_at
+                found = host.version() if calm else version
+                if 0 < found < version:
+                    self.broken.append(f"CONFIG: {host.name} has version {found}, not "
+                                       f"{version}, after {APPLY_S} s")
+
     def check_processes(self):
         """No node ends by itself, nor uses more memory than its host has."""
         for process in self.fleet.processes:
@@ -316,7 +395,7 @@
     def run(self):
         callers = self.start()
         end = time.monotonic() + self.seconds
-        next_fault = time.monotonic()
+        next_fault = next_cut = time.monotonic()
         while time.monotonic() < end:
             self.run_scheduled()
             if time.monotonic() >= next_fault:
@@ -328,7 +407,13 @@
                         self.injected.get(fault.__name__, 0) + 1
                 # Often two or three faults in quick succession, then a pause.
                 next_fault += self.random.choice((0.0, 0.1, 0.6, 1.2))
+            if time.monotonic() >= next_cut:
+                host = self.cut_random.choice(self.fleet.hosts)
+                if host.node.alive():
+                    self.cut_random.choice(self.CUTS)(self, host)
+                next_cut += self.cut_random.uniform(0.5, 3.0)
             self.check_versions()
+            self.check_changes()
             self.check_processes()
             self.uploads_continue()
             time.sleep(0.03)
