End the watch of a stale node when a node of lower rank verifies

Cause: while the platform is down every node's version is stale, and each reads it with growing pauses. Change: VERIFIED names the node that read the platform. A node without the role ends its watch at once when one of lower rank verifies; of several, the one of lowest rank goes on. What a node passes on no longer holds back what it says itself. A stale node waits half a slot first, in which it receives the messages that wait. Result: test_spread_freshness 36 of 36 (one second after an outage only the nodes with the role watch; at most one more in a zone whose watchers are refused), test_spread, test_spread_platform and process_zone pass.

--- a/src/spread.h
+++ b/src/spread.h
@@ -73,9 +73,7 @@
 /* Nodes of a zone that read in the first slot; each further slot has twice as many. */
 #define SPREAD_FIRST_READERS 8
 #define SPREAD_READ_SLOTS_MAX 4
-/* A node without the role that had to read watches for so long at least. */
-#define SPREAD_STALE_WATCH_NS (5000 * NS_PER_MS)
-/* Bounds of its backoff: the first one, and the largest one as a share of apply_ns. */
+/* Bounds of a stale node's backoff: the first one; the largest as a share of apply_ns. */
 #define SPREAD_BACKOFF_STALE_NS (1000 * NS_PER_MS)
 #define SPREAD_BACKOFF_STALE_MAX_SHARE 2
 /* Verifications of a greater age are dropped; far above that of any delayed message. */
--- a/src/spread_freshness.c
+++ b/src/spread_freshness.c
@@ -37,24 +37,31 @@
 	return member != NULL && strcmp(member->zone, spread->members.zone) == 0;
 }
 
-/* source: the node that verified or passed it on, SOURCE_PLATFORM: this node. */
+/*
+ * source: the node that passed it on, SOURCE_PLATFORM: this node has verified. What other
+ * nodes pass on has a limit of its own, so that it does not hold back what this node
+ * says.
+ */
 static void
 verification_send(spread_t *spread, uint64_t source, uint64_t now)
 {
 	spread_freshness_t *freshness = &spread->freshness;
+	uint64_t *send_from =
+	    source == SOURCE_PLATFORM ? &freshness->send_from : &freshness->pass_on_from;
 	uint64_t targets[FRESHNESS_TARGETS_MAX];
 	spread_message_t *message;
 	size_t count;
 
 	if (spread->variant.kind != CONFIG_SOURCE_RELAY || !spread->in_force ||
-	    freshness->verified_at < freshness->send_from)
+	    freshness->verified_at < *send_from)
 		return;
-	freshness->send_from =
+	*send_from =
 	    freshness->verified_at + share_of(spread, SPREAD_VERIFIED_SEND_SHARE);
 	message = spread_message_create(SPREAD_VERIFIED, spread_accepted_version(spread));
 	if (message == NULL)
 		return; /* the next one is due in an interval */
 	message->version_max = spread->version_max;
+	message->token = freshness->verifier;
 	/* Rounded up, so that it never looks more recent than it is. */
 	message->confirmed_age_ms =
 	    (now - freshness->verified_at + NS_PER_MS - 1) / NS_PER_MS;
@@ -72,7 +79,7 @@
  * so a platform that answers slowly does not make the version stale.
  */
 static bool
-verified_at_raise(spread_t *spread, uint64_t at, uint64_t now)
+verified_at_raise(spread_t *spread, uint64_t at, uint64_t verifier, uint64_t now)
 {
 	spread_freshness_t *freshness = &spread->freshness;
 	uint64_t delay = MIN_OF(now - at, share_of(spread, SPREAD_VERIFIED_DELAY_SHARE));
@@ -80,15 +87,24 @@
 	if (at <= freshness->verified_at)
 		return false;
 	freshness->verified_at = at;
+	freshness->verifier = verifier;
 	freshness->stale_at =
 	    MAX_OF(freshness->stale_at, at + delay + stale_after(spread));
 	return true;
 }
 
+static bool
+ranks_below_own(const spread_t *spread, uint64_t node)
+{
+	const spread_member_t *member = spread_member_find(&spread->members, node);
+
+	return member != NULL && member->rank < spread->members.self_rank;
+}
+
 void
 spread_verified(spread_t *spread, uint64_t at, uint64_t now)
 {
-	if (verified_at_raise(spread, at, now))
+	if (verified_at_raise(spread, at, spread->node, now))
 		verification_send(spread, SOURCE_PLATFORM, now);
 }
 
@@ -102,10 +118,10 @@
 	if (spread_accepted_version(spread) < message->version || age >= now ||
 	    message->confirmed_age_ms > SPREAD_VERIFIED_AGE_MAX_MS)
 		return;
-	if (!verified_at_raise(spread, now - age, now))
-		return;
-	spread->freshness.told_until = now + stale_after(spread);
-	verification_send(spread, node, now);
+	if (ranks_below_own(spread, message->token))
+		spread->freshness.told_until = now - age + stale_after(spread);
+	if (verified_at_raise(spread, now - age, message->token, now))
+		verification_send(spread, node, now);
 }
 
 /*
@@ -121,7 +137,8 @@
 
 	for (; rank >= SPREAD_FIRST_READERS && slot < SPREAD_READ_SLOTS_MAX; rank /= 2)
 		slot++;
-	return slot * slot_ns + rng_below(&spread->rng, slot_ns);
+	/* Half a slot, in which messages that wait in the process are received. */
+	return slot * slot_ns + slot_ns / 2 + rng_below(&spread->rng, slot_ns / 2);
 }
 
 /* Begins to read and watch, or reads anew if the watch that is waiting seems lost. */
@@ -144,27 +161,20 @@
 		return;
 	spread->counters.stale_reads++;
 	freshness->watches = true;
-	freshness->watch_until = now + SPREAD_STALE_WATCH_NS;
 	reader->next_at = now;
 	/* All nodes of a zone do this if the platform is down. */
 	reader->backoff_ns = SPREAD_BACKOFF_STALE_NS;
 }
 
-/* Ends the watch of a node without the role once others tell it again. */
+/*
+ * Ends the watch of a node without the role once a node of lower rank verifies: of
+ * several nodes without the role, the one of lowest rank goes on.
+ */
 static void
 stale_watch_check(spread_t *spread, bool has_role, uint64_t now)
 {
-	spread_freshness_t *freshness = &spread->freshness;
-
-	if (!freshness->watches)
-		return;
-	if (has_role || (now >= freshness->watch_until && now < freshness->told_until)) {
-		freshness->watches = false;
-		return;
-	}
-	if (now >= freshness->watch_until)
-		freshness->watch_until = now + SPREAD_STALE_WATCH_NS;
-	spread_wake_schedule(spread, freshness->watch_until);
+	if (has_role || now < spread->freshness.told_until)
+		spread->freshness.watches = false;
 }
 
 void
@@ -175,7 +185,7 @@
 
 	if (spread_accepted_version(spread) != 0 &&
 	    spread->confirmed_version <= spread_accepted_version(spread))
-		(void)verified_at_raise(spread, spread->confirmed_at, now);
+		(void)verified_at_raise(spread, spread->confirmed_at, spread->node, now);
 	if (!spread->in_force) {
 		/* A starting node reads and queries by itself. */
 		freshness->stale_at = now + stale_after(spread);
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -77,9 +77,12 @@
 	uint64_t stale_at;    /* without a later verification */
 	uint64_t read_at;     /* read of the platform by a stale node; TIME_NEVER: none */
 	bool watches;	      /* without the role, since it was stale */
-	uint64_t watch_until; /* at least */
-	uint64_t told_until;  /* another node has verified lately */
-	uint64_t send_from;   /* verified_at of the next message to other nodes */
+	uint64_t verifier;    /* the node that read the platform at verified_at */
+	uint64_t told_until;  /* a node of lower rank verifies */
+	/* Earliest verified_at of the next message, about own reads and those of others.
+	 */
+	uint64_t send_from;
+	uint64_t pass_on_from;
 } spread_freshness_t;
 
 /* From the start of the node until a version is in force. */
--- a/src/spread_message.h
+++ b/src/spread_message.h
@@ -54,7 +54,8 @@
 	bool confirmed;
 	/* VERIFIED: age; ASK_VERSION: time since the sender's start. */
 	uint64_t confirmed_age_ms;
-	uint64_t token;	  /* of ASK_VERSION; VERSION repeats it */
+	/* Of ASK_VERSION, repeated by VERSION; VERIFIED: node that read the platform. */
+	uint64_t token;
 	bool accepts_lz4; /* PULL_PARTS: the answer may be compressed */
 	bool compress;	  /* PARTS: packed as an LZ4 block */
 } spread_message_t;
