--- a/src/spread.h
+++ b/src/spread.h
@@ -59,14 +59,13 @@
 #define SPREAD_APPLY_NS (3000 * NS_PER_MS)
 /*
  * Shares of apply_ns. Nodes that watch verify at the end of each watch that there is no
- * newer version; a node that learns of no verification for the second time reads the
- * platform itself, which leaves the rest for the slots of read_delay() and the read.
+ * newer version. A node that misses a verification is stale and reads the platform
+ * itself; the rest is for the slots of read_delay() and the read.
  */
 #define SPREAD_VERIFY_SHARE 0.5
 #define SPREAD_STALE_SHARE 0.6
 #define SPREAD_READ_SLOT_SHARE 0.05
-/* Longest delay of a verification by a slow platform or busy nodes that is allowed for.
- */
+/* Longest delay of a verification that is allowed for: a slow platform, busy nodes. */
 #define SPREAD_VERIFIED_DELAY_SHARE 0.1
 /* A node sends or passes on verifications that are so much later than the last one. */
 #define SPREAD_VERIFIED_SEND_SHARE 0.2
@@ -78,10 +77,9 @@
 #define SPREAD_BACKOFF_STALE_MAX_SHARE 2
 /* Verifications of a greater age are dropped; far above that of any delayed message. */
 #define SPREAD_VERIFIED_AGE_MAX_MS (24 * 3600 * UINT64_C(1000))
-/* Shortest wait of a watch, for calls behind a version that arrived late in the last. */
+/* Shortest wait of a watch; it ends an interval after the last verification. */
 #define SPREAD_WATCH_WAIT_MIN_MS 200
-/* An empty answer that comes earlier than this before the end of the wait was cut short.
- */
+/* An empty answer that comes so much before the end of its watch was cut short. */
 #define SPREAD_WATCH_EARLY_NS (20 * NS_PER_MS)
 /* The naive baseline waits longer, since each of its nodes watches. */
 #define SPREAD_WATCH_WAIT_MS 10000
--- a/src/spread_internal.h
+++ b/src/spread_internal.h
@@ -79,8 +79,7 @@
 	bool watches;	      /* without the role, since it was stale */
 	uint64_t verifier;    /* the node that read the platform at verified_at */
 	uint64_t told_until;  /* a node of lower rank verifies */
-	/* Earliest verified_at of the next message, about own reads and those of others.
-	 */
+	/* Earliest verified_at of the next message on own reads, on those of others. */
 	uint64_t send_from;
 	uint64_t pass_on_from;
 } spread_freshness_t;
@@ -250,9 +249,9 @@
 /* spread_freshness.c */
 /* Interval at which nodes that watch verify the version, ns. */
 uint64_t spread_verify_interval(const spread_t *spread);
-/* The platform has told this node that it had no newer acceptable version at that time.
- */
+/* This node has learnt from the platform that it had no newer version at that time. */
 void spread_verified(spread_t *spread, uint64_t at, uint64_t now);
+/* VERIFIED from a node; the caller keeps its reference. */
 void spread_verification_receive(
     spread_t *spread, uint64_t node, const spread_message_t *message, uint64_t now);
 /* Reads the platform if the accepted version was not verified in time. */
