Types that workspaces, quotas and rollouts share

Several modules need the same fields.

Change: preset_workspace_t and preset_rank() in the preset, workspace and rank in the head of a call and in CallOpen, the release of an instance in announcements and member records. Nothing reads them yet.

Measured: test_member, test_frame, test_announcement, test_hosted_announcement, test_member_capacity, test_preset, test_hosted_config and test_gate_announce pass (52 tests).

--- a/src/announcement.c
+++ b/src/announcement.c
@@ -94,6 +94,9 @@
 	if (address_parse(address, &backend->address) != MASTICPITCH_OK ||
 	    backend->address.port == 0)
 		return "address is not IP:PORT";
+	if (json_object_object_get_ex(object, "release", NULL) &&
+	    (error = field_text(object, "release", backend->release, NAME_BYTES)) != NULL)
+		return error;
 	if (json_object_object_get_ex(object, "load", &load)) {
 		backend->load = json_object_get_double(load);
 		if (!json_object_is_type(load, json_type_double) &&
--- a/src/announcement.h
+++ b/src/announcement.h
@@ -28,11 +28,12 @@
 	address_t address;
 	uint32_t slots;
 	uint32_t connections;
-	double load;	     /* as announced, 0 to 1 */
-	uint64_t started_ms; /* wall clock of its start; 0: not given */
-	uint64_t sequence;   /* grows with each announcement of a start; 0: not given */
-	uint32_t cold_ms;    /* left until it runs at full speed */
-	uint64_t announced;  /* time of the last announcement, monotonic ns */
+	double load;		  /* as announced, 0 to 1 */
+	char release[NAME_BYTES]; /* version of its software; empty: not given */
+	uint64_t started_ms;	  /* wall clock of its start; 0: not given */
+	uint64_t sequence;  /* grows with each announcement of a start; 0: not given */
+	uint32_t cold_ms;   /* left until it runs at full speed */
+	uint64_t announced; /* time of the last announcement, monotonic ns */
 } gate_backend_t;
 
 typedef enum announcement_kind {
--- a/src/frame.c
+++ b/src/frame.c
@@ -117,6 +117,8 @@
 	open->caller_service = (char *)call->caller_service;
 	open->target_ms = target_to_frame(call->target, now);
 	open->answer_bytes = call->answer_bytes;
+	open->workspace = (char *)call->workspace;
+	open->rank = call->rank;
 	scratch->frame.body_case = MASTICPITCH__FRAME__BODY_CALL_OPEN;
 	scratch->frame.call_open = open;
 	return MASTICPITCH_OK;
@@ -275,6 +277,7 @@
 	    string_copy(call->ticket, sizeof(call->ticket), open->ticket) != 0 ||
 	    string_copy(call->caller_service, sizeof(call->caller_service),
 		open->caller_service) != 0 ||
+	    string_copy(call->workspace, sizeof(call->workspace), open->workspace) != 0 ||
 	    open->route_class >= ROUTE_CLASS_COUNT || open->body_length < -1 ||
 	    open->remaining_ms > FRAME_REMAINING_MS_MAX || open->remaining_us >= 1000)
 		goto fail;
@@ -288,6 +291,7 @@
 	call->deadline = now + remaining + open->remaining_us * NS_PER_US;
 	call->target = target_from_frame(open->target_ms, now);
 	call->answer_bytes = open->answer_bytes;
+	call->rank = open->rank;
 	call->depth = open->depth;
 	call->attempt = open->attempt;
 	call->fingerprint = open->fingerprint;
--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -54,6 +54,7 @@
 
 	if (gate->backend.live) {
 		instance.started_ms = gate->backend.started_ms;
+		memcpy(instance.release, gate->backend.release, NAME_BYTES);
 		instance.state = instance_state(gate);
 		string_copy(instance.service, NAME_BYTES, gate->backend.service);
 		instance.slots = gate->backend.slots;
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -1299,7 +1299,7 @@
   (ProtobufCMessageInit) masticpitch__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[20] =
+static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[22] =
 {
   {
     "stream",
@@ -1541,6 +1541,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "workspace",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__CallOpen, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__CallOpen, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__call_open__field_indices_by_name[] = {
   19,   /* field[19] = answer_bytes */
@@ -1554,6 +1578,7 @@
   8,   /* field[8] = idempotent */
   1,   /* field[1] = method */
   2,   /* field[2] = path */
+  21,   /* field[21] = rank */
   9,   /* field[9] = remaining_ms */
   16,   /* field[16] = remaining_us */
   12,   /* field[12] = request_id */
@@ -1563,11 +1588,12 @@
   18,   /* field[18] = target_ms */
   14,   /* field[14] = ticket */
   13,   /* field[13] = trace */
+  20,   /* field[20] = workspace */
 };
 static const ProtobufCIntRange masticpitch__call_open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor masticpitch__call_open__descriptor =
 {
@@ -1577,7 +1603,7 @@
   "Masticpitch__CallOpen",
   "masticpitch",
   sizeof(Masticpitch__CallOpen),
-  20,
+  22,
   masticpitch__call_open__field_descriptors,
   masticpitch__call_open__field_indices_by_name,
   1,  masticpitch__call_open__number_ranges,
@@ -2316,7 +2342,7 @@
   (ProtobufCMessageInit) masticpitch__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__instance__field_descriptors[6] =
+static const ProtobufCFieldDescriptor masticpitch__instance__field_descriptors[7] =
 {
   {
     "state",
@@ -2390,9 +2416,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "release",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Instance, release),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__instance__field_indices_by_name[] = {
   3,   /* field[3] = connections */
+  6,   /* field[6] = release */
   4,   /* field[4] = sequence */
   1,   /* field[1] = service */
   2,   /* field[2] = slots */
@@ -2402,7 +2441,7 @@
 static const ProtobufCIntRange masticpitch__instance__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor masticpitch__instance__descriptor =
 {
@@ -2412,7 +2451,7 @@
   "Masticpitch__Instance",
   "masticpitch",
   sizeof(Masticpitch__Instance),
-  6,
+  7,
   masticpitch__instance__field_descriptors,
   masticpitch__instance__field_indices_by_name,
   1,  masticpitch__instance__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -174,10 +174,18 @@
    * expected size of the answer; 0: unknown
    */
   uint32_t answer_bytes;
+  /*
+   * of the caller; empty: none
+   */
+  char *workspace;
+  /*
+   * 0 is served first when room is short
+   */
+  uint32_t rank;
 };
 #define MASTICPITCH__CALL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__call_open__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Masticpitch__CallData
@@ -343,10 +351,14 @@
    * wall clock of its start; 0: unknown
    */
   uint64_t started_ms;
+  /*
+   * version of its software; empty: unknown
+   */
+  char *release;
 };
 #define MASTICPITCH__INSTANCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__instance__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Masticpitch__Member
--- a/src/member_record.c
+++ b/src/member_record.c
@@ -59,7 +59,9 @@
 	if (instance->state > INSTANCE_LEAVING ||
 	    (instance->state != INSTANCE_NONE &&
 		!member_name_is_valid(instance->service, NAME_BYTES)) ||
-	    strlen(instance->service) >= NAME_BYTES)
+	    strlen(instance->service) >= NAME_BYTES ||
+	    (instance->release[0] != '\0' &&
+		!member_name_is_valid(instance->release, NAME_BYTES)))
 		return MASTICPITCH_E_INVALID;
 	member->instance.state = (instance_state_t)instance->state;
 	string_copy(member->instance.service, NAME_BYTES, instance->service);
@@ -67,6 +69,7 @@
 	member->instance.connections = instance->connections;
 	member->instance.sequence = instance->sequence;
 	member->instance.started_ms = instance->started_ms;
+	string_copy(member->instance.release, NAME_BYTES, instance->release);
 	return MASTICPITCH_OK;
 }
 
@@ -104,5 +107,6 @@
 	instance->connections = member->instance.connections;
 	instance->sequence = member->instance.sequence;
 	instance->started_ms = member->instance.started_ms;
+	instance->release = (char *)member->instance.release;
 	record->instance = instance;
 }
--- a/src/member_types.h
+++ b/src/member_types.h
@@ -36,6 +36,7 @@
 	uint64_t started_ms;  /* wall clock of its start; 0: not known */
 	/* Newest start of a backend server there that has left; see member_t. */
 	uint64_t departed_ms;
+	char release[NAME_BYTES]; /* version of its software; empty: not known */
 } instance_t;
 
 typedef struct member {
--- a/src/message.h
+++ b/src/message.h
@@ -89,6 +89,12 @@
 	char ticket[TICKET_BYTES];	 /* empty: none */
 	uint64_t fingerprint;		 /* 0: none */
 	char caller_service[NAME_BYTES]; /* of the host it comes from; may be empty */
+	/*
+	 * For whom the call is made. A nested call has the workspace and the rank of the
+	 * request that waits for it.
+	 */
+	char workspace[NAME_BYTES]; /* empty: none */
+	uint32_t rank;		    /* see preset_rank() */
 } call_head_t;
 
 /* Load of a gate; part of every answer head and refusal. */
--- a/src/preset.c
+++ b/src/preset.c
@@ -508,6 +508,7 @@
 		return;
 	free(preset->services);
 	free(preset->routes);
+	free(preset->workspaces);
 	free(preset->index);
 	free(preset);
 }
--- a/src/preset.h
+++ b/src/preset.h
@@ -24,7 +24,13 @@
 #define PRESET_HOST_BYTES 129
 /* Routes with a priority up to this one are served before the others. */
 #define PRESET_PRIORITY_URGENT_MAX 1
+/* Largest priority of a route or a workspace. */
+#define PRESET_PRIORITY_MAX 1000
 #define PRESET_SPLITS_MAX 8
+#define PRESET_WORKSPACES_MAX 10000
+#define PRESET_WORKSPACE_KEYS_MAX 8
+/* Length of a key, bytes, without a terminator. */
+#define PRESET_KEY_MAX_BYTES 128
 #define PRESET_METHODS_MAX 8
 #define PRESET_ATTEMPTS_MAX 5
 /* Default of min_attempt_ms. */
@@ -70,6 +76,19 @@
 	uint32_t weight;
 } preset_split_t;
 
+/*
+ * A workspace: callers that share keys, a rank and a quota. The quota holds for all
+ * nodes together: in any time of t seconds at most rate * t + burst requests run.
+ */
+typedef struct preset_workspace {
+	char name[NAME_BYTES];
+	bool has_priority;
+	uint32_t priority; /* if has_priority; 0 is the most urgent */
+	double rate;	   /* requests a second; 0: no quota */
+	double burst;	   /* requests */
+	uint32_t part;	   /* index of the part that it was read from */
+} preset_workspace_t;
+
 /* Bounds on callers' requests; 0: the node's own bound applies. */
 typedef struct preset_limits {
 	uint32_t header_bytes;
@@ -92,6 +111,7 @@
 	bool has_priority;  /* ordered by priority instead of class */
 	uint32_t priority;  /* if has_priority; 0 is the most urgent */
 	uint32_t target_ms; /* answers within this time have full value; 0: not given */
+	bool key_exempt;    /* callers need no workspace key */
 	route_class_t route_class;
 	bool idempotent;
 	uint32_t deadline_ms;	 /* longest time for a request */
@@ -106,6 +126,9 @@
 	size_t service_count;
 	preset_route_t *routes; /* sorted: longest prefix first, then prefix, name */
 	size_t route_count;
+	/* If there are any, each request needs a workspace key; sorted by name. */
+	preset_workspace_t *workspaces;
+	size_t workspace_count;
 	uint32_t *index;     /* hash table: prefix to its first route; private */
 	uint32_t index_mask; /* slots - 1; private */
 	bool has_hosts;	     /* some route is for one host only; private */
@@ -179,6 +202,13 @@
     const preset_t *preset, const preset_route_t *route, double draw);
 /* The service of that name, or NULL. */
 const preset_service_t *preset_service_find(const preset_t *preset, const char *name);
+/*
+ * Order in which requests are served when room is short, 0 first: by the priority of
+ * the workspace, then by that of the route. workspace may be NULL.
+ */
+uint32_t preset_rank(const preset_route_t *route, const preset_workspace_t *workspace);
+/* The workspace of that name, or NULL. */
+const preset_workspace_t *preset_workspace_find(const preset_t *preset, const char *name);
 
 /* "lookup", "call", "upload", "internal". */
 const char *route_class_text(route_class_t route_class);
--- a/src/preset_index.c
+++ b/src/preset_index.c
@@ -205,6 +205,36 @@
 	return NULL;
 }
 
+uint32_t
+preset_rank(const preset_route_t *route, const preset_workspace_t *workspace)
+{
+	uint32_t rank = 0;
+
+	if (workspace != NULL && workspace->has_priority)
+		rank = workspace->priority * (PRESET_PRIORITY_MAX + 1);
+	return route->has_priority ? rank + route->priority : rank;
+}
+
+const preset_workspace_t *
+preset_workspace_find(const preset_t *preset, const char *name)
+{
+	size_t low = 0;
+	size_t high = preset->workspace_count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+		int order = strcmp(preset->workspaces[middle].name, name);
+
+		if (order == 0)
+			return &preset->workspaces[middle];
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return NULL;
+}
+
 static bool
 route_accepts_method(const preset_route_t *route, const char *method)
 {
