Workspaces: keys of callers, checked at the entry

Change: a preset has workspaces with keys, a priority and a quota, in its own format and in the hosted platform's. Workspaces of a document are parts of their own, so that a changed key moves one part. The entry finds the workspace by the key, refuses requests without one (401), removes the key and sets the workspace's name. A nested call carries no key; it belongs to the workspace of the request that makes it, and has its rank.

--- a/src/dialect.c
+++ b/src/dialect.c
@@ -16,6 +16,8 @@
     .final = HEADER_FINAL,
     .rate_limit = HEADER_RATE_LIMIT,
     .leaving = HEADER_LEAVING,
+    .key = HEADER_KEY,
+    .workspace = HEADER_WORKSPACE,
 };
 
 const header_names_t *
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -33,6 +33,9 @@
 	/* Answer: calls/s that the backend server takes from all nodes together. */
 	const char *rate_limit;
 	const char *leaving; /* answer: 1 if the backend server leaves */
+	const char *key;     /* request: the caller's workspace key; not passed on */
+	const char
+	    *workspace; /* request: name of the caller's workspace, set by the node */
 } header_names_t;
 
 const header_names_t *dialect_headers(dialect_t dialect);
--- a/src/entry.c
+++ b/src/entry.c
@@ -129,9 +129,9 @@
 		break;
 	case MESSAGE_RUN:
 		if (message->u.run.started)
-			run_set_add(&entry->running, message->u.run.request);
+			run_set_add(&entry->running, &message->u.run.item);
 		else
-			run_set_remove(&entry->running, message->u.run.request);
+			run_set_remove(&entry->running, message->u.run.item.request);
 		break;
 	case MESSAGE_CRASH_REPORT:
 		crash_report_receive(entry, message);
--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -20,6 +20,8 @@
 	size_t length_count;
 	size_t encoding_count;
 	size_t ticket_count;
+	size_t key_count;
+	bool keys_needed; /* the version in force has workspaces */
 	bool chunked;
 	reason_t reason;
 	uint64_t length;
@@ -28,6 +30,7 @@
 	const char *request_id;
 	const char *trace;
 	const char *ticket;
+	const char *key; /* of a workspace */
 } head_fields_t;
 
 static bool
@@ -83,10 +86,14 @@
 	else if (name_matches(name, names->ticket)) {
 		fields->ticket = value;
 		fields->ticket_count++;
+	} else if (fields->keys_needed && name_matches(name, names->key)) {
+		fields->key = value;
+		fields->key_count++;
 	} else
 		/* Set by the node itself; received values are ignored. */
 		return strcasecmp(name, "Expect") == 0 ||
 		       name_matches(name, names->caller_service) ||
+		       name_matches(name, names->workspace) ||
 		       name_matches(name, names->expect_instance);
 	return true;
 }
@@ -306,6 +313,13 @@
 	return REASON_NONE;
 }
 
+/* The request of this host's backend server that makes this nested call, or NULL. */
+static const run_item_t *
+request_parent(const entry_request_t *request)
+{
+	return run_set_parent(&request->entry->running, request->head->request_id);
+}
+
 /*
  * True if the request has a depth, or if its id belongs to a call of a request that
  * this host's backend server is running.
@@ -313,8 +327,51 @@
 static bool
 request_is_nested(const entry_request_t *request, const head_fields_t *fields)
 {
-	return fields->depth > 0 ||
-	       run_set_has_parent(&request->entry->running, request->head->request_id);
+	return fields->depth > 0 || request_parent(request) != NULL;
+}
+
+/*
+ * Finds the workspace of the request by its key. A nested call has no key of its own,
+ * and belongs to the workspace of the request that makes it. Only a request that runs
+ * here shows that a call is nested: callers could send any depth.
+ */
+static reason_t
+workspace_apply(entry_request_t *request, const head_fields_t *fields)
+{
+	const preset_t *preset = request->snapshot->preset;
+	const run_item_t *parent = request_parent(request);
+	call_head_t *head = request->head;
+
+	if (preset->workspace_count == 0)
+		return REASON_NONE;
+	if (fields->key_count == 1)
+		request->workspace = preset_workspace_find_key(preset, fields->key);
+	if (request->workspace != NULL) {
+		memcpy(head->workspace, request->workspace->name, NAME_BYTES);
+		return REASON_NONE;
+	}
+	if (parent != NULL && fields->key_count == 0) {
+		memcpy(head->workspace, parent->workspace, NAME_BYTES);
+		return REASON_NONE;
+	}
+	if (request->route->key_exempt)
+		return REASON_NONE;
+	if (fields->key_count == 1)
+		return REASON_KEY_UNKNOWN;
+	/* Its request may have started before this node did. */
+	return fields->key_count == 0 && run_set_parent_hash(head->request_id) != 0
+		   ? REASON_CALLER_UNKNOWN
+		   : REASON_KEY_MISSING;
+}
+
+/* A nested call has the rank of the request that makes it. */
+static uint32_t
+request_rank(const entry_request_t *request)
+{
+	const run_item_t *parent = request_parent(request);
+
+	return parent != NULL ? parent->rank
+			      : preset_rank(request->route, request->workspace);
 }
 
 /*
@@ -348,6 +405,7 @@
 	memcpy(head->caller_service, request->entry->caller_service, NAME_BYTES);
 	request->nested = request_is_nested(request, fields);
 	head->route_class = preset_route_class(route, request->nested);
+	head->rank = request_rank(request);
 	target_set(request, fields);
 	head->answer_bytes =
 	    answer_profile_bytes(&request->entry->answers, hash_string(route->name));
@@ -385,6 +443,8 @@
 	head_fields_t fields = {.names = entry->names,
 	    .head = request->head,
 	    .bytes_max = entry_header_bytes_max(entry),
+	    .keys_needed =
+		entry->snapshot != NULL && entry->snapshot->preset->workspace_count > 0,
 	    .deadline_ms = UINT32_MAX};
 	reason_t reason;
 
@@ -419,6 +479,8 @@
 		return REASON_NO_CONFIGURATION;
 	request->snapshot = snapshot_hold(entry->snapshot);
 	reason = route_find(request);
+	if (reason == REASON_NONE)
+		reason = workspace_apply(request, &fields);
 	if (reason == REASON_NONE)
 		reason = ticket_read(request, &fields);
 	if (reason == REASON_NONE)
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -145,6 +145,7 @@
 	snapshot_t *snapshot;
 	const preset_route_t *route;
 	const preset_service_t *preset_service;
+	const preset_workspace_t *workspace; /* that the key names; NULL: none */
 	limit_permit_t permit;
 	call_head_t *head; /* kept for further attempts */
 	ev_timer deadline;
--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -36,7 +36,7 @@
 	    LOG_TEXT("reason", reason_text(request->refusal.reason)),
 	    LOG_TEXT("run", run_state_text(request->refusal.run)),
 	    LOG_TEXT("route", request->route != NULL ? request->route->name : ""),
-	    LOG_TEXT("service", head->service),
+	    LOG_TEXT("service", head->service), LOG_TEXT("workspace", head->workspace),
 	    LOG_NUMBER(
 		"version", request->snapshot != NULL ? request->snapshot->version : 0),
 	    LOG_TEXT("class", route_class_text(head->route_class)),
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -82,7 +82,12 @@
 	message_t *message = message_create(MESSAGE_RUN, 0, 0);
 
 	if (message != NULL) {
-		message->u.run.request = hash_string(call->head->request_id);
+		run_item_t *item = &message->u.run.item;
+
+		item->request = hash_string(call->head->request_id);
+		item->rank = call->head->rank;
+		item->target = call->head->target;
+		memcpy(item->workspace, call->head->workspace, NAME_BYTES);
 		message->u.run.started = started;
 	}
 	kernel_message_post(gate->kernel, &gate->service,
--- a/src/gate_fields.c
+++ b/src/gate_fields.c
@@ -66,6 +66,7 @@
 	       line_add_dialect(call, names->trace, head->trace) &&
 	       line_add_dialect(call, names->ticket, head->ticket) &&
 	       line_add_dialect(call, names->caller_service, head->caller_service) &&
+	       line_add_dialect(call, names->workspace, head->workspace) &&
 	       line_add_dialect(
 		   call, names->expect_instance, call->gate->backend.instance);
 }
--- a/src/headers.h
+++ b/src/headers.h
@@ -26,6 +26,8 @@
 #define HEADER_FINAL "Masticpitch-Final"
 #define HEADER_RATE_LIMIT "Masticpitch-Rate-Limit"
 #define HEADER_LEAVING "Masticpitch-Leaving"
+#define HEADER_KEY "Masticpitch-Key"
+#define HEADER_WORKSPACE "Masticpitch-Workspace"
 #define HEADER_TICKET "Idempotency-Key"
 #define HEADER_TRACE "traceparent"
 
--- a/src/message.h
+++ b/src/message.h
@@ -18,6 +18,7 @@
 #include "member_types.h"
 #include "preset.h"
 #include "reason.h"
+#include "run_set.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -168,7 +169,7 @@
 		instance_t instance;  /* INSTANCE */
 		uint64_t departed_ms; /* DEPARTURE; see member_t */
 		struct {
-			uint64_t request; /* hash of its id */
+			run_item_t item; /* if it has ended, only the request */
 			bool started;
 		} run; /* RUN */
 		struct {
--- a/src/preset.c
+++ b/src/preset.c
@@ -3,6 +3,7 @@
 #include "json_text.h"
 #include "preset_index.h"
 #include "util.h"
+#include "workspace.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -265,7 +266,8 @@
 {
 	static const char *const keys[] = {"name", "methods", "prefix", "service",
 	    "class", "idempotent", "deadline_ms", "min_attempt_ms", "attempts",
-	    "body_limit_bytes", NULL};
+	    "body_limit_bytes", "key_exempt", NULL};
+	bool given = false;
 
 	if (!json_object_is_type(object, json_type_object))
 		return json_report_fail(
@@ -283,6 +285,8 @@
 	    service_reference_read(report, location, object, preset, route) !=
 		MASTICPITCH_OK)
 		return report->error;
+	json_read_bool(
+	    report, location, object, "key_exempt", &route->key_exempt, &given);
 	return limits_read(report, location, object, route);
 }
 
@@ -321,6 +325,31 @@
 	return MASTICPITCH_OK;
 }
 
+static int
+preset_workspaces_read(json_report_t *report, const char *prefix,
+    struct json_object *table, preset_t *preset)
+{
+	static const workspace_fields_t fields = {.keys = "keys",
+	    .priority = "priority",
+	    .rate = "rate_per_s",
+	    .burst = "burst"};
+	static const char *const keys[] = {
+	    "keys", "priority", "rate_per_s", "burst", NULL};
+	char location[JSON_LOCATION_MAX_BYTES];
+
+	snprintf(location, sizeof(location), "%sworkspaces", prefix);
+	if (workspaces_read(report, location, table, &fields, 0, preset) !=
+	    MASTICPITCH_OK)
+		return report->error;
+	json_object_object_foreach(table, name, item)
+	{
+		snprintf(location, sizeof(location), "%sworkspaces.%.64s", prefix, name);
+		if (json_keys_check(report, location, item, keys) != MASTICPITCH_OK)
+			break;
+	}
+	return report->error;
+}
+
 static int
 format_check(json_report_t *report, const char *prefix, struct json_object *object)
 {
@@ -363,10 +392,12 @@
 preset_parse(
     const char *text, size_t size, preset_t **result, char *message, size_t message_size)
 {
-	static const char *const keys[] = {"format", "services", "routes", NULL};
+	static const char *const keys[] = {
+	    "format", "services", "routes", "workspaces", NULL};
 	struct json_object *object = NULL;
 	struct json_object *services = NULL;
 	struct json_object *routes = NULL;
+	struct json_object *workspaces = NULL;
 	json_report_t report;
 	preset_t *preset = calloc(1, sizeof(*preset));
 
@@ -383,19 +414,22 @@
 	    section_find(&report, "", object, "services", &services) == MASTICPITCH_OK &&
 	    section_find(&report, "", object, "routes", &routes) == MASTICPITCH_OK &&
 	    services_read(&report, "", services, preset) == MASTICPITCH_OK &&
-	    services_finish(&report, preset) == MASTICPITCH_OK)
-		routes_read(&report, "", routes, preset);
+	    services_finish(&report, preset) == MASTICPITCH_OK &&
+	    routes_read(&report, "", routes, preset) == MASTICPITCH_OK &&
+	    json_object_object_get_ex(object, "workspaces", &workspaces))
+		preset_workspaces_read(&report, "", workspaces, preset);
 out:
 	json_object_put(object);
 	return preset_finalize(&report, preset, result);
 }
 
+/* Parses a part and calls read with its section of that name. */
 static int
 part_read(json_report_t *report, size_t number, const preset_text_t *part,
-    const char *key, preset_t *preset,
+    const char *key, const char *optional_key, preset_t *preset,
     int (*read)(json_report_t *, const char *, struct json_object *, preset_t *))
 {
-	const char *const keys[] = {"format", key, NULL};
+	const char *const keys[] = {"format", key, optional_key, NULL};
 	struct json_object *object = NULL;
 	struct json_object *section = NULL;
 	char prefix[32];
@@ -405,8 +439,11 @@
 		report) == MASTICPITCH_OK &&
 	    format_check(report, prefix, object) == MASTICPITCH_OK &&
 	    json_keys_check(report, prefix, object, keys) == MASTICPITCH_OK &&
-	    section_find(report, prefix, object, key, &section) == MASTICPITCH_OK)
-		read(report, prefix, section, preset);
+	    section_find(report, prefix, object, key, &section) == MASTICPITCH_OK &&
+	    read(report, prefix, section, preset) == MASTICPITCH_OK &&
+	    optional_key != NULL &&
+	    json_object_object_get_ex(object, optional_key, &section))
+		preset_workspaces_read(report, prefix, section, preset);
 	json_object_put(object);
 	return report->error;
 }
@@ -427,11 +464,12 @@
 		json_report_fail(&report, MASTICPITCH_E_LIMIT, "parts",
 		    "must be 1 to %d parts", PRESET_PARTS_MAX);
 	for (size_t i = 1; i < count && report.error == MASTICPITCH_OK; i++)
-		part_read(&report, i, &parts[i], "services", preset, services_read);
+		part_read(&report, i, &parts[i], "services", NULL, preset, services_read);
 	if (report.error == MASTICPITCH_OK)
 		services_finish(&report, preset);
 	if (report.error == MASTICPITCH_OK)
-		part_read(&report, 0, &parts[0], "routes", preset, routes_read);
+		part_read(
+		    &report, 0, &parts[0], "routes", "workspaces", preset, routes_read);
 	return preset_finalize(&report, preset, result);
 }
 
@@ -509,6 +547,9 @@
 	free(preset->services);
 	free(preset->routes);
 	free(preset->workspaces);
+	free(preset->keys);
+	free(preset->key_index);
+	buffer_free(&preset->key_text);
 	free(preset->index);
 	free(preset);
 }
--- a/src/preset.h
+++ b/src/preset.h
@@ -28,7 +28,7 @@
 #define PRESET_PRIORITY_MAX 1000
 #define PRESET_SPLITS_MAX 8
 #define PRESET_WORKSPACES_MAX 10000
-#define PRESET_WORKSPACE_KEYS_MAX 8
+#define PRESET_WORKSPACE_KEYS_MAX 64
 /* Length of a key, bytes, without a terminator. */
 #define PRESET_KEY_MAX_BYTES 128
 #define PRESET_METHODS_MAX 8
@@ -83,12 +83,20 @@
 typedef struct preset_workspace {
 	char name[NAME_BYTES];
 	bool has_priority;
-	uint32_t priority; /* if has_priority; 0 is the most urgent */
-	double rate;	   /* requests a second; 0: no quota */
-	double burst;	   /* requests */
-	uint32_t part;	   /* index of the part that it was read from */
+	uint32_t priority;  /* if has_priority; 0 is the most urgent */
+	double rate;	    /* requests a second; 0: no quota */
+	double burst;	    /* requests */
+	uint32_t part;	    /* index of the part that it was read from */
+	uint32_t key_first; /* index into the preset's keys */
+	uint32_t key_count;
 } preset_workspace_t;
 
+/* A key that callers of a workspace send. Never logged. */
+typedef struct preset_key {
+	uint32_t offset;    /* into the preset's key_text */
+	uint32_t workspace; /* index into workspaces */
+} preset_key_t;
+
 /* Bounds on callers' requests; 0: the node's own bound applies. */
 typedef struct preset_limits {
 	uint32_t header_bytes;
@@ -129,6 +137,11 @@
 	/* If there are any, each request needs a workspace key; sorted by name. */
 	preset_workspace_t *workspaces;
 	size_t workspace_count;
+	preset_key_t *keys;
+	size_t key_count;
+	buffer_t key_text;   /* the keys, each with a terminator */
+	uint32_t *key_index; /* hash table: key to its index + 1; private */
+	uint32_t key_mask;   /* slots - 1; private */
 	uint32_t *index;     /* hash table: prefix to its first route; private */
 	uint32_t index_mask; /* slots - 1; private */
 	bool has_hosts;	     /* some route is for one host only; private */
@@ -209,6 +222,9 @@
 uint32_t preset_rank(const preset_route_t *route, const preset_workspace_t *workspace);
 /* The workspace of that name, or NULL. */
 const preset_workspace_t *preset_workspace_find(const preset_t *preset, const char *name);
+/* The workspace that holds the key, or NULL. */
+const preset_workspace_t *preset_workspace_find_key(
+    const preset_t *preset, const char *key);
 
 /* "lookup", "call", "upload", "internal". */
 const char *route_class_text(route_class_t route_class);
--- a/src/preset_index.c
+++ b/src/preset_index.c
@@ -1,6 +1,7 @@
 #include "preset_index.h"
 
 #include "util.h"
+#include "workspace.h"
 
 #include <ctype.h>
 #include <stdlib.h>
@@ -163,7 +164,8 @@
 	size_t slots = 16;
 	size_t end;
 
-	if (route_names_check(report, preset) != MASTICPITCH_OK)
+	if (route_names_check(report, preset) != MASTICPITCH_OK ||
+	    workspaces_finish(report, preset) != MASTICPITCH_OK)
 		return report->error;
 	while (slots < 2 * preset->route_count)
 		slots *= 2;
@@ -215,26 +217,6 @@
 	return route->has_priority ? rank + route->priority : rank;
 }
 
-const preset_workspace_t *
-preset_workspace_find(const preset_t *preset, const char *name)
-{
-	size_t low = 0;
-	size_t high = preset->workspace_count;
-
-	while (low < high) {
-		size_t middle = low + (high - low) / 2;
-		int order = strcmp(preset->workspaces[middle].name, name);
-
-		if (order == 0)
-			return &preset->workspaces[middle];
-		if (order < 0)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return NULL;
-}
-
 static bool
 route_accepts_method(const preset_route_t *route, const char *method)
 {
--- a/src/record.h
+++ b/src/record.h
@@ -19,8 +19,12 @@
 #define RECORD_FORMAT 1
 #define RECORD_PRESETS_MAX 8
 #define RECORD_BUCKETS 32
-/* One part of routes and the buckets of services. */
-#define RECORD_PRESET_PARTS_MAX (1 + RECORD_BUCKETS)
+/*
+ * One part of routes and workspaces, and the buckets of services. A document has a part
+ * of services, buckets of routes and RECORD_WORKSPACE_BUCKETS of workspaces.
+ */
+#define RECORD_WORKSPACE_BUCKETS 8
+#define RECORD_PRESET_PARTS_MAX (1 + RECORD_BUCKETS + RECORD_WORKSPACE_BUCKETS)
 #define RECORD_PARTS_MAX (RECORD_PRESETS_MAX * RECORD_PRESET_PARTS_MAX)
 #define RECORD_HISTORY_MAX 128
 #define RECORD_HEAD_MAX_BYTES (64 * 1024)
--- a/src/record_parts.c
+++ b/src/record_parts.c
@@ -1,6 +1,7 @@
 #include "record.h"
 
 #include "json_text.h"
+#include "workspace.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -190,10 +191,48 @@
 	return buffer_printf(text,
 	    ",\"service\":\"%s\",\"class\":\"%s\",\"idempotent\":%s,\"deadline_ms\":"
 	    "%" PRIu32 ",\"min_attempt_ms\":%" PRIu32 ",\"attempts\":%" PRIu32
-	    ",\"body_limit_bytes\":%" PRIu64 "}",
+	    ",\"body_limit_bytes\":%" PRIu64 "%s}",
 	    preset->services[route->service].name, route_class_text(route->route_class),
 	    route->idempotent ? "true" : "false", route->deadline_ms,
-	    route->min_attempt_ms, route->attempts, route->body_limit_bytes);
+	    route->min_attempt_ms, route->attempts, route->body_limit_bytes,
+	    route->key_exempt ? ",\"key_exempt\":true" : "");
+}
+
+static int
+workspace_format(const preset_t *preset, const preset_workspace_t *workspace, bool first,
+    buffer_t *text)
+{
+	int error = buffer_printf(
+	    text, "%s\"%s\":{\"keys\":[", first ? "" : ",", workspace->name);
+
+	for (uint32_t i = 0; i < workspace->key_count && error == MASTICPITCH_OK; i++) {
+		if (i > 0)
+			error = buffer_append(text, ",", 1);
+		if (error == MASTICPITCH_OK)
+			error = text_format(workspace_key(preset, workspace, i), text);
+	}
+	if (error == MASTICPITCH_OK && workspace->has_priority)
+		error =
+		    buffer_printf(text, "],\"priority\":%" PRIu32, workspace->priority);
+	else if (error == MASTICPITCH_OK)
+		error = buffer_printf(text, "]");
+	return error == MASTICPITCH_OK
+		   ? buffer_printf(text, ",\"rate_per_s\":%.17g,\"burst\":%.17g}",
+			 workspace->rate, workspace->burst)
+		   : error;
+}
+
+static int
+workspaces_format(const preset_t *preset, buffer_t *text)
+{
+	int error;
+
+	if (preset->workspace_count == 0)
+		return MASTICPITCH_OK;
+	error = buffer_printf(text, ",\"workspaces\":{");
+	for (size_t i = 0; i < preset->workspace_count && error == MASTICPITCH_OK; i++)
+		error = workspace_format(preset, &preset->workspaces[i], i == 0, text);
+	return error == MASTICPITCH_OK ? buffer_printf(text, "}") : error;
 }
 
 static int
@@ -207,7 +246,11 @@
 		if (error == MASTICPITCH_OK)
 			error = route_format(preset, &preset->routes[i], text);
 	}
-	return error == MASTICPITCH_OK ? buffer_printf(text, "]}") : error;
+	if (error == MASTICPITCH_OK)
+		error = buffer_printf(text, "]");
+	if (error == MASTICPITCH_OK)
+		error = workspaces_format(preset, text);
+	return error == MASTICPITCH_OK ? buffer_printf(text, "}") : error;
 }
 
 /* Adds a text to the parts and its digest to the preset. */
--- a/src/run_set.c
+++ b/src/run_set.c
@@ -12,17 +12,17 @@
 }
 
 void
-run_set_add(run_set_t *set, uint64_t request_hash)
+run_set_add(run_set_t *set, const run_item_t *item)
 {
 	if (set->count < RUN_SET_MAX)
-		set->items[set->count++] = request_hash;
+		set->items[set->count++] = *item;
 }
 
 void
 run_set_remove(run_set_t *set, uint64_t request_hash)
 {
 	for (size_t i = 0; i < set->count; i++) {
-		if (set->items[i] != request_hash)
+		if (set->items[i].request != request_hash)
 			continue;
 		set->items[i] = set->items[--set->count];
 		return;
@@ -43,14 +43,14 @@
 	return hash_string(parent);
 }
 
-bool
-run_set_has_parent(const run_set_t *set, const char *request_id)
+const run_item_t *
+run_set_parent(const run_set_t *set, const char *request_id)
 {
 	uint64_t parent = run_set_parent_hash(request_id);
 
 	for (size_t i = 0; parent != 0 && i < set->count; i++) {
-		if (set->items[i] == parent)
-			return true;
+		if (set->items[i].request == parent)
+			return &set->items[i];
 	}
-	return false;
+	return NULL;
 }
--- a/test/common_request.h
+++ b/test/common_request.h
@@ -50,6 +50,8 @@
 	bool cleared = false;
 	uint64_t fingerprint = 0;
 	std::string headers;
+	std::string workspace;
+	uint32_t rank = 0;
 };
 
 inline std::string
@@ -77,6 +79,8 @@
 		copy.path = message->u.call->path;
 		copy.method = message->u.call->method;
 		copy.service = message->u.call->service;
+		copy.workspace = message->u.call->workspace;
+		copy.rank = message->u.call->rank;
 		copy.body_length = message->u.call->body_length;
 		copy.depth = message->u.call->depth;
 		copy.attempt = message->u.call->attempt;
