Quotas of workspaces over all nodes, first version

Cause: a workspace's quota was read from the configuration and not enforced. A workspace that sends several times its quota got all of it.

Change: the member with the highest rendezvous hash owns a workspace's quota and lends tokens to the entries of all nodes, in datagrams of membership; see docs/design/quota.md. A request takes a token before its first attempt, waits for one, or is refused with 429.

--- a/src/config.c
+++ b/src/config.c
@@ -312,7 +312,8 @@
 static void
 snapshot_post(config_t *config, snapshot_t *snapshot)
 {
-	static const char *const names[] = {"entry", "gate", "operators", "readiness"};
+	static const char *const names[] = {
+	    "entry", "gate", "operators", "readiness", "quota"};
 	message_t *message = message_create(MESSAGE_VERSION, 0, 0);
 
 	for (size_t i = 0; i < ARRAY_LENGTH(names); i++) {
--- a/src/entry.c
+++ b/src/entry.c
@@ -99,6 +99,28 @@
 	}
 }
 
+static void
+quota_receive(entry_t *entry, const quota_item_t *grant)
+{
+	const quota_grant_t lent = {
+	    .tokens = grant->tokens, .retry_ms = grant->retry_ms, .hold = grant->hold};
+
+	metrics_add(kernel_metrics(entry->kernel), METRIC_QUOTA_GRANTED, grant->tokens);
+	quota_lease_granted(
+	    entry->quota, grant->workspace, &lent, kernel_now(entry->kernel));
+	entry_requests_quota(entry);
+}
+
+static void
+quota_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	entry_t *entry = watcher->data;
+
+	entry_requests_quota(entry);
+	if (list_is_empty(&entry->quota_waiting))
+		ev_timer_stop(loop, watcher);
+}
+
 static void
 entry_receive(void *state, message_t *message)
 {
@@ -136,7 +158,14 @@
 	case MESSAGE_CRASH_REPORT:
 		crash_report_receive(entry, message);
 		break;
+	case MESSAGE_QUOTA_GRANT:
+		quota_receive(entry, &message->u.quota);
+		break;
+	case MESSAGE_QUOTA_MEMBERS:
+		quota_lease_members_set(entry->quota, message->u.members);
+		break;
 	case MESSAGE_SNAPSHOT:
+		quota_lease_sweep(entry->quota, kernel_now(entry->kernel));
 		snapshot_release(entry->snapshot);
 		entry->snapshot = message->u.snapshot;
 		message->u.snapshot = NULL;
@@ -189,6 +218,10 @@
 		    settings->requests_max, !entry->naive, &entry->limit);
 	if (error == MASTICPITCH_OK)
 		error = quarantine_create(&entry->quarantine);
+	if (error == MASTICPITCH_OK) {
+		entry->quota = quota_lease_create(rng_next(kernel_rng(entry->kernel)));
+		error = entry->quota != NULL ? MASTICPITCH_OK : MASTICPITCH_E_NOMEM;
+	}
 	return error;
 }
 
@@ -215,6 +248,10 @@
 	run_set_init(&entry->running);
 	list_init(&entry->service.link);
 	list_init(&entry->requests);
+	list_init(&entry->quota_waiting);
+	ev_timer_init(&entry->quota_timer, quota_callback, QUOTA_RECHECK_MS / 1e3,
+	    QUOTA_RECHECK_MS / 1e3);
+	entry->quota_timer.data = entry;
 	error = stream_table_init(&entry->streams);
 	if (error == MASTICPITCH_OK)
 		error = policies_create(entry);
@@ -237,6 +274,8 @@
 		return;
 	kernel_service_unregister(entry->kernel, &entry->service);
 	caller_server_destroy(entry->callers);
+	ev_timer_stop(kernel_loop(entry->kernel), &entry->quota_timer);
+	quota_lease_destroy(entry->quota);
 	balance_destroy(entry->balance);
 	retry_destroy(entry->retry);
 	limit_entry_destroy(entry->limit);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -3,10 +3,11 @@
  * before it.
  *
  * entry_report.c: request log and answers to operators' queries. entry_answer.c:
- * answers to callers. entry_refuse.c: the end of an attempt and the refusal of a
- * request. entry_attempt.c: attempts at instances. entry_head.c: validates and parses
- * a request head. entry_request.c: a request from its head to its end.
- * entry_callers.c: callers' connections. entry.c: service and message dispatch.
+ * answers to callers. entry_quota.c: quotas of workspaces. entry_refuse.c: the end of an
+ * attempt and the refusal of a request. entry_attempt.c: attempts at instances.
+ * entry_head.c: validates and parses a request head. entry_request.c: a request from its
+ * head to its end. entry_callers.c: callers' connections. entry.c: service and message
+ * dispatch.
  */
 #ifndef MASTICPITCH_ENTRY_INTERNAL_H
 #define MASTICPITCH_ENTRY_INTERNAL_H
@@ -19,6 +20,7 @@
 #include "entry.h"
 #include "limit.h"
 #include "quarantine.h"
+#include "quota_lease.h"
 #include "retry.h"
 #include "run_set.h"
 #include "snapshot.h"
@@ -117,7 +119,10 @@
 	quarantine_t *quarantine;
 	deadline_profile_t deadlines;
 	answer_profile_t answers;
-	run_set_t running; /* requests that this host's backend server runs */
+	quota_lease_t *quota;
+	list_t quota_waiting; /* requests that wait for a token */
+	ev_timer quota_timer; /* looks at them again */
+	run_set_t running;    /* requests that this host's backend server runs */
 	bool naive;
 	bool leaving;
 	uint64_t leave_deadline;  /* end of the wait for idle connections */
@@ -147,7 +152,10 @@
 	const preset_service_t *preset_service;
 	const preset_workspace_t *workspace; /* that the key names; NULL: none */
 	limit_permit_t permit;
-	call_head_t *head; /* kept for further attempts */
+	list_t quota_link;	 /* in the entry's quota_waiting */
+	uint64_t quota_deadline; /* of the wait for a token */
+	uint64_t quota_until;	 /* its token can be given back until then; 0: none */
+	call_head_t *head;	 /* kept for further attempts */
 	ev_timer deadline;
 	bool nested; /* made by a request that is being run */
 	bool ticket_requested;
@@ -210,6 +218,20 @@
 /* Number of callers' open connections. */
 unsigned entry_connections(const entry_t *entry);
 
+/* entry_quota.c */
+/*
+ * Takes a token of the workspace's quota, or lets the request wait for one. Returns the
+ * reason for refusing it.
+ */
+reason_t entry_quota_admit(entry_request_t *request);
+bool entry_quota_is_waiting(const entry_request_t *request);
+/* Ends the wait if there is a token, or none to wait for; then reason is set. */
+bool entry_quota_retry(entry_request_t *request, reason_t *reason);
+/* Ends the wait of a request that needs no token any more. */
+void entry_quota_cancel(entry_request_t *request);
+/* The request has certainly not run. */
+void entry_quota_give_back(entry_request_t *request);
+
 /* entry_refuse.c */
 /* A message of the request's open stream; NULL: no memory. */
 message_t *entry_stream_message(const entry_request_t *request, message_type_t type);
@@ -251,6 +273,8 @@
 void entry_request_destroy(entry_request_t *request);
 /* Parses the head, then admits or refuses the request. */
 void entry_request_begin(entry_request_t *request);
+/* Looks at the requests that wait for a token of their workspace's quota. */
+void entry_requests_quota(entry_t *entry);
 /* Consumes body bytes; returns how many. */
 size_t entry_request_body(entry_request_t *request, const char *data, size_t size);
 /* Passes on the bytes consumed so far, see caller_owner_t. */
--- a/src/entry_refuse.c
+++ b/src/entry_refuse.c
@@ -71,6 +71,9 @@
 
 	metrics_refusal_add(kernel_metrics(entry->kernel), reason);
 	entry_attempt_cancel(request);
+	entry_quota_cancel(request);
+	if (run == RUN_NO)
+		entry_quota_give_back(request);
 	entry_nested_report(request, &request->last_load,
 	    run == RUN_NO && reason_is_overload(reason), true);
 	if (run == RUN_NO && request->refusal.retry_after_ms == 0 &&
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -72,6 +72,7 @@
 	request->deadline.data = request;
 	ev_timer_init(&request->backoff, backoff_callback, 0.0, 0.0);
 	request->backoff.data = request;
+	list_init(&request->quota_link);
 	list_append(&entry->requests, &request->link);
 	metrics_add(kernel_metrics(entry->kernel), METRIC_REQUESTS, 1);
 	return request;
@@ -84,6 +85,7 @@
 	struct ev_loop *loop = kernel_loop(entry->kernel);
 
 	entry_attempt_cancel(request);
+	entry_quota_cancel(request);
 	limit_entry_release(entry->limit, &request->permit);
 	metrics_set(kernel_metrics(entry->kernel), METRIC_REQUESTS_IN_FLIGHT,
 	    limit_entry_in_flight(entry->limit));
@@ -126,6 +128,8 @@
 	if (reason == REASON_NONE)
 		reason = limit_entry_acquire(entry->limit, request->preset_service,
 		    request->head->route_class, &request->permit);
+	if (reason == REASON_NONE)
+		reason = entry_quota_admit(request);
 	if (reason == REASON_NONE)
 		timeout_s =
 		    time_left_s(request->head->deadline, kernel_now(entry->kernel)) +
@@ -187,13 +191,29 @@
 static void
 body_advance(entry_request_t *request)
 {
-	if (!request->started &&
+	if (!request->started && !entry_quota_is_waiting(request) &&
 	    (request->body_end || request->body_received >= QUARANTINE_BODY_BYTES))
 		request_start(request);
 	else
 		entry_attempt_pump(request);
 }
 
+void
+entry_requests_quota(entry_t *entry)
+{
+	LIST_FOREACH_SAFE (node, &entry->quota_waiting) {
+		entry_request_t *request = LIST_ENTRY(node, entry_request_t, quota_link);
+		reason_t reason;
+
+		if (!entry_quota_retry(request, &reason))
+			continue;
+		if (reason != REASON_NONE)
+			entry_request_refuse(request, reason, RUN_NO, false);
+		else if (!body_is_discarded(request))
+			body_advance(request);
+	}
+}
+
 /*
  * Counts body bytes that are not needed. Above the limit, a refusal is sent without
  * waiting for the end of the body, and anything else is aborted.
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -772,6 +772,141 @@
   assert(message->base.descriptor == &masticpitch__crash_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticpitch__quota_ask__init
+                     (Masticpitch__QuotaAsk         *message)
+{
+  static const Masticpitch__QuotaAsk init_value = MASTICPITCH__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t masticpitch__quota_ask__get_packed_size
+                     (const Masticpitch__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__quota_ask__pack
+                     (const Masticpitch__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__quota_ask__pack_to_buffer
+                     (const Masticpitch__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__QuotaAsk *
+       masticpitch__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__QuotaAsk *)
+     protobuf_c_message_unpack (&masticpitch__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__quota_ask__free_unpacked
+                     (Masticpitch__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__quota_grant__init
+                     (Masticpitch__QuotaGrant         *message)
+{
+  static const Masticpitch__QuotaGrant init_value = MASTICPITCH__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t masticpitch__quota_grant__get_packed_size
+                     (const Masticpitch__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__quota_grant__pack
+                     (const Masticpitch__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__quota_grant__pack_to_buffer
+                     (const Masticpitch__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__QuotaGrant *
+       masticpitch__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__QuotaGrant *)
+     protobuf_c_message_unpack (&masticpitch__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__quota_grant__free_unpacked
+                     (Masticpitch__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__quota__init
+                     (Masticpitch__Quota         *message)
+{
+  static const Masticpitch__Quota init_value = MASTICPITCH__QUOTA__INIT;
+  *message = init_value;
+}
+size_t masticpitch__quota__get_packed_size
+                     (const Masticpitch__Quota *message)
+{
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__quota__pack
+                     (const Masticpitch__Quota *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__quota__pack_to_buffer
+                     (const Masticpitch__Quota *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__Quota *
+       masticpitch__quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__Quota *)
+     protobuf_c_message_unpack (&masticpitch__quota__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__quota__free_unpacked
+                     (Masticpitch__Quota *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticpitch__datagram__init
                      (Masticpitch__Datagram         *message)
 {
@@ -2690,7 +2825,186 @@
   (ProtobufCMessageInit) masticpitch__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue masticpitch__datagram__kind__enum_values_by_number[7] =
+static const ProtobufCFieldDescriptor masticpitch__quota_ask__field_descriptors[2] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaAsk, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaAsk, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__quota_ask__field_indices_by_name[] = {
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange masticpitch__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticpitch__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.QuotaAsk",
+  "QuotaAsk",
+  "Masticpitch__QuotaAsk",
+  "masticpitch",
+  sizeof(Masticpitch__QuotaAsk),
+  2,
+  masticpitch__quota_ask__field_descriptors,
+  masticpitch__quota_ask__field_indices_by_name,
+  1,  masticpitch__quota_ask__number_ranges,
+  (ProtobufCMessageInit) masticpitch__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__quota_grant__field_descriptors[4] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaGrant, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaGrant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaGrant, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaGrant, hold),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__quota_grant__field_indices_by_name[] = {
+  3,   /* field[3] = hold */
+  2,   /* field[2] = retry_ms */
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange masticpitch__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticpitch__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.QuotaGrant",
+  "QuotaGrant",
+  "Masticpitch__QuotaGrant",
+  "masticpitch",
+  sizeof(Masticpitch__QuotaGrant),
+  4,
+  masticpitch__quota_grant__field_descriptors,
+  masticpitch__quota_grant__field_indices_by_name,
+  1,  masticpitch__quota_grant__number_ranges,
+  (ProtobufCMessageInit) masticpitch__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__quota__field_descriptors[2] =
+{
+  {
+    "asks",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__Quota, n_asks),
+    offsetof(Masticpitch__Quota, asks),
+    &masticpitch__quota_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__Quota, n_grants),
+    offsetof(Masticpitch__Quota, grants),
+    &masticpitch__quota_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__quota__field_indices_by_name[] = {
+  0,   /* field[0] = asks */
+  1,   /* field[1] = grants */
+};
+static const ProtobufCIntRange masticpitch__quota__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticpitch__quota__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.Quota",
+  "Quota",
+  "Masticpitch__Quota",
+  "masticpitch",
+  sizeof(Masticpitch__Quota),
+  2,
+  masticpitch__quota__field_descriptors,
+  masticpitch__quota__field_indices_by_name,
+  1,  masticpitch__quota__number_ranges,
+  (ProtobufCMessageInit) masticpitch__quota__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue masticpitch__datagram__kind__enum_values_by_number[8] =
 {
   { "PROBE", "MASTICPITCH__DATAGRAM__KIND__PROBE", 0 },
   { "PROBE_ANSWER", "MASTICPITCH__DATAGRAM__KIND__PROBE_ANSWER", 1 },
@@ -2699,17 +3013,19 @@
   { "SUSPECT_ANSWER", "MASTICPITCH__DATAGRAM__KIND__SUSPECT_ANSWER", 4 },
   { "JOIN", "MASTICPITCH__DATAGRAM__KIND__JOIN", 5 },
   { "JOIN_ANSWER", "MASTICPITCH__DATAGRAM__KIND__JOIN_ANSWER", 6 },
+  { "QUOTA", "MASTICPITCH__DATAGRAM__KIND__QUOTA", 7 },
 };
 static const ProtobufCIntRange masticpitch__datagram__kind__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex masticpitch__datagram__kind__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex masticpitch__datagram__kind__enum_values_by_name[8] =
 {
   { "GOSSIP", 2 },
   { "JOIN", 5 },
   { "JOIN_ANSWER", 6 },
   { "PROBE", 0 },
   { "PROBE_ANSWER", 1 },
+  { "QUOTA", 7 },
   { "SUSPECT_ANSWER", 4 },
   { "SUSPECT_QUERY", 3 },
 };
@@ -2720,15 +3036,15 @@
   "Kind",
   "Masticpitch__Datagram__Kind",
   "masticpitch",
-  7,
+  8,
   masticpitch__datagram__kind__enum_values_by_number,
-  7,
+  8,
   masticpitch__datagram__kind__enum_values_by_name,
   1,
   masticpitch__datagram__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor masticpitch__datagram__field_descriptors[15] =
+static const ProtobufCFieldDescriptor masticpitch__datagram__field_descriptors[16] =
 {
   {
     "kind",
@@ -2910,6 +3226,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Datagram, quota),
+    &masticpitch__quota__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__datagram__field_indices_by_name[] = {
   2,   /* field[2] = boot */
@@ -2920,6 +3248,7 @@
   0,   /* field[0] = kind */
   12,   /* field[12] = members */
   1,   /* field[1] = node */
+  15,   /* field[15] = quota */
   14,   /* field[14] = receiver_suspected_incarnation */
   3,   /* field[3] = sequence */
   8,   /* field[8] = subject */
@@ -2931,7 +3260,7 @@
 static const ProtobufCIntRange masticpitch__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor masticpitch__datagram__descriptor =
 {
@@ -2941,7 +3270,7 @@
   "Masticpitch__Datagram",
   "masticpitch",
   sizeof(Masticpitch__Datagram),
-  15,
+  16,
   masticpitch__datagram__field_descriptors,
   masticpitch__datagram__field_indices_by_name,
   1,  masticpitch__datagram__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -32,6 +32,9 @@
 typedef struct Masticpitch__Instance Masticpitch__Instance;
 typedef struct Masticpitch__Member Masticpitch__Member;
 typedef struct Masticpitch__CrashReport Masticpitch__CrashReport;
+typedef struct Masticpitch__QuotaAsk Masticpitch__QuotaAsk;
+typedef struct Masticpitch__QuotaGrant Masticpitch__QuotaGrant;
+typedef struct Masticpitch__Quota Masticpitch__Quota;
 typedef struct Masticpitch__Datagram Masticpitch__Datagram;
 typedef struct Masticpitch__MemberSync Masticpitch__MemberSync;
 typedef struct Masticpitch__Part Masticpitch__Part;
@@ -47,7 +50,8 @@
   MASTICPITCH__DATAGRAM__KIND__SUSPECT_QUERY = 3,
   MASTICPITCH__DATAGRAM__KIND__SUSPECT_ANSWER = 4,
   MASTICPITCH__DATAGRAM__KIND__JOIN = 5,
-  MASTICPITCH__DATAGRAM__KIND__JOIN_ANSWER = 6
+  MASTICPITCH__DATAGRAM__KIND__JOIN_ANSWER = 6,
+  MASTICPITCH__DATAGRAM__KIND__QUOTA = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MASTICPITCH__DATAGRAM__KIND)
 } Masticpitch__Datagram__Kind;
 typedef enum _Masticpitch__ConfigMessage__Kind {
@@ -399,6 +403,55 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Quotas of workspaces. An entry asks the owner of a quota for tokens.
+ */
+struct  Masticpitch__QuotaAsk
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t workspace;
+  uint32_t tokens;
+};
+#define MASTICPITCH__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__quota_ask__descriptor) \
+    , 0, 0 }
+
+
+struct  Masticpitch__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint64_t workspace;
+  uint32_t tokens;
+  /*
+   * without tokens: there may be one then
+   */
+  uint32_t retry_ms;
+  /*
+   * Without tokens: nobody is refused, ask again; the sender has just become the owner.
+   */
+  protobuf_c_boolean hold;
+};
+#define MASTICPITCH__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__quota_grant__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Masticpitch__Quota
+{
+  ProtobufCMessage base;
+  size_t n_asks;
+  Masticpitch__QuotaAsk **asks;
+  size_t n_grants;
+  Masticpitch__QuotaGrant **grants;
+};
+#define MASTICPITCH__QUOTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__quota__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 struct  Masticpitch__Datagram
 {
   ProtobufCMessage base;
@@ -435,10 +488,11 @@
    * 0: as neither.
    */
   uint64_t receiver_suspected_incarnation;
+  Masticpitch__Quota *quota;
 };
 #define MASTICPITCH__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__datagram__descriptor) \
-    , MASTICPITCH__DATAGRAM__KIND__PROBE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , MASTICPITCH__DATAGRAM__KIND__PROBE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
 
 
 /*
@@ -854,6 +908,63 @@
 void   masticpitch__crash_report__free_unpacked
                      (Masticpitch__CrashReport *message,
                       ProtobufCAllocator *allocator);
+/* Masticpitch__QuotaAsk methods */
+void   masticpitch__quota_ask__init
+                     (Masticpitch__QuotaAsk         *message);
+size_t masticpitch__quota_ask__get_packed_size
+                     (const Masticpitch__QuotaAsk   *message);
+size_t masticpitch__quota_ask__pack
+                     (const Masticpitch__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t masticpitch__quota_ask__pack_to_buffer
+                     (const Masticpitch__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__QuotaAsk *
+       masticpitch__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__quota_ask__free_unpacked
+                     (Masticpitch__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__QuotaGrant methods */
+void   masticpitch__quota_grant__init
+                     (Masticpitch__QuotaGrant         *message);
+size_t masticpitch__quota_grant__get_packed_size
+                     (const Masticpitch__QuotaGrant   *message);
+size_t masticpitch__quota_grant__pack
+                     (const Masticpitch__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t masticpitch__quota_grant__pack_to_buffer
+                     (const Masticpitch__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__QuotaGrant *
+       masticpitch__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__quota_grant__free_unpacked
+                     (Masticpitch__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__Quota methods */
+void   masticpitch__quota__init
+                     (Masticpitch__Quota         *message);
+size_t masticpitch__quota__get_packed_size
+                     (const Masticpitch__Quota   *message);
+size_t masticpitch__quota__pack
+                     (const Masticpitch__Quota   *message,
+                      uint8_t             *out);
+size_t masticpitch__quota__pack_to_buffer
+                     (const Masticpitch__Quota   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__Quota *
+       masticpitch__quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__quota__free_unpacked
+                     (Masticpitch__Quota *message,
+                      ProtobufCAllocator *allocator);
 /* Masticpitch__Datagram methods */
 void   masticpitch__datagram__init
                      (Masticpitch__Datagram         *message);
@@ -983,6 +1094,15 @@
 typedef void (*Masticpitch__CrashReport_Closure)
                  (const Masticpitch__CrashReport *message,
                   void *closure_data);
+typedef void (*Masticpitch__QuotaAsk_Closure)
+                 (const Masticpitch__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Masticpitch__QuotaGrant_Closure)
+                 (const Masticpitch__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Masticpitch__Quota_Closure)
+                 (const Masticpitch__Quota *message,
+                  void *closure_data);
 typedef void (*Masticpitch__Datagram_Closure)
                  (const Masticpitch__Datagram *message,
                   void *closure_data);
@@ -1018,6 +1138,9 @@
 extern const ProtobufCMessageDescriptor masticpitch__instance__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__member__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__crash_report__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__quota__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__datagram__descriptor;
 extern const ProtobufCEnumDescriptor    masticpitch__datagram__kind__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__member_sync__descriptor;
--- a/src/member.h
+++ b/src/member.h
@@ -79,6 +79,8 @@
 #define MEMBER_SYNC_ANSWERS_PER_S 20
 #define MEMBER_BUCKETS 64
 #define MEMBER_CRASH_REPORTS_MAX 256
+/* Most asks and grants of quotas in one datagram. */
+#define MEMBER_QUOTA_ITEMS_MAX 32
 #define MEMBER_CRASH_REPORT_MS (10 * 60 * 1000)
 
 typedef enum member_action_type {
@@ -88,7 +90,9 @@
 	MEMBER_ACTION_REMOVED,		/* node is no longer in the table */
 	MEMBER_ACTION_VERSION_RECEIVED, /* of node */
 	MEMBER_ACTION_CRASH_REPORT,	/* received from another node */
-	MEMBER_ACTION_JOIN_NEEDED	/* no other member: addresses to join needed */
+	MEMBER_ACTION_JOIN_NEEDED,	/* no other member: addresses to join needed */
+	MEMBER_ACTION_QUOTA_ASK,	/* of node, an item */
+	MEMBER_ACTION_QUOTA_GRANT	/* of node, an item */
 } member_action_type_t;
 
 typedef struct member_crash_report {
@@ -97,6 +101,14 @@
 	bool cleared;
 } member_crash_report_t;
 
+/* See quota_item_t. */
+typedef struct member_quota {
+	uint64_t workspace;
+	uint32_t tokens;
+	uint32_t retry_ms;
+	bool hold;
+} member_quota_t;
+
 typedef struct member_action {
 	list_t link;
 	member_action_type_t type;
@@ -110,6 +122,7 @@
 			uint64_t floor; /* of this node, as that member has it */
 		} version;
 		member_crash_report_t crash_report;
+		member_quota_t quota;
 	} u;
 } member_action_t;
 
@@ -176,6 +189,12 @@
 /* Sends a crash report of this node's gate to the others. */
 void member_report_crash(member_table_t *table, const member_crash_report_t *report,
     uint64_t now, list_t *actions);
+/*
+ * Sends asks for quotas, or grants, to a member. False if it is not in the table, or
+ * there are more than MEMBER_QUOTA_ITEMS_MAX.
+ */
+bool member_send_quota(member_table_t *table, uint64_t node, bool grants,
+    const member_quota_t *items, size_t count, uint64_t now, list_t *actions);
 /*
  * Requests that a node whose boot is not the newest one known raise its incarnation
  * above known_incarnation; see auth_windows_accept().
--- a/src/member_gossip.c
+++ b/src/member_gossip.c
@@ -11,6 +11,8 @@
 #define PICK_ATTEMPTS 4
 /* Most bytes of tag and length in front of an embedded message. */
 #define EMBEDDED_OVERHEAD 3
+/* The same for quotas, whose tag and length take two bytes each. */
+#define QUOTA_OVERHEAD 4
 
 /* Storage that one datagram is built in. */
 typedef struct datagram_scratch {
@@ -152,6 +154,10 @@
 			datagram->receiver_suspected_incarnation =
 			    receiver->member.incarnation;
 	}
+	datagram->quota = options->quota;
+	if (options->quota != NULL)
+		scratch.left -=
+		    masticpitch__quota__get_packed_size(options->quota) + QUOTA_OVERHEAD;
 	if (options->with_self)
 		datagram_add_member(&scratch, &table->self->member);
 	datagram_add_crashes(table, &scratch, options->with_sample, now);
@@ -336,6 +342,8 @@
 		member_merge(table, datagram->members[i], !is_answer, now, actions);
 	for (size_t i = 0; i < datagram->n_crash_reports; i++)
 		member_merge_crash(table, datagram->crash_reports[i], now, actions);
+	if (datagram->quota != NULL)
+		member_quota_receive(datagram->node, datagram->quota, actions);
 	if (datagram->receiver_suspected_incarnation != 0)
 		member_refute(
 		    table, datagram->receiver_suspected_incarnation, now, actions);
--- a/src/member_internal.h
+++ b/src/member_internal.h
@@ -1,7 +1,7 @@
 /*
  * Structures shared by member.c (table and merge), member_gossip.c (datagrams),
- * member_probe.c (monitoring, zones), member_join.c (joining) and member_sync.c
- * (anti-entropy).
+ * member_probe.c (monitoring, zones), member_join.c (joining), member_sync.c
+ * (anti-entropy) and member_quota.c (asks and grants of quotas).
  */
 #ifndef MASTICPITCH_MEMBER_INTERNAL_H
 #define MASTICPITCH_MEMBER_INTERNAL_H
@@ -183,6 +183,7 @@
 	bool with_sample;   /* random members, for a node that joins */
 	size_t members_max; /* most piggybacked updates */
 	uint64_t suspected_incarnation; /* receiver_suspected_incarnation */
+	Masticpitch__Quota *quota;	/* may be NULL */
 } datagram_options_t;
 
 /* receiver may be NULL for a node that is not in the table. */
@@ -215,6 +216,11 @@
 void member_request_record(member_table_t *table, member_entry_t *entry,
     const address_t *from, uint64_t node, uint64_t now, list_t *actions);
 
+/* member_quota.c */
+/* Passes on the asks and grants of a datagram. */
+void member_quota_receive(
+    uint64_t node, const Masticpitch__Quota *quota, list_t *actions);
+
 /* member_join.c */
 void member_join_tick(member_table_t *table, uint64_t now, list_t *actions);
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -17,6 +17,14 @@
 /* Holds the bursts of a mass restart; the system may grant less. */
 #define RECEIVE_BUFFER_BYTES (1024 * 1024)
 
+/* Asks for quotas, or grants, that wait for the end of the turn of the event loop. */
+typedef struct quota_batch {
+	uint64_t node;
+	bool grants;
+	member_quota_t items[MEMBER_QUOTA_ITEMS_MAX];
+	size_t count;
+} quota_batch_t;
+
 struct membership {
 	kernel_t *kernel;
 	const settings_t *settings;
@@ -31,6 +39,8 @@
 	uint64_t boot_answer_sent_at; /* monotonic ns */
 	bool self_posted;	      /* the own record was posted to the services */
 	fault_t *fault;
+	quota_batch_t quota;
+	ev_timer quota_flusher;
 };
 
 static void
@@ -77,7 +87,8 @@
 static void
 member_post(membership_t *membership, const member_t *member)
 {
-	static const char *const receivers[] = {"peer", "entry", "config", "operators"};
+	static const char *const receivers[] = {
+	    "peer", "entry", "config", "operators", "quota"};
 
 	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++) {
 		message_t *message = message_create(MESSAGE_MEMBER, member->node, 0);
@@ -91,7 +102,8 @@
 static void
 removed_post(membership_t *membership, uint64_t node)
 {
-	static const char *const receivers[] = {"peer", "entry", "config", "operators"};
+	static const char *const receivers[] = {
+	    "peer", "entry", "config", "operators", "quota"};
 
 	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++)
 		membership_post(membership, receivers[i],
@@ -163,6 +175,20 @@
 	membership_post(membership, "gate", message);
 }
 
+static void
+quota_post(membership_t *membership, const member_action_t *action, message_type_t type)
+{
+	message_t *message = message_create(type, action->node, 0);
+
+	if (message != NULL) {
+		message->u.quota.workspace = action->u.quota.workspace;
+		message->u.quota.tokens = action->u.quota.tokens;
+		message->u.quota.retry_ms = action->u.quota.retry_ms;
+		message->u.quota.hold = action->u.quota.hold;
+	}
+	membership_post(membership, "quota", message);
+}
+
 static void
 action_perform(membership_t *membership, member_action_t *action)
 {
@@ -194,6 +220,12 @@
 		membership_post(
 		    membership, "config", message_create(MESSAGE_JOIN_NEEDED, 0, 0));
 		break;
+	case MEMBER_ACTION_QUOTA_ASK:
+		quota_post(membership, action, MESSAGE_QUOTA_ASK);
+		break;
+	case MEMBER_ACTION_QUOTA_GRANT:
+		quota_post(membership, action, MESSAGE_QUOTA_GRANT);
+		break;
 	}
 }
 
@@ -319,6 +351,27 @@
 	statistics_publish(membership);
 }
 
+static void
+quota_flush(membership_t *membership, list_t *actions)
+{
+	quota_batch_t *batch = &membership->quota;
+
+	member_send_quota(membership->table, batch->node, batch->grants, batch->items,
+	    batch->count, kernel_now(membership->kernel), actions);
+	batch->count = 0;
+}
+
+static void
+quota_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	membership_t *membership = watcher->data;
+	list_t actions;
+
+	list_init(&actions);
+	quota_flush(membership, &actions);
+	actions_perform(membership, &actions);
+}
+
 static void
 query_answer(membership_t *membership, const message_t *query)
 {
@@ -330,6 +383,30 @@
 	    membership->kernel, &membership->service, query->from, report);
 }
 
+/*
+ * Takes an item into the next datagram. It is sent at the end of the turn, or before an
+ * item that does not fit: several asks and grants to one node share a datagram.
+ */
+static void
+quota_queue(membership_t *membership, const message_t *message, list_t *actions)
+{
+	quota_batch_t *batch = &membership->quota;
+	bool grants = message->type == MESSAGE_QUOTA_GRANT;
+
+	if (batch->count > 0 &&
+	    (batch->node != message->node || batch->grants != grants ||
+		batch->count == MEMBER_QUOTA_ITEMS_MAX))
+		quota_flush(membership, actions);
+	batch->node = message->node;
+	batch->grants = grants;
+	batch->items[batch->count++] =
+	    (member_quota_t){.workspace = message->u.quota.workspace,
+		.tokens = message->u.quota.tokens,
+		.retry_ms = message->u.quota.retry_ms,
+		.hold = message->u.quota.hold};
+	ev_timer_start(kernel_loop(membership->kernel), &membership->quota_flusher);
+}
+
 static void
 membership_receive(void *state, message_t *message)
 {
@@ -373,6 +450,10 @@
 	case MESSAGE_QUERY:
 		query_answer(membership, message);
 		break;
+	case MESSAGE_QUOTA_ASK:
+	case MESSAGE_QUOTA_GRANT:
+		quota_queue(membership, message, &actions);
+		break;
 	default:
 		break;
 	}
@@ -443,6 +524,8 @@
 	ev_io_init(&membership->reader, read_callback, membership->fd, EV_READ);
 	membership->reader.data = membership;
 	ev_io_start(loop, &membership->reader);
+	ev_timer_init(&membership->quota_flusher, quota_callback, 0., 0.);
+	membership->quota_flusher.data = membership;
 	ev_timer_init(&membership->ticker, tick_callback, 0., MEMBER_TICK_MS / 1e3);
 	membership->ticker.data = membership;
 	ev_timer_start(loop, &membership->ticker);
@@ -467,6 +550,7 @@
 	loop = kernel_loop(membership->kernel);
 	ev_io_stop(loop, &membership->reader);
 	ev_timer_stop(loop, &membership->ticker);
+	ev_timer_stop(loop, &membership->quota_flusher);
 	close(membership->fd);
 	kernel_service_unregister(membership->kernel, &membership->service);
 	fault_release(membership->fault);
--- a/src/message.c
+++ b/src/message.c
@@ -135,6 +135,9 @@
 	case MESSAGE_JOIN_NEEDED:
 	case MESSAGE_JOIN_ADDRESS:
 	case MESSAGE_DEPARTURE:
+	case MESSAGE_QUOTA_ASK:
+	case MESSAGE_QUOTA_GRANT:
+	case MESSAGE_QUOTA_MEMBERS:
 		break;
 	}
 	free(message);
--- a/src/message.h
+++ b/src/message.h
@@ -57,7 +57,10 @@
 	MESSAGE_STOP_WAITING,	  /* from node: the shutdown's grace period ends */
 	MESSAGE_JOIN_NEEDED,	  /* membership to config: no seed answers */
 	MESSAGE_JOIN_ADDRESS, /* config to membership: one more node to join through */
-	MESSAGE_DEPARTURE     /* membership to gate: a local backend server has left */
+	MESSAGE_DEPARTURE,    /* membership to gate: a local backend server has left */
+	MESSAGE_QUOTA_ASK,    /* entry to quota, or another node's: tokens wanted */
+	MESSAGE_QUOTA_GRANT,  /* quota to entry, or another node's: the answer */
+	MESSAGE_QUOTA_MEMBERS /* quota to entry: number of members that may run */
 } message_type_t;
 
 /* Most bytes of body in one CALL_DATA or ANSWER_DATA message. */
@@ -132,6 +135,17 @@
 /* Longest payload of one MESSAGE_CONTROL; a longer one returns as CONTROL_FAILED. */
 #define CONTROL_PAYLOAD_MAX_BYTES (2 * 1024 * 1024)
 
+/*
+ * Tokens of a workspace's quota, asked for or granted. Passes through membership, with
+ * node set, if the owner is another node.
+ */
+typedef struct quota_item {
+	uint64_t workspace; /* hash of its name */
+	uint32_t tokens;
+	uint32_t retry_ms; /* GRANT without tokens: there may be one then */
+	bool hold;	   /* GRANT without tokens: ask again */
+} quota_item_t;
+
 /* Queries from operators to a service. */
 typedef enum query_kind {
 	QUERY_STATUS,	 /* config, membership, entry, gate: a JSON object */
@@ -192,6 +206,8 @@
 		query_t query;		   /* QUERY; stream names it */
 		chunk_t *report;	   /* REPORT: JSON object, same stream */
 		address_t address;	   /* JOIN_ADDRESS */
+		quota_item_t quota;	   /* QUOTA_ASK, QUOTA_GRANT */
+		size_t members;		   /* QUOTA_MEMBERS */
 	} u;
 } message_t;
 
--- a/src/node.c
+++ b/src/node.c
@@ -12,6 +12,7 @@
 #include "os.h"
 #include "peer.h"
 #include "preset.h"
+#include "quota.h"
 #include "readiness.h"
 #include "settings.h"
 
@@ -66,6 +67,7 @@
 	peer_t *peer;
 	gate_t *gate;
 	entry_t *entry;
+	quota_t *quota;
 	config_t *config;
 	operators_t *operators;
 	readiness_t *readiness;
@@ -98,7 +100,7 @@
  * with "membership": another node assumes the role of relay only after it has learned
  * that this one is leaving, so stopping earlier would leave the zone without a relay.
  */
-static const char *const withdraw_services[] = {"gate", "membership", "config"};
+static const char *const withdraw_services[] = {"gate", "membership", "quota", "config"};
 
 /*
  * Services that get MESSAGE_STOP_WAITING, one at each poll: the gate's refusals of queued
@@ -339,6 +341,12 @@
 	return entry_create(node->kernel, &node->settings, &node->entry);
 }
 
+static int
+start_quota(masticpitch_node_t *node)
+{
+	return quota_create(node->kernel, &node->settings, &node->quota);
+}
+
 static int
 start_config(masticpitch_node_t *node)
 {
@@ -353,6 +361,7 @@
     {"listen.backend_servers", offsetof(settings_t, backend_servers), start_gate},
     {"listen.readiness", offsetof(settings_t, readiness), start_readiness},
     {"listen.callers", offsetof(settings_t, callers), start_entry},
+    {"listen.peers", offsetof(settings_t, peers), start_quota},
     {"platform.url", offsetof(settings_t, callers), start_config},
 };
 
@@ -496,6 +505,7 @@
 	config_destroy(node->config);
 	readiness_destroy(node->readiness);
 	entry_destroy(node->entry);
+	quota_destroy(node->quota);
 	gate_destroy(node->gate);
 	membership_destroy(node->membership);
 	peer_destroy(node->peer);
