Quota: operators' view, and tests with real membership

Change: masticpitch quota WORKSPACE and GET /quota show a workspace's quota, its owner and what it could lend. test_quota_mesh runs the quota decisions together with the membership table and its datagrams, in virtual time, with cuts, kills and restarts.

--- a/src/cli.c
+++ b/src/cli.c
@@ -50,6 +50,8 @@
 	"masticpitch instances --json", cli_run_instances},
     {"explain", "show which route a request takes and why",
 	"masticpitch explain GET /katalogo/list", cli_run_explain},
+    {"quota", "show a workspace's quota and the node that lends it",
+	"masticpitch quota north", cli_run_quota},
     {"metrics", "print the metrics of a node", "masticpitch metrics", cli_run_metrics},
     {"completion", "print a completion script for bash",
 	"masticpitch completion >/etc/bash_completion.d/masticpitch", run_completion},
--- a/src/cli.h
+++ b/src/cli.h
@@ -148,6 +148,7 @@
 int cli_run_status(int argc, char **argv, const cli_command_t *command);
 int cli_run_instances(int argc, char **argv, const cli_command_t *command);
 int cli_run_explain(int argc, char **argv, const cli_command_t *command);
+int cli_run_quota(int argc, char **argv, const cli_command_t *command);
 int cli_run_metrics(int argc, char **argv, const cli_command_t *command);
 int cli_run_preset_list(int argc, char **argv, const cli_command_t *command);
 int cli_run_preset_show(int argc, char **argv, const cli_command_t *command);
--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -1,5 +1,5 @@
 /*
- * Subcommands that query a node: status, instances, explain, metrics.
+ * Subcommands that query a node: status, instances, explain, quota, metrics.
  */
 #include "cli.h"
 
@@ -273,6 +273,30 @@
 	    ARRAY_LENGTH(arguments), explain_run);
 }
 
+static int
+quota_run(cli_t *cli, void *const *arguments)
+{
+	const struct arg_str *workspace = arguments[0];
+	char *escaped = curl_easy_escape(NULL, workspace->sval[0], 0);
+	char target[512];
+
+	snprintf(target, sizeof(target), "/quota?workspace=%s",
+	    escaped != NULL ? escaped : "");
+	curl_free(escaped);
+	return node_print(cli, target, print_explanation);
+}
+
+int
+cli_run_quota(int argc, char **argv, const cli_command_t *command)
+{
+	void *arguments[] = {
+	    arg_str1(NULL, NULL, "WORKSPACE", "name of the workspace"),
+	};
+
+	return cli_run(argc, argv, command, CLI_TARGET_NODE, arguments,
+	    ARRAY_LENGTH(arguments), quota_run);
+}
+
 /* Converts the exposition text, in place, to a JSON object from series to value. */
 static struct json_object *
 metrics_to_json(char *text)
--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -147,6 +147,8 @@
 	case QUERY_EXPLAIN:
 		explain_write(entry, &query->u.query, &text);
 		break;
+	case QUERY_QUOTA:
+		break;
 	}
 	if (message != NULL)
 		message->u.report = chunk_copy(text.data, text.size);
--- a/src/message.h
+++ b/src/message.h
@@ -150,13 +150,14 @@
 typedef enum query_kind {
 	QUERY_STATUS,	 /* config, membership, entry, gate: a JSON object */
 	QUERY_INSTANCES, /* entry: instances with their balancing state */
-	QUERY_EXPLAIN	 /* entry: route, service, class, limits, instances */
+	QUERY_EXPLAIN,	 /* entry: route, service, class, limits, instances */
+	QUERY_QUOTA	 /* quota: a workspace's quota and its owner */
 } query_kind_t;
 
 typedef struct query {
 	query_kind_t kind;
 	char method[16];		/* EXPLAIN */
-	char path[PRESET_PREFIX_BYTES]; /* EXPLAIN */
+	char path[PRESET_PREFIX_BYTES]; /* EXPLAIN; QUOTA: name of the workspace */
 } query_t;
 
 typedef struct message {
--- a/src/operators.c
+++ b/src/operators.c
@@ -1,6 +1,6 @@
 /*
- * The operators' interface of a node over HTTP: health, metrics, status, instances
- * and explain. The state of other services is collected by MESSAGE_QUERY and
+ * The operators' interface of a node over HTTP: health, metrics, status, instances,
+ * explain and quota. The state of other services is collected by MESSAGE_QUERY and
  * MESSAGE_REPORT.
  */
 #include "operators.h"
@@ -297,6 +297,23 @@
 	    ARRAY_LENGTH(sources), json_object_new_object());
 }
 
+static void
+operators_reply_quota(operators_t *operators, const http_server_request_t *request)
+{
+	static const char *const sources[] = {"quota"};
+	query_t query = {.kind = QUERY_QUOTA};
+	const char *workspace = http_exchange_argument(request->exchange, "workspace");
+
+	if (workspace == NULL ||
+	    string_copy(query.path, sizeof(query.path), workspace) != MASTICPITCH_OK) {
+		exchange_reply_error(
+		    request->exchange, 400, "needs the argument workspace");
+		return;
+	}
+	operators_query(operators, request->exchange, &query, sources,
+	    ARRAY_LENGTH(sources), json_object_new_object());
+}
+
 static void
 operators_handle(void *state, const http_server_request_t *request)
 {
@@ -323,6 +340,8 @@
 		    ARRAY_LENGTH(instance_sources), json_object_new_object());
 	} else if (strcmp(request->path, "/explain") == 0) {
 		operators_reply_explain(operators, request);
+	} else if (strcmp(request->path, "/quota") == 0) {
+		operators_reply_quota(operators, request);
 	} else {
 		exchange_reply_error(request->exchange, 404, "no such path");
 	}
--- a/src/quota.c
+++ b/src/quota.c
@@ -10,6 +10,8 @@
 
 /* Period in which ages and silent members are looked at, ms. */
 #define TICK_MS 100
+/* Answer to an operator's query, bytes. */
+#define REPORT_MAX_BYTES 1024
 
 struct quota {
 	kernel_t *kernel;
@@ -172,6 +174,37 @@
 	members_post(quota);
 }
 
+/* Answers an operator's query. Names contain no character that JSON has to escape. */
+static void
+query_answer(quota_t *quota, const message_t *query)
+{
+	message_t *report = message_create(MESSAGE_REPORT, query->node, query->stream);
+	const char *name = query->u.query.path;
+	quota_row_t *row = quota_table_find(&quota->table, hash_string(name));
+	buffer_t text;
+
+	buffer_init(&text, REPORT_MAX_BYTES);
+	if (row == NULL) {
+		buffer_printf(
+		    &text, "{\"error\":\"no workspace of that name has a quota\"}");
+	} else {
+		uint64_t owner = quota_row_owner(row, quota->rank);
+
+		buffer_printf(&text,
+		    "{\"workspace\":\"%s\",\"rate_per_s\":%g,\"burst\":%g,"
+		    "\"owner\":\"%016llx\",\"owned_here\":%s,\"tokens\":%.1f,"
+		    "\"share_percent\":%.0f,\"members\":%zu}",
+		    name, row->limit.rate, row->limit.burst, (unsigned long long)owner,
+		    owner == quota->node ? "true" : "false",
+		    quota_owner_tokens(quota->owner, row->workspace),
+		    quota_rank_share(quota->rank) * 100.0, quota_rank_known(quota->rank));
+	}
+	if (report != NULL)
+		report->u.report = chunk_copy(text.data, text.size);
+	buffer_free(&text);
+	kernel_message_post(quota->kernel, &quota->service, query->from, report);
+}
+
 static void
 quota_receive(void *state, message_t *message)
 {
@@ -197,6 +230,9 @@
 	case MESSAGE_SNAPSHOT:
 		snapshot_receive(quota, message);
 		break;
+	case MESSAGE_QUERY:
+		query_answer(quota, message);
+		break;
 	case MESSAGE_QUOTA_ASK:
 		ask_receive(quota, message);
 		break;
--- a/test/common_request.h
+++ b/test/common_request.h
@@ -47,6 +47,7 @@
 	uint64_t deadline = 0;
 	refusal_t refusal = {};
 	instance_t instance = {};
+	quota_item_t quota = {};
 	bool cleared = false;
 	uint64_t fingerprint = 0;
 	std::string headers;
@@ -109,6 +110,10 @@
 	case MESSAGE_STREAM_LOST:
 		copy.refusal = message->u.refusal;
 		break;
+	case MESSAGE_QUOTA_ASK:
+	case MESSAGE_QUOTA_GRANT:
+		copy.quota = message->u.quota;
+		break;
 	case MESSAGE_INSTANCE:
 		copy.instance = message->u.instance;
 		break;
