--- /dev/null
+++ b/models/mutants/quota-full.sed
@@ -0,0 +1,1 @@
+s|bucket\[n\] = NEW /\* RULE: empty \*/|bucket[n] = BURST|
--- /dev/null
+++ b/models/mutants/quota-untaken.sed
@@ -0,0 +1,1 @@
+s|bucket\[n\]--; /\* RULE: taken \*/|skip;|
--- /dev/null
+++ b/models/mutants/quota-whole.sed
@@ -0,0 +1,1 @@
+s|#define part(n) .*|#define part(n) RATE|
--- a/test/test_quota.cc
+++ b/test/test_quota.cc
@@ -51,6 +51,19 @@
 	EXPECT_GE(served(SETTLE_MS + 1000, mesh.time()), 0.9);
 }
 
+TEST_P(Quota, OverloadDoesNotFloodTheOwner)
+{
+	uint64_t before;
+
+	settle();
+	mesh.run(2000, 20 * limit.rate, mesh.everywhere());
+	before = mesh.messages;
+	mesh.run(10000, 20 * limit.rate, mesh.everywhere());
+	/* Refusals, and the asks that get tokens; an ask and its answer each. */
+	EXPECT_LE(static_cast<double>(mesh.messages - before) / 10.0,
+	    2.0 * (QUOTA_REFUSALS_PER_S + limit.rate));
+}
+
 TEST_P(Quota, RefusesNothingWithinTheQuota)
 {
 	settle();
