--- a/src/quota.c
+++ b/src/quota.c
@@ -93,17 +93,24 @@
 
 static void
 rank_changed(quota_t *quota)
+{
+	owner_prune(quota);
+	members_post(quota);
+}
+
+/* Called at each tick: the members of a zone become unreachable one after the other. */
+static void
+share_show(quota_t *quota)
 {
 	uint64_t share = (uint64_t)(quota_rank_share(quota->rank) * 100.0);
 	metrics_t *metrics = kernel_metrics(quota->kernel);
 
-	if (quota->table.count > 0 && share != metrics->values[METRIC_QUOTA_SHARE])
-		log_info(kernel_log(quota->kernel), "part of quotas to lend changed",
-		    LOG_NUMBER("percent", share),
-		    LOG_NUMBER("members", quota_rank_known(quota->rank)));
+	if (share == metrics->values[METRIC_QUOTA_SHARE])
+		return;
 	metrics_set(metrics, METRIC_QUOTA_SHARE, share);
-	owner_prune(quota);
-	members_post(quota);
+	log_info(kernel_log(quota->kernel), "part of quotas to lend changed",
+	    LOG_NUMBER("percent", share),
+	    LOG_NUMBER("members", quota_rank_known(quota->rank)));
 }
 
 /* Lends tokens of a quota that this node owns. */
@@ -252,6 +259,7 @@
 
 	quota_rank_tick(quota->rank, kernel_now(quota->kernel), os_clock_wall_ms());
 	rank_changed(quota);
+	share_show(quota);
 }
 
 int
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -19,7 +19,7 @@
  * is as large. The rest is a margin for lent tokens and for partitions that no node has
  * noticed yet.
  */
-#define QUOTA_BURST_SHARE 0.5
+#define QUOTA_BURST_SHARE 0.8
 #define QUOTA_BURST_MIN 10.0
 /*
  * Tokens of a bucket whose node has just become the owner: the previous owner may have
--- a/test/test_quota.cc
+++ b/test/test_quota.cc
@@ -245,6 +245,32 @@
 	EXPECT_LE(mesh.excess(), 0.0);
 }
 
+// A former owner that gets the quota back must not lend what it had before: the owner in
+// between may have lent the burst.
+TEST(QuotaOwner, LosesItsBucketWithTheQuota)
+{
+	quota_owner_t *owner = quota_owner_create();
+	auto none = [](void *, uint64_t) { return false; };
+	auto all = [](void *, uint64_t) { return true; };
+	uint64_t now = 100 * NS_PER_S;
+	quota_grant_t grant;
+
+	/* Owned for long, so the bucket is full. */
+	grant = quota_owner_lend(owner, WORKSPACE, &MIDDLE, 1.0, 1, 0, now);
+	EXPECT_EQ(grant.tokens, 1u);
+	EXPECT_GT(quota_owner_tokens(owner, WORKSPACE), 40.0);
+	EXPECT_EQ(quota_owner_prune(owner, all, nullptr), 0u);
+	EXPECT_EQ(quota_owner_prune(owner, none, nullptr), 1u);
+	EXPECT_EQ(quota_owner_tokens(owner, WORKSPACE), -1.0);
+	grant = quota_owner_lend(owner, WORKSPACE, &MIDDLE, 1.0, 100, now, now);
+	EXPECT_EQ(grant.tokens, static_cast<uint32_t>(QUOTA_NEW_BUCKET));
+	/* It refuses nothing in its first second. */
+	grant = quota_owner_lend(owner, WORKSPACE, &MIDDLE, 1.0, 100, now, now + 1);
+	EXPECT_EQ(grant.tokens, 0u);
+	EXPECT_TRUE(grant.hold);
+	quota_owner_destroy(owner);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Quota, ::testing::Range(0, 9));
 
 } // namespace
--- a/test/test_quota_mesh.cc
+++ b/test/test_quota_mesh.cc
@@ -51,6 +51,8 @@
 	void
 	TearDown() override
 	{
+		printf("margin in the worst window: %.2f of the rate\n",
+		    -excess() / limit.rate);
 		for (size_t i = 0; i < NODES; i++)
 			stop(static_cast<int>(i));
 	}
@@ -296,6 +298,31 @@
 	EXPECT_LE(excess(), 0.0);
 }
 
+// The bucket is full when the zone is cut off.
+TEST_P(QuotaMembers, OverloadBeginsWithThePartition)
+{
+	for (int zone = 0; zone < 3; zone++) {
+		run(4000, 0.62 * limit.rate);
+		cut_zone(zone);
+		run(6000, 3.7 * limit.rate);
+		mesh.is_cut = [](int, int) { return false; };
+		run(6000, 0.62 * limit.rate);
+	}
+	EXPECT_LE(excess(), 0.0) << excess() / limit.rate;
+}
+
+TEST_P(QuotaMembers, OverloadBeginsWithTheEndOfThePartition)
+{
+	for (int zone = 0; zone < 3; zone++) {
+		run(2000, 0.62 * limit.rate);
+		cut_zone(zone);
+		run(6000, 0.3 * limit.rate);
+		mesh.is_cut = [](int, int) { return false; };
+		run(6000, 3.7 * limit.rate);
+	}
+	EXPECT_LE(excess(), 0.0) << excess() / limit.rate;
+}
+
 TEST_P(QuotaMembers, ZoneWithTheOwnerIsCutOff)
 {
 	run(3000, 0.62 * limit.rate);
