--- a/tools/bench.py
+++ b/tools/bench.py
@@ -32,6 +32,7 @@
     (bench_control.measure_heal, ("heal_ms",)),
     (bench_traffic.measure_added_latency, ("added_latency_ms",)),
     (bench_traffic.measure_overload, ("goodput_ratio", "internal_p99_ratio")),
+    (bench_traffic.measure_quota, ("quota_overshoot_ratio", "quota_served_ratio")),
     (bench_traffic.measure_leaving, ("leaving_no_new_work_ms",)),
     (bench_faults.measure_edits, ("edit_convergence_ms",)),
     (bench_faults.measure_planned_stops, ("planned_stop_broken",)),
@@ -42,13 +43,15 @@
 # Default node counts by a group's first measure. Groups with traffic also run a backend
 # server on each host and are measured at one size only.
 GROUP_NODES = {"added_latency_ms": [20], "goodput_ratio": [4],
+               "quota_overshoot_ratio": [8],
                "leaving_no_new_work_ms": [20], "edit_convergence_ms": [10, 50],
                "planned_stop_broken": [8], "crash_deaths": [8]}
 # One node as entry and one as gate; NODES does not apply.
 FIXED_NODES = {"upload_rss_mb": [2], "cpu_us_per_call": [2]}
 UNITS = {"control_bytes_per_node_s": "B/s", "platform_calls_per_change": "calls",
          "platform_waiting_watches": "watches", "goodput_ratio": "ratio",
-         "internal_p99_ratio": "ratio", "node_rss_mb": "MB", "node_cpu_percent": "%",
+         "internal_p99_ratio": "ratio", "quota_overshoot_ratio": "ratio",
+         "quota_served_ratio": "ratio", "node_rss_mb": "MB", "node_cpu_percent": "%",
          "planned_stop_broken": "requests", "crash_deaths": "deaths",
          "upload_rss_mb": "MB", "upload_rss_before_mb": "MB", "cpu_us_per_call": "us"}
 
--- a/tools/bench_traffic.py
+++ b/tools/bench_traffic.py
@@ -15,6 +15,9 @@
 OVERLOAD_S = 8
 LEAVES = 5
 START_WAIT_S = 60
+QUOTA_RATE = 150
+QUOTA_WINDOW_S = 5
+QUOTA_ROUNDS = 3
 
 
 def start(fleet, nodes, **backend_options):
@@ -80,6 +83,31 @@
         return {"goodput_ratio": goodput, "internal_p99_ratio": latency}
 
 
+def measure_quota(nodes, settings, seed):
+    """A workspace that sends three times its quota to all nodes, after it has sent
+    nothing: what is answered in 5 s, as a share of rate x 5 + burst; then what is answered
+    of the rate alone, once the burst is used up."""
+    with Fleet(zones=ZONES, settings=settings) as fleet:
+        for number in range(nodes):
+            fleet.host_add(number % len(fleet.zones) + 1, SERVICE, work_ms=0)
+        preset = preset_make([SERVICE])
+        preset["workspaces"] = {"north": {
+            "keys": ["key-of-north"], "rate_per_s": QUOTA_RATE, "burst": QUOTA_RATE}}
+        fleet.preset_create("normal", preset)
+        fleet.wait_versions(fleet.use("normal"), timeout=START_WAIT_S)
+        fleet.wait_instances(SERVICE, nodes, timeout=START_WAIT_S)
+        overshoot, served = [], []
+        for turn in range(QUOTA_ROUNDS):
+            time.sleep(5)
+            answered = [fleet.caller(
+                f"quota-{turn}-{part}", fleet.hosts, service=SERVICE, work_ms=0,
+                seconds=QUOTA_WINDOW_S, rate=3 * QUOTA_RATE, key="key-of-north",
+                seed=seed + turn).wait(90)["answered"] for part in range(2)]
+            overshoot.append(answered[0] / (QUOTA_RATE * (QUOTA_WINDOW_S + 1)))
+            served.append(answered[1] / (QUOTA_RATE * QUOTA_WINDOW_S))
+        return {"quota_overshoot_ratio": overshoot, "quota_served_ratio": served}
+
+
 def measure_leaving(nodes, settings, seed):
     """Stops backend servers one after another under load; time from the signal to the
     last run that began on the leaving one."""
