Refuse answers whose status is none

Cause: http-parser accepts any three digits as a status. 000 to 099 counted as interim answers and only libcurl refused them; 600 to 999 passed the gate and were refused by the entry.

Change: the parser of answers refuses statuses outside 100 to 599.

Measured: test_http_message StatusOutsideTheRangeIsMalformed and test_gate_answer AnswerWhoseStatusIsNoneIsUnknown fail before, both pass now; test_entry AnswerWhoseStatusIsNoneIsNotPassedOn, which guards the second check, passes before and now.

--- a/src/http_message.c
+++ b/src/http_message.c
@@ -228,6 +228,13 @@
 		    strcasecmp(http_head_field_value(head, i), "100-continue") == 0;
 }
 
+/* http-parser accepts any digits. */
+static bool
+status_is_valid(unsigned status)
+{
+	return status >= 100 && status <= 599;
+}
+
 static int
 head_callback(http_parser *http)
 {
@@ -239,6 +246,10 @@
 		parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
 		return HEAD_CALLBACK_FAILED;
 	}
+	if (http->type == HTTP_RESPONSE && !status_is_valid(http->status_code)) {
+		parser_fail(parser, HTTP_MESSAGE_ERROR_SYNTAX);
+		return HEAD_CALLBACK_FAILED;
+	}
 	if (framing_is_ambiguous(http)) {
 		parser_fail(parser, HTTP_MESSAGE_ERROR_FRAMING);
 		return HEAD_CALLBACK_FAILED;
--- a/test/test_entry.cc
+++ b/test/test_entry.cc
@@ -238,6 +238,22 @@
 	EXPECT_TRUE(lookup->has("Masticpitch-Run: unknown\r\n"));
 }
 
+// MIXED: a gate passes on a status that is none, such as 000; the caller gets 502.
+TEST_F(Entry, AnswerWhoseStatusIsNoneIsNotPassedOn)
+{
+	int number = 0;
+
+	ready();
+	for (int status : {0, 1, 99, 100, 199, 600, 999}) {
+		std::string path = "/katalogo/book/" + std::to_string(++number);
+		std::unique_ptr<RawConnection> caller = send_request(post(path, "x"));
+
+		answer(attempt(path), "odd", 3, true, status);
+		ASSERT_TRUE(run_until([&] { return caller->has("}"); })) << status;
+		expect_refused(caller->input, 502, "backend-protocol", "unknown");
+	}
+}
+
 // Guards against internal calls that do not get the last retries of the budget,
 // which are reserved for them, because the entry does not pass on their class.
 TEST_F(Entry, InternalCallsGetTheLastRetriesOfTheBudget)
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -235,6 +235,23 @@
 		expect_unknown(++stream, line + answer.substr(answer.find("\r\n")));
 }
 
+// MIXED: a backend server in trouble sends a status that is none, such as 000, which the
+// caller would get as an answer. It is refused when it arrives, not at the deadline.
+TEST_F(HostedGate, AnswerWhoseStatusIsNoneIsUnknown)
+{
+	const std::string answer = success("id-1", "ok");
+	uint64_t stream = 0;
+
+	for (const char *status :
+	    {"000", "000 OK", "001 Odd", "099 Odd", "600 Odd", "999 Odd"}) {
+		uint64_t begin = os_clock_monotonic();
+
+		expect_unknown(++stream, std::string("HTTP/1.1 ") + status +
+					     answer.substr(answer.find("\r\n")));
+		EXPECT_LT(os_clock_monotonic() - begin, NS_PER_S) << status;
+	}
+}
+
 // MIXED: the backend server begins an earlier answer once more, and the next one follows
 // where that ends, so that both read as one head.
 TEST_F(HostedGate, AnswerBehindTheBeginOfAnotherIsUnknown)
