--- a/src/cli_diff.c
+++ b/src/cli_diff.c
@@ -1,6 +1,7 @@
 /*
- * Differences between two presets, by name of service and route. Moved lines and
- * a different order of keys are no differences.
+ * Differences between two presets, by name of service, route and workspace. Moved lines
+ * and a different order of keys are no differences. Keys of workspaces are counted, not
+ * printed.
  */
 #include "cli_platform.h"
 
@@ -72,6 +73,85 @@
 	return count;
 }
 
+/* Number of the strings of a list that another list lacks; either may be NULL. */
+static size_t
+strings_missing(struct json_object *list, struct json_object *other)
+{
+	size_t count = 0;
+
+	if (!json_object_is_type(list, json_type_array))
+		return 0;
+	for (size_t i = 0; i < json_object_array_length(list); i++) {
+		struct json_object *item = json_object_array_get_idx(list, i);
+		bool found = false;
+
+		for (size_t j = 0; json_object_is_type(other, json_type_array) &&
+				   j < json_object_array_length(other) && !found;
+		     j++)
+			found =
+			    json_object_equal(item, json_object_array_get_idx(other, j));
+		count += !found;
+	}
+	return count;
+}
+
+/* A copy of the workspaces without their keys; the caller holds a reference. */
+static struct json_object *
+workspaces_without_keys(struct json_object *workspaces)
+{
+	struct json_object *result = json_object_new_object();
+
+	if (!json_object_is_type(workspaces, json_type_object))
+		return result;
+	json_object_object_foreach(workspaces, name, workspace)
+	{
+		struct json_object *copy = NULL;
+
+		if (json_object_deep_copy(workspace, &copy, NULL) != 0)
+			continue;
+		if (json_object_is_type(copy, json_type_object))
+			json_object_object_del(copy, "keys");
+		json_object_object_add(result, name, copy);
+	}
+	return result;
+}
+
+static size_t
+diff_workspace_keys(FILE *out, struct json_object *before, struct json_object *after)
+{
+	size_t count = 0;
+
+	if (!json_object_is_type(after, json_type_object))
+		return 0;
+	json_object_object_foreach(after, name, workspace)
+	{
+		struct json_object *old =
+		    cli_json_get(cli_json_get(before, name), "keys");
+		struct json_object *keys = cli_json_get(workspace, "keys");
+		size_t added = strings_missing(keys, old);
+		size_t removed = strings_missing(old, keys);
+
+		if (added == 0 && removed == 0)
+			continue;
+		fprintf(out, "~ workspace %s: keys: %zu added, %zu removed\n", name,
+		    added, removed);
+		count++;
+	}
+	return count;
+}
+
+static size_t
+diff_workspaces(FILE *out, struct json_object *before, struct json_object *after)
+{
+	struct json_object *old_workspaces = workspaces_without_keys(before);
+	struct json_object *new_workspaces = workspaces_without_keys(after);
+	size_t count = diff_members(out, "workspace", old_workspaces, new_workspaces);
+
+	json_object_put(old_workspaces);
+	json_object_put(new_workspaces);
+	return count + diff_workspace_keys(out, before, after);
+}
+
 /* The services of a preset, keyed by name; the caller holds a reference. */
 static struct json_object *
 services_of(struct json_object *preset)
@@ -110,6 +190,8 @@
 	size_t count = diff_members(out, "service", old_services, new_services);
 
 	count += diff_members(out, "route", old_routes, new_routes);
+	count += diff_workspaces(
+	    out, cli_json_get(before, "workspaces"), cli_json_get(after, "workspaces"));
 	json_object_put(old_services);
 	json_object_put(new_services);
 	json_object_put(old_routes);
--- a/src/config.c
+++ b/src/config.c
@@ -38,7 +38,8 @@
 	uint64_t relay_list_at; /* earliest next listing while this node is the relay */
 	list_t calls;
 	config_report_t report;
-	document_t document; /* last one read; hosted dialect only */
+	document_t document;  /* last one read; hosted dialect only */
+	uint64_t verified_at; /* as the entry was told; 0: never */
 };
 
 /* One platform call on behalf of spread. */
@@ -382,6 +383,22 @@
 	join_start(config);
 }
 
+/* Tells the entry when the version in force was verified, if it depends on that. */
+static void
+verified_post(config_t *config, const spread_status_t *status)
+{
+	message_t *message;
+
+	if (!config->settings->bounds.fail_closed ||
+	    status->verified_at <= config->verified_at)
+		return;
+	config->verified_at = status->verified_at;
+	message = message_create(MESSAGE_VERIFIED, 0, 0);
+	if (message != NULL)
+		message->u.verified_at = status->verified_at;
+	post(config, "entry", message);
+}
+
 /* Performs the actions that spread appended for an event. */
 static void
 config_run(config_t *config)
@@ -396,6 +413,7 @@
 	status = spread_status(config->spread);
 	config_report_changes(&config->report, &status, platform_health(config->platform),
 	    kernel_now(config->kernel));
+	verified_post(config, &status);
 	relay_list_run(config, &status);
 	timer_set(config);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -141,6 +141,9 @@
 		entry->snapshot = message->u.snapshot;
 		message->u.snapshot = NULL;
 		break;
+	case MESSAGE_VERIFIED:
+		entry->verified_at = message->u.verified_at;
+		break;
 	case MESSAGE_QUERY:
 		entry_report(entry, message);
 		break;
--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -330,6 +330,17 @@
 	return fields->depth > 0 || request_parent(request) != NULL;
 }
 
+/* True if a key may have been withdrawn too long ago for this node to go on with it. */
+static bool
+keys_are_outdated(const entry_request_t *request)
+{
+	const entry_t *entry = request->entry;
+	const settings_bounds_t *bounds = &entry->settings->bounds;
+
+	return bounds->fail_closed &&
+	       request->accepted_at > entry->verified_at + bounds->revoke_ms * NS_PER_MS;
+}
+
 /*
  * Finds the workspace of the request by its key. A nested call has no key of its own,
  * and belongs to the workspace of the request that makes it. Only a request that runs
@@ -346,6 +357,9 @@
 		return REASON_NONE;
 	if (fields->key_count == 1)
 		request->workspace = preset_workspace_find_key(preset, fields->key);
+	if (fields->key_count == 1 && !request->route->key_exempt &&
+	    keys_are_outdated(request))
+		return REASON_KEYS_OUTDATED;
 	if (request->workspace != NULL) {
 		memcpy(head->workspace, request->workspace->name, NAME_BYTES);
 		return REASON_NONE;
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -110,6 +110,7 @@
 	list_t requests;
 	uint64_t stream_last;
 	snapshot_t *snapshot; /* NULL: none yet */
+	uint64_t verified_at; /* if bounds.fail_closed: the snapshot was the newest */
 	balance_t *balance;
 	retry_t *retry;
 	size_t retry_nodes; /* instance count at the last division of the budget */
--- a/src/message.h
+++ b/src/message.h
@@ -50,6 +50,7 @@
 	MESSAGE_VERSION,	  /* config to membership: version now in force */
 	MESSAGE_VERSION_RECEIVED, /* membership to config: a member's version */
 	MESSAGE_SNAPSHOT,	  /* from config: the configuration now in force */
+	MESSAGE_VERIFIED,	  /* from config: the platform had no newer version */
 	MESSAGE_QUERY,		  /* from operators: report your state */
 	MESSAGE_REPORT,		  /* JSON text in answer to a query */
 	MESSAGE_LEAVE,		  /* from node: shutdown has begun */
@@ -189,6 +190,7 @@
 			uint64_t floor;	   /* of this node, as that member saw it */
 		} version;		   /* VERSION, VERSION_RECEIVED */
 		struct snapshot *snapshot; /* SNAPSHOT; one reference */
+		uint64_t verified_at;	   /* VERIFIED; monotonic, ns */
 		query_t query;		   /* QUERY; stream names it */
 		chunk_t *report;	   /* REPORT: JSON object, same stream */
 		address_t address;	   /* JOIN_ADDRESS */
--- a/src/settings.c
+++ b/src/settings.c
@@ -418,6 +418,8 @@
 	    &bounds->retry_window_ms);
 	read_number(reader, root, "bounds.retry_extra", 0, 1000000, &bounds->retry_extra);
 	read_number(reader, root, "bounds.kill_ms", 0, 86400000, &bounds->kill_ms);
+	read_flag(reader, root, "bounds.fail_closed", &bounds->fail_closed);
+	read_number(reader, root, "bounds.revoke_ms", 500, 3600000, &bounds->revoke_ms);
 }
 
 static void
@@ -457,6 +459,7 @@
 	settings->backend.announce_ms = 1000;
 	settings->bounds = (settings_bounds_t){.apply_ms = 3000,
 	    .drain_ms = 2000,
+	    .revoke_ms = 5000,
 	    .retry_percent = 10,
 	    .retry_window_ms = 10000,
 	    .retry_extra = 0};
@@ -479,7 +482,7 @@
     {"platform", {"url", "prefix", "timeout_ms", "dialect", "bounds", "seeds", NULL}},
     {"backend_server", {"service", "address", "announce_ms", NULL}},
     {"bounds", {"apply_ms", "drain_ms", "retry_percent", "retry_window_ms", "retry_extra",
-		   "kill_ms", NULL}},
+		   "kill_ms", "fail_closed", "revoke_ms", NULL}},
     {"mesh", {"seeds", "keys", NULL}},
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", "watchers", NULL}},
--- a/src/settings.h
+++ b/src/settings.h
@@ -44,6 +44,12 @@
 	uint32_t retry_window_ms; /* window over which the share applies */
 	uint32_t retry_extra;	  /* retries in a window beyond the share, all nodes */
 	uint32_t kill_ms;	  /* a stopped process is killed after it; 0: no bound */
+	/*
+	 * If fail_closed, requests that need a workspace key are refused while the
+	 * version in force has not been verified for revoke_ms; else they are served.
+	 */
+	bool fail_closed;
+	uint32_t revoke_ms;
 } settings_bounds_t;
 
 /* The backend server of this host, if the settings name it. */
--- a/test/test_entry_workspace.cc
+++ b/test/test_entry_workspace.cc
@@ -100,6 +100,25 @@
 	    503, "caller-unknown", "no");
 }
 
+// Guards against keys that work on a node that cannot learn that they were withdrawn,
+// where the operator asks for that, and against refusals where the operator does not.
+TEST_F(EntryWorkspace, KeysOfAnUnverifiedVersionAreRefusedIfAskedFor)
+{
+	const std::string key = "Masticpitch-Key: k1\r\n";
+	message_t *message = message_create(MESSAGE_VERIFIED, 0, 0);
+
+	use(R"({"north":{"keys":["k1"]}})");
+	settings.bounds.revoke_ms = 60000;
+	EXPECT_EQ(passed_on("/katalogo/1", key)->workspace, "north");
+	settings.bounds.fail_closed = true;
+	expect_refused(answer_to(get("/katalogo/2", key)), 503, "keys-outdated", "no");
+	passed_on("/katalogo/open/3", key);
+	message->u.verified_at = os_clock_monotonic();
+	config->post("entry", message);
+	run_until_idle();
+	EXPECT_EQ(passed_on("/katalogo/4", key)->workspace, "north");
+}
+
 // A configuration without workspaces leaves the field to the backend servers.
 TEST_F(EntryWorkspace, NoKeyIsNeededWithoutWorkspaces)
 {
