Status and explain show workspaces and exempt routes

Cause: an operator could not see whether a route needs a key.

Change: explain has key_exempt, status the number of workspaces.

Measured: test_entry_workspace 5 and test_entry_stream 27 tests pass with sanitizers.

--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -102,11 +102,13 @@
 	service = &preset->services[route->service];
 	buffer_printf(text,
 	    "{\"route\":\"%s\",\"prefix\":\"%s\",\"service\":\"%s\",\"class\":\"%s\","
-	    "\"idempotent\":%s,\"deadline_ms\":%u,\"min_attempt_ms\":%u,\"attempts\":%u,"
+	    "\"idempotent\":%s,\"key_exempt\":%s,\"deadline_ms\":%u,"
+	    "\"min_attempt_ms\":%u,\"attempts\":%u,"
 	    "\"body_limit_bytes\":%llu,\"retry_budget\":%.1f,\"queue_limit\":%u,"
 	    "\"in_flight_limit\":%u,\"spill_percent\":%u,",
 	    route->name, route->prefix, service->name,
 	    route_class_text(route->route_class), route->idempotent ? "true" : "false",
+	    preset->workspace_count == 0 || route->key_exempt ? "true" : "false",
 	    route->deadline_ms, route->min_attempt_ms, route->attempts,
 	    (unsigned long long)route->body_limit_bytes,
 	    retry_budget(entry->retry, service->name), service->queue_limit,
@@ -120,10 +122,13 @@
 {
 	buffer_printf(text,
 	    "{\"entry\":{\"in_flight\":%u,\"version\":%llu,\"policy\":\"%s\","
-	    "\"instances\":%zu,\"crash_suspects\":%zu,\"leaving\":%s}}",
+	    "\"instances\":%zu,\"workspaces\":%zu,\"crash_suspects\":%zu,"
+	    "\"leaving\":%s}}",
 	    limit_entry_in_flight(entry->limit),
 	    (unsigned long long)(entry->snapshot == NULL ? 0 : entry->snapshot->version),
 	    entry->naive ? "naive" : "adaptive", balance_instance_count(entry->balance),
+	    entry->snapshot == NULL ? (size_t)0
+				    : entry->snapshot->preset->workspace_count,
 	    quarantine_count(entry->quarantine, kernel_now(entry->kernel)),
 	    entry->leaving ? "true" : "false");
 }
