preset check: findings of a configuration before it is sent

Cause: operators asked for a check of a configuration before they send it.

Change: masticpitch preset check FILE [--against FILE] [--hosted]: errors with their place, entries that no request can match, limits that exclude each other, differences from the version in a file; text and JSON, exit code 10 for findings. Keys of workspaces are counted, not printed.

--- a/src/cli.h
+++ b/src/cli.h
@@ -29,7 +29,8 @@
 	CLI_EXIT_CONFLICT = 6,
 	CLI_EXIT_UNKNOWN = 7,
 	CLI_EXIT_REFUSED = 8,
-	CLI_EXIT_TIMEOUT = 9
+	CLI_EXIT_TIMEOUT = 9,
+	CLI_EXIT_FINDINGS = 10
 } cli_exit_t;
 
 #define CLI_TIMEOUT_MS_DEFAULT 10000
@@ -154,6 +155,7 @@
 int cli_run_preset_create(int argc, char **argv, const cli_command_t *command);
 int cli_run_preset_edit(int argc, char **argv, const cli_command_t *command);
 int cli_run_preset_delete(int argc, char **argv, const cli_command_t *command);
+int cli_run_preset_check(int argc, char **argv, const cli_command_t *command);
 int cli_run_preset_diff(int argc, char **argv, const cli_command_t *command);
 int cli_run_preset_history(int argc, char **argv, const cli_command_t *command);
 int cli_run_use(int argc, char **argv, const cli_command_t *command);
--- a/src/message.c
+++ b/src/message.c
@@ -126,6 +126,7 @@
 	case MESSAGE_CONTACT:
 	case MESSAGE_NESTED:
 	case MESSAGE_CRASH_REPORT:
+	case MESSAGE_VERIFIED:
 	case MESSAGE_VERSION:
 	case MESSAGE_VERSION_RECEIVED:
 	case MESSAGE_QUERY:
--- a/test/process_cli.py
+++ b/test/process_cli.py
@@ -81,6 +81,25 @@
     expect(fleet, 5, ["use", "p", *platform])
 
 
+def test_preset_check(fleet):
+    """Guards against a check that passes an invalid file, or does not show findings."""
+    preset = preset_make(["katalogo"])
+    good = fleet.preset_file("good", preset)
+    bad = fleet.preset_file("bad", {**preset, "workspaces": {"w": {"keys": ["k", "k"]}}})
+    unused = fleet.preset_file(
+        "unused", {**preset, "workspaces": {"w": {"keys": ["secret"]}, "x": {}}})
+    expect(fleet, 0, ["preset", "check", good])
+    expect(fleet, 3, ["preset", "check", bad], "bad", "keys 0 and 1 are equal")
+    code, output, _ = fleet.client("preset", "check", unused, "--against", good, "--json")
+    check_equal(code, 10, "exit code with findings")
+    check("secret" not in output, "a key is printed")
+    result = json.loads(output)
+    check_equal([item["place"] for item in result["findings"]], ["workspaces.x"],
+                "places of the findings")
+    check_equal(sorted(item["place"] for item in result["differences"]),
+                ["workspaces.w", "workspaces.x"], "places of the differences")
+
+
 def test_operators_interface(fleet):
     """Guards against an operators' interface that answers without the token."""
     host = fleet.host_add(1)
@@ -96,4 +115,4 @@
 
 
 run(test_command_line, test_settings, test_address_in_use, test_commits,
-    test_operators_interface)
+    test_preset_check, test_operators_interface)
