Native nested calls belong to the workspace of their request

Cause: in the native dialect a nested call has the id of its request and a depth, so it was refused for want of a key.

Change: with a depth, the request is the running one of the same id. A call without a key whose request is not running here gets 503, in both dialects; it got 401 with a depth, which callers take as final.

--- a/src/entry_head.c
+++ b/src/entry_head.c
@@ -313,11 +313,18 @@
 	return REASON_NONE;
 }
 
-/* The request of this host's backend server that makes this nested call, or NULL. */
+/*
+ * The request of this host's backend server that makes this nested call, or NULL. In a
+ * dialect with a depth, a nested call has the id of its request.
+ */
 static const run_item_t *
-request_parent(const entry_request_t *request)
+request_parent(const entry_request_t *request, const head_fields_t *fields)
 {
-	return run_set_parent(&request->entry->running, request->head->request_id);
+	const run_set_t *running = &request->entry->running;
+	const char *id = request->head->request_id;
+
+	return fields->depth > 0 ? run_set_find(running, id)
+				 : run_set_parent(running, id);
 }
 
 /*
@@ -327,7 +334,7 @@
 static bool
 request_is_nested(const entry_request_t *request, const head_fields_t *fields)
 {
-	return fields->depth > 0 || request_parent(request) != NULL;
+	return fields->depth > 0 || request_parent(request, fields) != NULL;
 }
 
 /* True if a key may have been withdrawn too long ago for this node to go on with it. */
@@ -350,7 +357,7 @@
 workspace_apply(entry_request_t *request, const head_fields_t *fields)
 {
 	const preset_t *preset = request->snapshot->preset;
-	const run_item_t *parent = request_parent(request);
+	const run_item_t *parent = request_parent(request, fields);
 	call_head_t *head = request->head;
 
 	if (preset->workspace_count == 0)
@@ -373,16 +380,17 @@
 	if (fields->key_count == 1)
 		return REASON_KEY_UNKNOWN;
 	/* Its request may have started before this node did. */
-	return fields->key_count == 0 && run_set_parent_hash(head->request_id) != 0
+	return fields->key_count == 0 &&
+		       (fields->depth > 0 || run_set_parent_hash(head->request_id) != 0)
 		   ? REASON_CALLER_UNKNOWN
 		   : REASON_KEY_MISSING;
 }
 
 /* A nested call has the rank of the request that makes it. */
 static uint32_t
-request_rank(const entry_request_t *request)
+request_rank(const entry_request_t *request, const head_fields_t *fields)
 {
-	const run_item_t *parent = request_parent(request);
+	const run_item_t *parent = request_parent(request, fields);
 
 	return parent != NULL ? parent->rank
 			      : preset_rank(request->route, request->workspace);
@@ -419,7 +427,7 @@
 	memcpy(head->caller_service, request->entry->caller_service, NAME_BYTES);
 	request->nested = request_is_nested(request, fields);
 	head->route_class = preset_route_class(route, request->nested);
-	head->rank = request_rank(request);
+	head->rank = request_rank(request, fields);
 	target_set(request, fields);
 	head->answer_bytes =
 	    answer_profile_bytes(&request->entry->answers, hash_string(route->name));
--- a/src/run_set.c
+++ b/src/run_set.c
@@ -43,14 +43,26 @@
 	return hash_string(parent);
 }
 
+static const run_item_t *
+item_find(const run_set_t *set, uint64_t request_hash)
+{
+	for (size_t i = 0; i < set->count; i++) {
+		if (set->items[i].request == request_hash)
+			return &set->items[i];
+	}
+	return NULL;
+}
+
+const run_item_t *
+run_set_find(const run_set_t *set, const char *request_id)
+{
+	return item_find(set, hash_string(request_id));
+}
+
 const run_item_t *
 run_set_parent(const run_set_t *set, const char *request_id)
 {
 	uint64_t parent = run_set_parent_hash(request_id);
 
-	for (size_t i = 0; parent != 0 && i < set->count; i++) {
-		if (set->items[i].request == parent)
-			return &set->items[i];
-	}
-	return NULL;
+	return parent == 0 ? NULL : item_find(set, parent);
 }
--- a/src/run_set.h
+++ b/src/run_set.h
@@ -37,6 +37,8 @@
 void run_set_remove(run_set_t *set, uint64_t request_hash);
 /* Hash of the parent's id, the part of request_id before the last dot; 0: none. */
 uint64_t run_set_parent_hash(const char *request_id);
+/* The request with that id, or NULL. */
+const run_item_t *run_set_find(const run_set_t *set, const char *request_id);
 /*
  * The request of the set that made the nested call, or NULL: the call's id is that
  * request's id, a dot, and a part of its own.
