Soak: callers with keys, and withdrawn keys

Change: callers send a key, and each preset has a key of its own; on undisturbed hosts no key may work that the preset in force has lacked for the time to apply.

--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -40,6 +40,7 @@
 	const char *service;
 	const char *prefix;
 	const char *inner;
+	const char *key; /* of a workspace; NULL: none */
 	double mix[LOAD_CLASSES];
 	double rate;
 	double seconds;
@@ -276,6 +277,10 @@
 		    caller->deadline_ms);
 		call->headers = curl_slist_append(call->headers, line);
 	}
+	if (caller->key != NULL) {
+		snprintf(line, sizeof(line), "Masticpitch-Key: %s", caller->key);
+		call->headers = curl_slist_append(call->headers, line);
+	}
 	if (call->ticket[0] != '\0') {
 		snprintf(line, sizeof(line), "Idempotency-Key: %s", call->ticket);
 		call->headers = curl_slist_append(call->headers, line);
@@ -509,6 +514,7 @@
 	caller->service = standin_option(argc, argv, "service", "katalogo");
 	caller->prefix = standin_option(argc, argv, "prefix", "r");
 	caller->inner = standin_option(argc, argv, "inner", NULL);
+	caller->key = standin_option(argc, argv, "key", NULL);
 	caller->rate = standin_option_number(argc, argv, "rate", 100);
 	caller->seconds = standin_option_number(argc, argv, "seconds", 1);
 	caller->work_ms = standin_option_number(argc, argv, "work-ms", -1);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,7 +5,8 @@
 
 Each seed starts a mesh, callers that send directly and through proxies, and a schedule
 of overlapping faults. During the run no node may revert to an older version unless it
-restarts, miss the time for a version while neither it nor the platform is disturbed, end without being asked to, or exceed the memory of the smallest host; at the
+restarts, miss the time for a version while neither it nor the platform is disturbed, end without being asked to, or exceed the memory of the smallest host; no
+withdrawn key may work there after that time; at the
 end the outcomes that callers got are compared with the runs of backend servers. One line
 per seed goes to standard output, with the faults injected; the exit status is 1 if any
 seed violated a guarantee. Logs of such a seed are kept in the build directory.
@@ -18,14 +19,14 @@
 import sys
 import time
 
-from harness import Fleet, HarnessError, preset_make
+from harness import Fleet, HarnessError, http_call, preset_make
 from soak_proxy import AnswerProxy, Proxy
 
 SERVICE = "katalogo"
 PRESETS = (("normal", 2000), ("peak", 1500), ("maintenance", 4000))
 LOAD = {"rate": 60, "mix": "lookup=60,call=28,internal=8,upload=4", "failover": 3,
         "upload_bytes": 60000, "answer_bytes": 3000, "inner": f"/{SERVICE}/internal/x",
-        "levels": 2}
+        "levels": 2, "key": "callers-key"}
 GUARANTEES = ("wrong", "doubled", "refused_but_run", "answered_unrun")
 ANSWERED_MIN_SHARE = 0.3  # share of the requests of a seed that must be answered
 WORK_MS = 25  # of a run; long enough that a crash interrupts some runs
@@ -57,6 +58,7 @@
         self.random = random.Random(seed)
         # Cuts have a generator of their own, so that a seed keeps its other faults.
         self.cut_random = random.Random(f"cuts {seed}")
+        self.key_random = random.Random(f"keys {seed}")
         self.seed = seed
         self.seconds = seconds
         self.host_count = hosts
@@ -68,6 +70,8 @@
         self.disturbed = {}  # host, None for the platform: until when
         self.cut_until = 0.0  # of the cut of a node that lasts
         self.changes = []  # (time, version) whose time to apply is not over yet
+        self.in_force = (0.0, "normal")  # time and preset of the last change
+        self.next_key_check = 0.0
         self.ends = {}  # pid of a node: statuses that it may end with
         self.found = set()  # pids of nodes that are at fault
         self.peak_kb = 0  # highest resident memory of a node
@@ -87,7 +91,8 @@
                     address, host.backend_address, self.seed + number))
             host.start()
         for name, deadline in PRESETS:
-            self.fleet.preset_create(name, preset_make([SERVICE], deadline))
+            self.fleet.preset_create(name, {**preset_make([SERVICE], deadline), "workspaces": {
+                "callers": {"keys": [LOAD["key"]]}, "probe": {"keys": [f"key-{name}"]}}})
         self.fleet.wait_versions(self.fleet.use("normal"))
         self.fleet.wait_instances(SERVICE, self.host_count)
         for host in self.fleet.hosts[:2]:
@@ -318,9 +323,12 @@
         self.change(self.random)
 
     def change(self, generator):
+        name = generator.choice(PRESETS)[0]
+        self.in_force = (time.monotonic() + APPLY_S, None)  # unknown if this fails
         try:
-            version, _ = self.fleet.use_directly(generator.choice(PRESETS)[0])
+            version, _ = self.fleet.use_directly(name)
             self.changes.append((time.monotonic(), version))
+            self.in_force = (time.monotonic(), name)
         except (OSError, HarnessError):
             pass  # a platform fault is active
 
@@ -367,6 +375,28 @@
                     self.broken.append(f"CONFIG: {host.name} has version {found}, not "
                                        f"{version}, after {APPLY_S} s")
 
+    def check_keys(self):
+        """A key that the preset in force lacks works on no undisturbed host."""
+        now = time.monotonic()
+        changed_at, name = self.in_force
+        if now < max(self.next_key_check, changed_at + APPLY_S) or name is None or \
+                self.disturbed.get(None, 0.0) > changed_at:
+            return
+        self.next_key_check = now + 0.3
+        host = self.key_random.choice(self.fleet.hosts)
+        key = "key-" + self.key_random.choice(
+            [preset for preset, _ in PRESETS if preset != name])
+        if not host.node.alive() or self.disturbed.get(host, 0.0) > changed_at:
+            return
+        try:
+            status, _, _ = http_call(host.callers, "GET", f"/{SERVICE}/lookup/key",
+                                     headers={"Masticpitch-Key": key}, timeout=0.5)
+        except OSError:
+            return
+        self.injected["key_check"] = self.injected.get("key_check", 0) + 1
+        if status < 400:
+            self.broken.append(f"ROUTE: {host.name} served {key}, withdrawn by {name}")
+
     def check_processes(self):
         """No node ends by itself, nor uses more memory than its host has."""
         for process in self.fleet.processes:
@@ -414,6 +444,7 @@
                 next_cut += self.cut_random.uniform(0.5, 3.0)
             self.check_versions()
             self.check_changes()
+            self.check_keys()
             self.check_processes()
             self.uploads_continue()
             time.sleep(0.03)
