Queue, throttle and pressure: by rank, not only by class

Routes of priorities 0 and 1 were one class, so at a full gate the most urgent requests were refused as often as others, and bookings refused at pieraksts (pressure above 15 %) made kalendars refuse the more urgent slot-views that call there.

The queue keeps its waiting calls in bands of one rank and class (order.h), a nested call in that of the request that waits for it; the late queue gives up its least urgent call for a more urgent one. The throttle has a share for each rank and class, and reduces the least urgent requests that call the same service first. A gate reports the pressure of a call's rank and of more urgent ones only.

--- a/src/entry_refuse.c
+++ b/src/entry_refuse.c
@@ -25,6 +25,7 @@
 	message = message_create(MESSAGE_NESTED, 0, 0);
 	if (message != NULL) {
 		message->u.nested.parent = run_set_parent_hash(request->head->request_id);
+		message->u.nested.called = hash_string(request->head->service);
 		message->u.nested.duration =
 		    kernel_now(entry->kernel) - request->accepted_at;
 		message->u.nested.pressure = load == NULL ? 0 : load->pressure;
--- a/src/gate.c
+++ b/src/gate.c
@@ -4,17 +4,25 @@
 #include <string.h>
 
 void
-gate_load(const gate_t *gate, load_report_t *load)
+gate_load(const gate_t *gate, uint32_t rank, load_report_t *load)
 {
 	memset(load, 0, sizeof(*load));
 	load->running = gate->running;
 	load->queued = queue_length(&gate->queue);
 	load->latency_us = limit_gate_latency_us(&gate->limit);
 	load->limit = gate_limit(gate);
-	load->pressure = pressure_percent(&gate->pressure, kernel_now(gate->kernel));
+	load->pressure =
+	    pressure_table_percent(&gate->pressure, rank, kernel_now(gate->kernel));
 	load->slots = gate->backend.live ? gate->backend.slots : 0;
 }
 
+order_key_t
+gate_call_key(const gate_call_t *call)
+{
+	return (order_key_t){
+	    .rank = call->head->rank, .route_class = call->head->route_class};
+}
+
 message_t *
 gate_call_message(const gate_call_t *call, message_type_t type)
 {
@@ -40,7 +48,7 @@
 		return;
 	message->u.refusal.reason = reason;
 	message->u.refusal.run = RUN_NO;
-	gate_load(gate, &message->u.refusal.load);
+	gate_load(gate, open->u.call->rank, &message->u.refusal.load);
 	kernel_message_post(gate->kernel, &gate->service, open->from, message);
 }
 
@@ -57,7 +65,7 @@
 		message->u.refusal.reason = reason;
 		message->u.refusal.run = run;
 		message->u.refusal.final = final;
-		gate_load(gate, &message->u.refusal.load);
+		gate_load(gate, call->head->rank, &message->u.refusal.load);
 	}
 	gate_call_post(call, message);
 	gate_call_finish(call);
@@ -240,7 +248,7 @@
 	    gate->backend.service, gate->backend.instance, gate->backend.slots,
 	    gate->backend.connections, gate_limit(gate), gate->running,
 	    queue_length(&gate->queue), gate->backend.load,
-	    pressure_percent(&gate->pressure, kernel_now(gate->kernel)),
+	    pressure_table_percent(&gate->pressure, UINT32_MAX, kernel_now(gate->kernel)),
 	    throttle_percent(&gate->throttle, ROUTE_CALL),
 	    throttle_percent(&gate->throttle, ROUTE_LOOKUP),
 	    gate->leaving ? "true" : "false");
@@ -291,6 +299,7 @@
 nested_receive(gate_t *gate, const message_t *message)
 {
 	uint64_t now = kernel_now(gate->kernel);
+	throttle_outcome_t outcome;
 
 	LIST_FOREACH (node, &gate->calls) {
 		gate_call_t *call = LIST_ENTRY(node, gate_call_t, link);
@@ -299,10 +308,12 @@
 		    hash_string(call->head->request_id) != message->u.nested.parent)
 			continue;
 		call->nested_failed |= message->u.nested.failed;
-		throttle_call_record(&gate->throttle, call->head->route_class,
-		    message->u.nested.pressure, message->u.nested.refused,
-		    nested_call_missed_target(call, message->u.nested.duration, now),
-		    now);
+		outcome = (throttle_outcome_t){.called = message->u.nested.called,
+		    .pressure = message->u.nested.pressure,
+		    .refused = message->u.nested.refused,
+		    .late =
+			nested_call_missed_target(call, message->u.nested.duration, now)};
+		throttle_call_record(&gate->throttle, gate_call_key(call), &outcome, now);
 		return;
 	}
 }
@@ -401,7 +412,6 @@
 	queue_init(&gate->queue, 0, 1, !gate->naive);
 	limit_gate_init(
 	    &gate->limit, 1, !gate->naive && !settings->fixed_limit, kernel_now(kernel));
-	throttle_init(&gate->throttle);
 	gate_crash_init(gate);
 	gate_rate_open(gate);
 	error = stream_table_init(&gate->streams);
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -142,6 +142,7 @@
 	    .interval = rate_limit_interval(&gate->rate_limit)};
 	reason_t reason;
 
+	call->item.rank = call->head->rank;
 	call->item.route_class = call->head->route_class;
 	call->item.deadline = call->head->deadline;
 	call->item.target = call->head->target;
@@ -162,7 +163,8 @@
 pressure_update(const gate_call_t *call, bool refused, uint64_t now)
 {
 	if (call->head->route_class == ROUTE_CALL)
-		pressure_record(&call->gate->pressure, refused, now);
+		pressure_table_record(
+		    &call->gate->pressure, call->head->rank, refused, now);
 }
 
 void
@@ -188,8 +190,7 @@
 	if (gate_ticket_issue(call))
 		return;
 	/* Final, since every gate of the service would refuse for this reason. */
-	if (!gate->naive &&
-	    !throttle_admit(&gate->throttle, call->head->route_class, now)) {
+	if (!gate->naive && !throttle_admit(&gate->throttle, gate_call_key(call), now)) {
 		gate_call_refuse(call, REASON_DEPENDENCY, RUN_NO, true);
 		return;
 	}
--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -158,7 +158,7 @@
 	headers_strip(&answer->headers);
 	if (final)
 		headers_add(&answer->headers, final_name, "1");
-	gate_load(call->gate, &answer->load);
+	gate_load(call->gate, call->head->rank, &answer->load);
 	answer->nested_failed = call->nested_failed;
 	message = gate_call_message(call, MESSAGE_ANSWER_HEAD);
 	if (message == NULL)
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -94,7 +94,7 @@
 	limit_gate_t limit;
 	rate_limit_t rate_limit;
 	throttle_t throttle;
-	pressure_t pressure;
+	pressure_table_t pressure;
 	bool naive;
 	bool in_queue_run; /* gate_queue_run() is active */
 	ticket_table_t *tickets;
@@ -187,8 +187,10 @@
 } gate_call_t;
 
 /* gate.c */
-/* Fills in the current load report. */
-void gate_load(const gate_t *gate, load_report_t *load);
+/* Fills in the current load report for a call of a rank. */
+void gate_load(const gate_t *gate, uint32_t rank, load_report_t *load);
+/* Place of the call in the order of service. */
+order_key_t gate_call_key(const gate_call_t *call);
 /* Creates a message of the call's stream; NULL: no memory. */
 message_t *gate_call_message(const gate_call_t *call, message_type_t type);
 void gate_call_post(gate_call_t *call, message_t *message);
--- a/src/gate_ticket.c
+++ b/src/gate_ticket.c
@@ -29,7 +29,7 @@
 	head->u.answer->body_length = (int64_t)size;
 	if (type[0] != '\0')
 		headers_add(&head->u.answer->headers, "Content-Type", type);
-	gate_load(gate, &head->u.answer->load);
+	gate_load(gate, call->head->rank, &head->u.answer->load);
 	data->u.data.end = true;
 	gate_call_post(call, head);
 	gate_call_post(call, data);
--- a/src/message.h
+++ b/src/message.h
@@ -104,9 +104,13 @@
 	uint32_t queued;
 	uint32_t limit; /* adaptive limit, calls */
 	uint32_t slots;
-	uint32_t latency_us;   /* smoothed backend latency */
-	uint32_t pressure;     /* share of the urgent calls refused for load, percent */
-	uint32_t link_wait_us; /* until a long body queued now leaves the host */
+	uint32_t latency_us; /* smoothed backend latency */
+	/*
+	 * Share of the urgent calls, of the call's rank and of more urgent ones, that are
+	 * refused for load, percent.
+	 */
+	uint32_t pressure;
+	uint32_t link_wait_us;	       /* until a long body queued now leaves the host */
 	uint32_t link_ns_per_kilobyte; /* of the host's link; 0: not known */
 } load_report_t;
 
@@ -174,6 +178,7 @@
 		} run; /* RUN */
 		struct {
 			uint64_t parent;   /* hash of the running request's id */
+			uint64_t called;   /* hash of the called service's name */
 			uint64_t duration; /* of the call, ns */
 			uint32_t pressure; /* at the called service, percent */
 			bool refused;	   /* for load */
--- /dev/null
+++ b/src/order.h
@@ -0,0 +1,28 @@
+/*
+ * The order in which requests are served when room is short: by rank, see
+ * preset_rank(), and within a rank by class (internal, call, lookup, upload). A nested
+ * call has the rank of the request that waits for it, and so goes before new requests
+ * of that rank but not before more urgent ones. Without priorities every rank is 0.
+ */
+#ifndef MASTICPITCH_ORDER_H
+#define MASTICPITCH_ORDER_H
+
+#include "preset.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct order_key {
+	uint32_t rank; /* 0 is the most urgent */
+	route_class_t route_class;
+} order_key_t;
+
+/* Below 0: a is served before b; 0: the keys are equal. */
+int order_compare(order_key_t a, order_key_t b);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/queue.c
+++ b/src/queue.c
@@ -13,16 +13,14 @@
 /* After more half-lives than this the service time is taken as 0. */
 #define SERVICE_TIME_HALF_LIVES_MAX 40
 
-/* Highest priority first. */
-static const route_class_t classes_by_priority[ROUTE_CLASS_COUNT] = {
-    ROUTE_INTERNAL, ROUTE_CALL, ROUTE_LOOKUP, ROUTE_UPLOAD};
-
 void
 queue_init(queue_t *queue, uint32_t limit, uint32_t slots, bool prioritized)
 {
 	*queue = (queue_t){.prioritized = prioritized};
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++)
-		list_init(&queue->classes[i].items);
+	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
+		for (int j = 0; j < QUEUE_RANKS_MAX; j++)
+			list_init(&queue->classes[i].bands[j].items);
+	}
 	list_init(&queue->late);
 	queue_limit_set(queue, limit, slots);
 }
@@ -37,26 +35,82 @@
 }
 
 static queue_item_t *
-class_first(const queue_class_t *class)
+band_first(const queue_band_t *band)
 {
-	if (list_is_empty(&class->items))
-		return NULL;
-	return LIST_ENTRY(class->items.next, queue_item_t, link);
+	return LIST_ENTRY(band->items.next, queue_item_t, link);
 }
 
 static queue_item_t *
-class_last(const queue_class_t *class)
+band_last(const queue_band_t *band)
 {
-	if (list_is_empty(&class->items))
-		return NULL;
-	return LIST_ENTRY(class->items.prev, queue_item_t, link);
+	return LIST_ENTRY(band->items.prev, queue_item_t, link);
+}
+
+static order_key_t
+item_key(const queue_item_t *item)
+{
+	return (order_key_t){.rank = item->rank, .route_class = item->route_class};
+}
+
+/* The band for a new item; see QUEUE_RANKS_MAX. */
+static queue_band_t *
+band_for(queue_class_t *class, uint32_t rank)
+{
+	queue_band_t *unused = NULL, *next = NULL, *last = NULL;
+
+	for (int i = 0; i < QUEUE_RANKS_MAX; i++) {
+		queue_band_t *band = &class->bands[i];
+
+		if (band->count == 0) {
+			unused = band;
+			continue;
+		}
+		if (band->key.rank == rank)
+			return band;
+		if (band->key.rank > rank &&
+		    (next == NULL || band->key.rank < next->key.rank))
+			next = band;
+		if (last == NULL || band->key.rank > last->key.rank)
+			last = band;
+	}
+	if (unused != NULL)
+		return unused;
+	return next != NULL ? next : last;
+}
+
+static void
+band_start(queue_t *queue, queue_band_t *band, order_key_t key)
+{
+	uint32_t position = queue->waiting_count;
+
+	band->key = key;
+	band->bypassed = 0;
+	while (
+	    position > 0 && order_compare(queue->waiting[position - 1]->key, key) > 0) {
+		queue->waiting[position] = queue->waiting[position - 1];
+		position--;
+	}
+	queue->waiting[position] = band;
+	queue->waiting_count++;
+	queue->classes[key.route_class].bands_waiting++;
+}
+
+static void
+band_end(queue_t *queue, const queue_band_t *band)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < queue->waiting_count; i++) {
+		if (queue->waiting[i] != band)
+			queue->waiting[kept++] = queue->waiting[i];
+	}
+	queue->waiting_count = kept;
+	queue->classes[band->key.route_class].bands_waiting--;
 }
 
 void
 queue_remove(queue_t *queue, queue_item_t *item)
 {
-	queue_class_t *class = &queue->classes[item->route_class];
-
 	if (!item->queued)
 		return;
 	list_remove(&item->link);
@@ -65,10 +119,11 @@
 		queue->late_count--;
 		return;
 	}
-	class->count--;
+	item->band->count--;
+	queue->classes[item->route_class].count--;
 	queue->count--;
-	if (class->count == 0)
-		class->bypassed = 0;
+	if (item->band->count == 0)
+		band_end(queue, item->band);
 }
 
 /* Searches from the back, since deadlines mostly increase in order of arrival. */
@@ -90,10 +145,14 @@
 
 	item->queued_at = now;
 	item->queued = true;
+	item->band = band_for(class, item->rank);
+	if (item->band->count == 0)
+		band_start(queue, item->band, item_key(item));
 	if (queue->prioritized)
-		items_insert(&class->items, item);
+		items_insert(&item->band->items, item);
 	else
-		list_append(&class->items, &item->link);
+		list_append(&item->band->items, &item->link);
+	item->band->count++;
 	class->count++;
 	queue->count++;
 }
@@ -127,14 +186,14 @@
 	class->sampled_at = now;
 }
 
-/* Queued calls of a class that run before a new one with this deadline. */
+/* Queued calls of a band that run before a new one with this deadline. */
 static uint32_t
-class_count_ahead(const queue_class_t *class, uint64_t deadline)
+band_count_ahead(const queue_band_t *band, uint64_t deadline)
 {
-	uint32_t ahead = class->count;
-	const list_t *position = class->items.prev;
+	uint32_t ahead = band->count;
+	const list_t *position = band->items.prev;
 
-	while (position != &class->items &&
+	while (position != &band->items &&
 	       LIST_ENTRY(position, const queue_item_t, link)->deadline > deadline) {
 		position = position->prev;
 		ahead--;
@@ -142,28 +201,37 @@
 	return ahead;
 }
 
+/* Expected time of a number of calls of a class that run one after the other, ns. */
+static double
+class_run_time(const queue_t *queue, route_class_t route_class, uint32_t calls,
+    queue_capacity_t capacity, uint64_t now)
+{
+	uint32_t running =
+	    route_class == ROUTE_UPLOAD ? capacity.uploads : capacity.non_uploads;
+
+	return calls * class_service_time(&queue->classes[route_class], now) /
+	       MAX_OF(running, 1);
+}
+
 uint64_t
-queue_wait_expected(const queue_t *queue, route_class_t route_class, uint64_t deadline,
+queue_wait_expected(const queue_t *queue, order_key_t key, uint64_t deadline,
     queue_capacity_t capacity, uint64_t now)
 {
 	uint64_t rate_wait = capacity.start_at > now ? capacity.start_at - now : 0;
-	double wait = 0;
-
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		const queue_class_t *class = &queue->classes[classes_by_priority[i]];
-		bool own = classes_by_priority[i] == route_class;
-		uint32_t ahead = own ? class_count_ahead(class, deadline) : class->count;
+	/* One more, for the remaining time of the running calls. */
+	double wait = class_run_time(queue, key.route_class, 1, capacity, now);
 
-		uint32_t running = classes_by_priority[i] == ROUTE_UPLOAD
-				       ? capacity.uploads
-				       : capacity.non_uploads;
+	for (uint32_t i = 0; i < queue->waiting_count; i++) {
+		const queue_band_t *band = queue->waiting[i];
+		int order = order_compare(band->key, key);
+		uint32_t ahead =
+		    order == 0 ? band_count_ahead(band, deadline) : band->count;
 
-		/* One more, for the remaining time of the running calls. */
-		wait += (ahead + (own ? 1 : 0)) * class_service_time(class, now) /
-			MAX_OF(running, 1);
-		rate_wait += ahead * capacity.interval;
-		if (own)
+		if (order > 0)
 			break;
+		wait +=
+		    class_run_time(queue, band->key.route_class, ahead, capacity, now);
+		rate_wait += ahead * capacity.interval;
 	}
 	return MAX_OF((uint64_t)wait, rate_wait);
 }
@@ -207,39 +275,69 @@
 	return capacity.interval == 0 || turn <= late_give_up_at(item, now);
 }
 
+static bool
+late_is_before(const queue_item_t *item, const list_t *position)
+{
+	const queue_item_t *other = LIST_ENTRY(position, const queue_item_t, link);
+
+	return other->rank != item->rank ? other->rank > item->rank
+					 : other->deadline > item->deadline;
+}
+
 static void
 late_insert(queue_t *queue, queue_item_t *item, uint64_t now)
 {
+	list_t *position = queue->late.prev;
+
 	item->queued_at = now;
 	item->queued = true;
 	item->late = true;
 	item->give_up_at = late_give_up_at(item, now);
-	items_insert(&queue->late, item);
+	while (position != &queue->late && late_is_before(item, position))
+		position = position->prev;
+	list_insert_before(position->next, &item->link);
 	queue->late_count++;
 }
 
 /*
- * The item of lowest priority: the one with the latest deadline in the lowest class
- * that exceeds its protected share of the queue, else in the lowest class that has
- * items. The share keeps a flood of a high class from displacing all low classes.
+ * Makes room in the late queue for an item, if need be by removing the last one that is
+ * less urgent; *shed is that one. False: there is no room.
+ */
+static bool
+late_reserve(queue_t *queue, const queue_item_t *item, queue_item_t **shed)
+{
+	queue_item_t *last;
+
+	if (queue->late_count < queue->late_limit)
+		return true;
+	if (list_is_empty(&queue->late))
+		return false;
+	last = LIST_ENTRY(queue->late.prev, queue_item_t, link);
+	if (last->rank <= item->rank)
+		return false;
+	queue_remove(queue, last);
+	*shed = last;
+	return true;
+}
+
+/*
+ * The item of lowest priority: the one with the latest deadline in the last band whose
+ * class exceeds its protected share of the queue, else in the last band. The share
+ * keeps a flood of a high class from displacing all low classes.
  */
 static queue_item_t *
 queue_shed_candidate(const queue_t *queue)
 {
-	for (int i = ROUTE_CLASS_COUNT - 1; i >= 0; i--) {
-		const queue_class_t *class = &queue->classes[classes_by_priority[i]];
+	for (uint32_t i = queue->waiting_count; i-- > 0;) {
+		const queue_band_t *band = queue->waiting[i];
 
-		if ((uint64_t) class->count * 100 >
+		if ((uint64_t)queue->classes[band->key.route_class].count * 100 >
 		    (uint64_t)queue->limit * QUEUE_CLASS_SHARE_PERCENT)
-			return class_last(class);
+			return band_last(band);
 	}
-	for (int i = ROUTE_CLASS_COUNT - 1; i >= 0; i--) {
-		queue_item_t *last = class_last(&queue->classes[classes_by_priority[i]]);
-
-		if (last != NULL)
-			return last;
-	}
-	return NULL;
+	if (queue->waiting_count == 0)
+		return NULL;
+	return band_last(queue->waiting[queue->waiting_count - 1]);
 }
 
 reason_t
@@ -260,13 +358,13 @@
 	if (item->deadline <= now)
 		return REASON_DEADLINE_PASSED;
 	needed =
-	    queue_wait_expected(queue, item->route_class, item->deadline, capacity, now) +
+	    queue_wait_expected(queue, item_key(item), item->deadline, capacity, now) +
 	    item_run_expected(queue, item, now);
 	if (needed > item->deadline - now)
 		return REASON_DEADLINE_TOO_SHORT;
 	if (item_is_late(item, needed, now)) {
-		if (queue->late_count >= queue->late_limit ||
-		    !late_turn_suffices(queue, item, capacity, now))
+		if (!late_turn_suffices(queue, item, capacity, now) ||
+		    !late_reserve(queue, item, shed))
 			return REASON_TARGET_MISSED;
 		late_insert(queue, item, now);
 		return REASON_NONE;
@@ -283,36 +381,36 @@
 	return REASON_QUEUE_FULL;
 }
 
-/* The class to take an item from, or NULL if no item may start. */
-static queue_class_t *
-queue_next_class(queue_t *queue, bool uploads, bool non_uploads)
+/* The band to take an item from, or NULL if no item may start. */
+static queue_band_t *
+queue_next_band(const queue_t *queue, bool uploads, bool non_uploads)
 {
-	queue_class_t *next = NULL;
+	queue_band_t *next = NULL;
 
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		queue_class_t *class = &queue->classes[classes_by_priority[i]];
+	for (uint32_t i = 0; i < queue->waiting_count; i++) {
+		queue_band_t *band = queue->waiting[i];
+		route_class_t route_class = band->key.route_class;
 
-		if (class->count == 0 ||
-		    !(classes_by_priority[i] == ROUTE_UPLOAD ? uploads : non_uploads))
+		if (!(route_class == ROUTE_UPLOAD ? uploads : non_uploads))
 			continue;
-		if (next == NULL || class->bypassed >= QUEUE_BYPASS_MAX)
-			next = class;
+		if (next == NULL ||
+		    band->bypassed >=
+			QUEUE_BYPASS_MAX * queue->classes[route_class].bands_waiting)
+			next = band;
 	}
 	return next;
 }
 
-/* The item that was queued first over all classes, or NULL. */
+/* The item that was queued first over all bands, or NULL. */
 static queue_item_t *
 queue_oldest(const queue_t *queue)
 {
 	queue_item_t *oldest = NULL;
 
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		queue_item_t *first =
-		    class_first(&queue->classes[classes_by_priority[i]]);
+	for (uint32_t i = 0; i < queue->waiting_count; i++) {
+		queue_item_t *first = band_first(queue->waiting[i]);
 
-		if (first != NULL &&
-		    (oldest == NULL || first->queued_at < oldest->queued_at))
+		if (oldest == NULL || first->queued_at < oldest->queued_at)
 			oldest = first;
 	}
 	return oldest;
@@ -337,11 +435,15 @@
 static void
 late_collect(queue_t *queue, uint64_t now)
 {
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		queue_item_t *item;
+	/* From the end: a band that becomes empty leaves the array. */
+	for (uint32_t i = queue->waiting_count; i-- > 0;) {
+		queue_band_t *band = queue->waiting[i];
 
-		while ((item = class_first(&queue->classes[i])) != NULL &&
-		       item_is_late(item, item_run_expected(queue, item, now), now)) {
+		while (band->count > 0) {
+			queue_item_t *item = band_first(band);
+
+			if (!item_is_late(item, item_run_expected(queue, item, now), now))
+				break;
 			queue_remove(queue, item);
 			late_insert(queue, item, now);
 		}
@@ -351,9 +453,8 @@
 queue_item_t *
 queue_pop(queue_t *queue, bool uploads, bool non_uploads, uint64_t now)
 {
-	queue_class_t *next;
+	queue_band_t *next;
 	queue_item_t *item;
-	bool below = false;
 
 	if (!queue->prioritized) {
 		item = queue_oldest(queue);
@@ -362,18 +463,13 @@
 		return item;
 	}
 	late_collect(queue, now);
-	next = queue_next_class(queue, uploads, non_uploads);
+	next = queue_next_band(queue, uploads, non_uploads);
 	if (next == NULL)
 		return late_pop(queue, uploads, non_uploads);
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		queue_class_t *class = &queue->classes[classes_by_priority[i]];
-
-		if (below && class->count > 0)
-			class->bypassed++;
-		below = below || class == next;
-	}
+	for (uint32_t i = queue->waiting_count; queue->waiting[i - 1] != next; i--)
+		queue->waiting[i - 1]->bypassed++;
 	next->bypassed = 0;
-	item = class_first(next);
+	item = band_first(next);
 	queue_remove(queue, item);
 	return item;
 }
@@ -398,11 +494,9 @@
 queue_item_t *
 queue_expire(queue_t *queue, uint64_t now, reason_t *reason)
 {
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		queue_item_t *item = class_first(&queue->classes[i]);
+	for (uint32_t i = 0; queue->prioritized && i < queue->waiting_count; i++) {
+		queue_item_t *item = band_first(queue->waiting[i]);
 
-		if (item == NULL || !queue->prioritized)
-			continue;
 		if (item->deadline <= now)
 			*reason = REASON_DEADLINE_PASSED;
 		else if (item->deadline - now < item_run_expected(queue, item, now))
@@ -420,8 +514,8 @@
 {
 	uint64_t earliest = TIME_NEVER;
 
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		LIST_FOREACH (node, &queue->classes[i].items) {
+	for (uint32_t i = 0; i < queue->waiting_count; i++) {
+		LIST_FOREACH (node, &queue->waiting[i]->items) {
 			const queue_item_t *item = LIST_ENTRY(node, queue_item_t, link);
 
 			earliest = MIN_OF(earliest, item->deadline);
@@ -438,15 +532,13 @@
 queue_item_t *
 queue_drain(queue_t *queue)
 {
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++) {
-		queue_item_t *item = class_first(&queue->classes[classes_by_priority[i]]);
+	queue_item_t *item;
 
-		if (item == NULL)
-			continue;
-		queue_remove(queue, item);
-		return item;
-	}
-	return late_pop(queue, true, true);
+	if (queue->waiting_count == 0)
+		return late_pop(queue, true, true);
+	item = band_first(queue->waiting[0]);
+	queue_remove(queue, item);
+	return item;
 }
 
 uint32_t
--- a/src/queue.h
+++ b/src/queue.h
@@ -1,16 +1,16 @@
 /*
  * Bounded queue of a gate for calls that wait for a slot of the backend server,
- * ordered by class (internal, call, lookup, upload), then by deadline. Calls that
- * can only be answered after their latency target wait in a separate late queue
- * and run when nothing else waits: in the main queue they would make every call
- * late under overload. Items are intrusive; nothing is allocated. Times are
- * monotonic, ns. Not thread-safe; callers pass the current time.
+ * ordered by rank and class, see order.h, then by deadline. Calls that can only be
+ * answered after their latency target wait in a separate late queue, by rank, and run
+ * when nothing else waits: in the main queue they would make every call late under
+ * overload. Items are intrusive; nothing is allocated. Times are monotonic, ns. Not
+ * thread-safe; callers pass the current time.
  */
 #ifndef MASTICPITCH_QUEUE_H
 #define MASTICPITCH_QUEUE_H
 
 #include "list.h"
-#include "preset.h"
+#include "order.h"
 #include "reason.h"
 
 #ifdef __cplusplus
@@ -21,8 +21,18 @@
 #define QUEUE_LIMIT_PER_SLOT 4
 /* Upper bound of the queue limit, regardless of the settings. */
 #define QUEUE_LIMIT_MAX 4096
-/* Consecutive calls of higher classes that may be taken before a waiting class. */
+/*
+ * Consecutive calls that may be taken before a waiting band of a class, for each band
+ * of that class that waits: the bands of a class together get no more than one turn in
+ * QUEUE_BYPASS_MAX + 1 ahead of their order, however many ranks there are.
+ */
 #define QUEUE_BYPASS_MAX 8
+/*
+ * Ranks of one class that wait apart. The calls of further ranks join those of the next
+ * rank that is less urgent. Two levels of workspaces and three of routes give six.
+ */
+#define QUEUE_RANKS_MAX 8
+#define QUEUE_BANDS_MAX (QUEUE_RANKS_MAX * ROUTE_CLASS_COUNT)
 /* Calls of a class that fills at most this share of the queue limit are not shed. */
 #define QUEUE_CLASS_SHARE_PERCENT 12
 
@@ -34,28 +44,40 @@
 /* Embedded in the waiting call. */
 typedef struct queue_item {
 	list_t link;
+	uint32_t rank;
 	route_class_t route_class;
 	uint64_t deadline;
 	uint64_t target; /* latency target as a point in time; 0: none */
 	/* Refused if it is late and has not started by then; 0: it was not late yet. */
 	uint64_t give_up_at;
-	bool late;	    /* in the late queue */
-	uint64_t queued_at; /* set by queue_push() */
-	bool queued;	    /* set by queue_push(), cleared when it leaves */
+	bool late;		 /* in the late queue */
+	uint64_t queued_at;	 /* set by queue_push() */
+	bool queued;		 /* set by queue_push(), cleared when it leaves */
+	struct queue_band *band; /* if queued and not late */
 } queue_item_t;
 
-typedef struct queue_class {
+/* The waiting calls of one rank and class. */
+typedef struct queue_band {
+	order_key_t key;
 	list_t items; /* by deadline, then arrival */
 	uint32_t count;
-	uint32_t bypassed; /* calls of higher classes taken since the last one of this */
+	uint32_t bypassed; /* calls of other bands taken ahead since the last of this */
+} queue_band_t;
+
+typedef struct queue_class {
+	queue_band_t bands[QUEUE_RANKS_MAX];
+	uint32_t bands_waiting;
+	uint32_t count;
 	double service_ns; /* smoothed time at the backend server; 0: no sample */
 	uint64_t sampled_at;
 } queue_class_t;
 
-/* Embedded by the gate. */
+/* Embedded by the gate, and not moved: the bands' lists refer to themselves. */
 typedef struct queue {
 	queue_class_t classes[ROUTE_CLASS_COUNT];
-	list_t late; /* by deadline */
+	queue_band_t *waiting[QUEUE_BANDS_MAX]; /* bands with items, by order_compare() */
+	uint32_t waiting_count;
+	list_t late; /* by rank, then deadline */
 	uint32_t late_count;
 	uint32_t late_limit;
 	uint32_t count; /* without the late items */
@@ -89,7 +111,8 @@
  * REASON_DEADLINE_PASSED; REASON_DEADLINE_TOO_SHORT: the expected wait and run do
  * not fit before its deadline; REASON_QUEUE_FULL: the queue is full and the item
  * has the lowest priority; REASON_TARGET_MISSED: the item would be late, and the
- * late queue is full or its turn at the rate limit comes after it is given up.
+ * late queue is full of calls that are as urgent, or its turn at the rate limit comes
+ * after it is given up.
  */
 reason_t queue_push(queue_t *queue, queue_item_t *item, queue_capacity_t capacity,
     uint64_t now, queue_item_t **shed);
@@ -115,9 +138,9 @@
 /* Records the time that a call of the class spent at the backend server. */
 void queue_service_record(
     queue_t *queue, route_class_t route_class, uint64_t duration_ns, uint64_t now);
-/* Expected time until a new item of this class and deadline would start, ns. */
-uint64_t queue_wait_expected(const queue_t *queue, route_class_t route_class,
-    uint64_t deadline, queue_capacity_t capacity, uint64_t now);
+/* Expected time until a new item of this key and deadline would start, ns. */
+uint64_t queue_wait_expected(const queue_t *queue, order_key_t key, uint64_t deadline,
+    queue_capacity_t capacity, uint64_t now);
 /* Queued items, with late ones. */
 uint32_t queue_length(const queue_t *queue);
 /* Queued uploads, without late ones. */
--- a/src/throttle.c
+++ b/src/throttle.c
@@ -5,6 +5,9 @@
 
 #include <math.h>
 
+/* Decayed count of calls below which a rank's pressure is left out of the sum. */
+#define PRESSURE_NEGLIGIBLE 0.01
+
 static double
 pressure_decay(const pressure_t *pressure, uint64_t now)
 {
@@ -34,11 +37,83 @@
 	return (uint32_t)(100 * pressure->refused / total);
 }
 
+static bool
+pressure_is_current(const pressure_t *pressure, uint64_t now)
+{
+	return pressure->updated_at != 0 &&
+	       pressure_decay(pressure, now) * (pressure->refused + pressure->admitted) >=
+		   PRESSURE_NEGLIGIBLE;
+}
+
 void
-throttle_init(throttle_t *throttle)
+pressure_table_record(pressure_table_t *table, uint32_t rank, bool refused, uint64_t now)
+{
+	int row = 0;
+
+	for (int i = 0; i < PRESSURE_RANKS_MAX; i++) {
+		const pressure_t *pressure = &table->pressures[i];
+
+		if (table->ranks[i] == rank && pressure->updated_at != 0) {
+			row = i;
+			break;
+		}
+		if (pressure->updated_at < table->pressures[row].updated_at)
+			row = i;
+	}
+	if (table->ranks[row] != rank || table->pressures[row].updated_at == 0) {
+		table->ranks[row] = rank;
+		table->pressures[row] = (pressure_t){0};
+	}
+	pressure_record(&table->pressures[row], refused, now);
+}
+
+uint32_t
+pressure_table_percent(const pressure_table_t *table, uint32_t rank, uint64_t now)
 {
-	for (int i = 0; i < ROUTE_CLASS_COUNT; i++)
-		throttle->classes[i] = (throttle_class_t){.share = 1};
+	pressure_t sum = {.updated_at = now};
+
+	for (int i = 0; i < PRESSURE_RANKS_MAX; i++) {
+		const pressure_t *pressure = &table->pressures[i];
+		double decay = pressure_decay(pressure, now);
+
+		if (table->ranks[i] > rank || !pressure_is_current(pressure, now))
+			continue;
+		sum.refused += pressure->refused * decay;
+		sum.admitted += pressure->admitted * decay;
+	}
+	return pressure_percent(&sum, now);
+}
+
+/* The row of a key, or NULL. */
+static throttle_row_t *
+row_find(throttle_t *throttle, order_key_t key)
+{
+	for (int i = 0; i < THROTTLE_ROWS_MAX; i++) {
+		throttle_row_t *row = &throttle->rows[i];
+
+		if (row->used && order_compare(row->key, key) == 0)
+			return row;
+	}
+	return NULL;
+}
+
+static throttle_row_t *
+row_add(throttle_t *throttle, order_key_t key)
+{
+	throttle_row_t *oldest = &throttle->rows[0];
+
+	for (int i = 0; i < THROTTLE_ROWS_MAX; i++) {
+		throttle_row_t *row = &throttle->rows[i];
+
+		if (!row->used) {
+			oldest = row;
+			break;
+		}
+		if (row->outcome_at < oldest->outcome_at)
+			oldest = row;
+	}
+	*oldest = (throttle_row_t){.used = true, .key = key, .share = 1};
+	return oldest;
 }
 
 /*
@@ -46,58 +121,112 @@
  * returns true immediately.
  */
 static bool
-step_try(throttle_class_t *class, uint64_t now)
+step_try(throttle_row_t *row, uint64_t now)
 {
-	if (now < class->step_at + THROTTLE_STEP_MS * NS_PER_MS)
+	if (now < row->step_at + THROTTLE_STEP_MS * NS_PER_MS)
 		return false;
-	class->step_at = now;
+	row->step_at = now;
 	return true;
 }
 
 static void
-share_set(throttle_class_t *class, double share)
+share_set(throttle_row_t *row, double share)
 {
-	class->share = MAX_OF(THROTTLE_SHARE_MIN, MIN_OF(share, 1.0));
+	row->share = MAX_OF(THROTTLE_SHARE_MIN, MIN_OF(share, 1.0));
+}
+
+/* Whether two rows compete for the same service, in calls that ended recently. */
+static bool
+rows_compete(const throttle_row_t *row, const throttle_row_t *other, uint64_t now)
+{
+	return other->used && row->called != 0 && other->called == row->called &&
+	       now <= other->outcome_at + THROTTLE_IDLE_MS * NS_PER_MS;
+}
+
+/*
+ * The row to reduce when calls of this one have no room: the least urgent one that
+ * calls the same service and that is not at its minimum, else the row itself.
+ */
+static throttle_row_t *
+row_to_reduce(throttle_t *throttle, throttle_row_t *row, uint64_t now)
+{
+	throttle_row_t *found = row;
+
+	for (int i = 0; i < THROTTLE_ROWS_MAX; i++) {
+		throttle_row_t *other = &throttle->rows[i];
+
+		if (rows_compete(row, other, now) && other->share > THROTTLE_SHARE_MIN &&
+		    other->key.rank > found->key.rank)
+			found = other;
+	}
+	return found;
+}
+
+/* Whether a row of a more urgent rank that calls the same service is still reduced. */
+static bool
+more_urgent_is_reduced(
+    const throttle_t *throttle, const throttle_row_t *row, uint64_t now)
+{
+	for (int i = 0; i < THROTTLE_ROWS_MAX; i++) {
+		const throttle_row_t *other = &throttle->rows[i];
+
+		if (rows_compete(row, other, now) && other->share < 1 &&
+		    other->key.rank < row->key.rank)
+			return true;
+	}
+	return false;
 }
 
 void
-throttle_call_record(throttle_t *throttle, route_class_t route_class, uint32_t pressure,
-    bool refused, bool late, uint64_t now)
-{
-	throttle_class_t *class = &throttle->classes[route_class];
-
-	class->outcome_at = now;
-	class->late += THROTTLE_LATE_SAMPLE_WEIGHT * ((late ? 1 : 0) - class->late);
-	if (refused || pressure > THROTTLE_PRESSURE_HIGH_PERCENT ||
-	    class->late > THROTTLE_LATE_HIGH) {
-		if (step_try(class, now))
-			share_set(class, class->share * THROTTLE_DECREASE_FACTOR);
-	} else if (pressure <= THROTTLE_PRESSURE_LOW_PERCENT &&
-		   class->late <= THROTTLE_LATE_LOW && class->share < 1) {
-		if (step_try(class, now))
-			share_set(class, class->share + THROTTLE_INCREASE);
+throttle_call_record(throttle_t *throttle, order_key_t key,
+    const throttle_outcome_t *outcome, uint64_t now)
+{
+	throttle_row_t *row = row_find(throttle, key);
+
+	if (row == NULL)
+		row = row_add(throttle, key);
+	row->outcome_at = now;
+	row->called = outcome->called;
+	row->late += THROTTLE_LATE_SAMPLE_WEIGHT * ((outcome->late ? 1 : 0) - row->late);
+	if (outcome->refused || outcome->pressure > THROTTLE_PRESSURE_HIGH_PERCENT ||
+	    row->late > THROTTLE_LATE_HIGH) {
+		row = row_to_reduce(throttle, row, now);
+		if (step_try(row, now))
+			share_set(row, row->share * THROTTLE_DECREASE_FACTOR);
+	} else if (outcome->pressure <= THROTTLE_PRESSURE_LOW_PERCENT &&
+		   row->late <= THROTTLE_LATE_LOW && row->share < 1 &&
+		   !more_urgent_is_reduced(throttle, row, now)) {
+		if (step_try(row, now))
+			share_set(row, row->share + THROTTLE_INCREASE);
 	}
 }
 
 bool
-throttle_admit(throttle_t *throttle, route_class_t route_class, uint64_t now)
+throttle_admit(throttle_t *throttle, order_key_t key, uint64_t now)
 {
-	throttle_class_t *class = &throttle->classes[route_class];
+	throttle_row_t *row = row_find(throttle, key);
 
-	if (route_class == ROUTE_INTERNAL || class->share >= 1)
+	if (key.route_class == ROUTE_INTERNAL || row == NULL || row->share >= 1)
 		return true;
-	if (now > class->outcome_at + THROTTLE_IDLE_MS * NS_PER_MS &&
-	    step_try(class, now))
-		share_set(class, class->share + THROTTLE_INCREASE);
-	class->tokens += class->share;
-	if (class->tokens < 1)
+	if (now > row->outcome_at + THROTTLE_IDLE_MS * NS_PER_MS && step_try(row, now))
+		share_set(row, row->share + THROTTLE_INCREASE);
+	row->tokens += row->share;
+	if (row->tokens < 1)
 		return false;
-	class->tokens -= 1;
+	row->tokens -= 1;
 	return true;
 }
 
 uint32_t
 throttle_percent(const throttle_t *throttle, route_class_t route_class)
 {
-	return (uint32_t)(throttle->classes[route_class].share * 100 + 0.5);
+	double share = 1;
+
+	for (int i = 0; i < THROTTLE_ROWS_MAX; i++) {
+		const throttle_row_t *row = &throttle->rows[i];
+
+		if (row->used && row->key.route_class == route_class)
+			share = MIN_OF(share, row->share);
+	}
+	return (uint32_t)(share * 100 + 0.5);
 }
--- a/src/throttle.h
+++ b/src/throttle.h
@@ -1,14 +1,15 @@
 /*
- * Admission throttle: limits the share of new requests of each class that a gate
- * admits while the services that these requests call are overloaded. A request
+ * Admission throttle: limits the share of new requests of each rank and class that a
+ * gate admits while the services that these requests call are overloaded. A request
  * whose nested calls are refused fails after it has occupied a slot, and its calls
- * use capacity of the called service that more urgent work needs. No I/O; times
- * are monotonic, ns. Not thread-safe.
+ * use capacity of the called service that more urgent work needs. Of the requests that
+ * call the same service, the least urgent ones are reduced first. No I/O; times are
+ * monotonic, ns. Not thread-safe.
  */
 #ifndef MASTICPITCH_THROTTLE_H
 #define MASTICPITCH_THROTTLE_H
 
-#include "preset.h"
+#include "order.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -39,19 +40,38 @@
 /* If no call ends for this time, the share increases, ms. */
 #define THROTTLE_IDLE_MS 500
 
-typedef struct throttle_class {
+/* Ranks and classes with a share of their own; the one unused for longest is replaced. */
+#define THROTTLE_ROWS_MAX 16
+
+typedef struct throttle_row {
+	bool used;
+	order_key_t key;
+	uint64_t called;     /* hash of the service that it called last; 0: not known */
 	double share;	     /* admitted fraction of new requests */
 	double tokens;	     /* admitting a request costs 1 */
 	uint64_t step_at;    /* latest change of share */
 	uint64_t outcome_at; /* latest end of a call */
 	double late;	     /* smoothed fraction of late calls */
-} throttle_class_t;
+} throttle_row_t;
 
+/* Zero-initialized. */
 typedef struct throttle {
-	throttle_class_t classes[ROUTE_CLASS_COUNT];
+	throttle_row_t rows[THROTTLE_ROWS_MAX];
 } throttle_t;
 
-/* Share of urgent calls that a gate refuses because of load. Zero-initialized. */
+/* The end of a nested call. */
+typedef struct throttle_outcome {
+	uint64_t called; /* hash of the name of the called service; 0: not known */
+	/*
+	 * Share of the calls there, of the same and of more urgent ranks, that are
+	 * refused because of load, percent.
+	 */
+	uint32_t pressure;
+	bool refused; /* this call was refused for load */
+	bool late;    /* it took so long that the request misses its latency target */
+} throttle_outcome_t;
+
+/* Share of calls that a gate refuses because of load. Zero-initialized. */
 typedef struct pressure {
 	double refused; /* count; both decay with PRESSURE_HALF_LIFE_MS */
 	double admitted;
@@ -66,21 +86,33 @@
 void pressure_record(pressure_t *pressure, bool refused, uint64_t now);
 uint32_t pressure_percent(const pressure_t *pressure, uint64_t now);
 
-void throttle_init(throttle_t *throttle);
+/* Ranks whose pressure is counted apart; the one unused for longest is replaced. */
+#define PRESSURE_RANKS_MAX 8
+
+/* Pressure by rank. Zero-initialized. */
+typedef struct pressure_table {
+	uint32_t ranks[PRESSURE_RANKS_MAX];
+	pressure_t pressures[PRESSURE_RANKS_MAX];
+} pressure_table_t;
+
+void pressure_table_record(
+    pressure_table_t *table, uint32_t rank, bool refused, uint64_t now);
 /*
- * Records the end of a nested call made by a request of the class. pressure: share
- * of urgent calls that the called service refuses because of load, percent.
- * refused: this call was refused for load. late: the call took so long that the
- * request misses its latency target.
+ * Pressure of the calls of a rank and of more urgent ones: refusals of less urgent
+ * calls are no reason to send fewer of these.
  */
-void throttle_call_record(throttle_t *throttle, route_class_t route_class,
-    uint32_t pressure, bool refused, bool late, uint64_t now);
+uint32_t pressure_table_percent(
+    const pressure_table_t *table, uint32_t rank, uint64_t now);
+
+/* Records the end of a nested call made by a request of this key. */
+void throttle_call_record(throttle_t *throttle, order_key_t key,
+    const throttle_outcome_t *outcome, uint64_t now);
 /*
- * True if a new request of the class is admitted; always for ROUTE_INTERNAL. Not
+ * True if a new request of this key is admitted; always for ROUTE_INTERNAL. Not
  * called for calls nested in running requests, which are always admitted.
  */
-bool throttle_admit(throttle_t *throttle, route_class_t route_class, uint64_t now);
-/* Share of a class for reports, percent. */
+bool throttle_admit(throttle_t *throttle, order_key_t key, uint64_t now);
+/* Smallest share over the ranks of a class, for reports, percent. */
 uint32_t throttle_percent(const throttle_t *throttle, route_class_t route_class);
 
 #ifdef __cplusplus
--- a/test/policy_simulation.h
+++ b/test/policy_simulation.h
@@ -518,15 +518,22 @@
 		gate_t *gate = &gates[event.gate];
 
 		for (queue_class_t &each : gate->queue.classes) {
-			LIST_FOREACH_SAFE (node, &each.items) {
-				queue_item_t *item = LIST_ENTRY(node, queue_item_t, link);
-
-				if (call_of(item)->request != event.request ||
-				    call_of(item)->attempt != event.attempt)
-					continue;
-				queue_remove(&gate->queue, item);
-				calls_free.push_back(call_of(item));
-			}
+			for (queue_band_t &band : each.bands)
+				band_cancel(gate, &band, event);
+		}
+	}
+
+	void
+	band_cancel(gate_t *gate, queue_band_t *band, const event_t &event)
+	{
+		LIST_FOREACH_SAFE (node, &band->items) {
+			queue_item_t *item = LIST_ENTRY(node, queue_item_t, link);
+
+			if (call_of(item)->request != event.request ||
+			    call_of(item)->attempt != event.attempt)
+				continue;
+			queue_remove(&gate->queue, item);
+			calls_free.push_back(call_of(item));
 		}
 	}
 
--- a/test/test_queue.cc
+++ b/test/test_queue.cc
@@ -155,11 +155,11 @@
 		ASSERT_EQ(push(make(ROUTE_UPLOAD, 1000000)), REASON_NONE);
 		ASSERT_EQ(push(make(ROUTE_LOOKUP, 1000)), REASON_NONE);
 	}
-	EXPECT_EQ(
-	    queue_wait_expected(&queue, ROUTE_LOOKUP, now + 2 * NS_PER_S, capacity, now),
+	EXPECT_EQ(queue_wait_expected(
+		      &queue, {0, ROUTE_LOOKUP}, now + 2 * NS_PER_S, capacity, now),
 	    4 * NS_PER_MS);
 	EXPECT_EQ(queue_wait_expected(
-		      &queue, ROUTE_UPLOAD, now + 2000 * NS_PER_S, capacity, now),
+		      &queue, {0, ROUTE_UPLOAD}, now + 2000 * NS_PER_S, capacity, now),
 	    120 * NS_PER_S + 3 * NS_PER_MS);
 }
 
@@ -402,7 +402,7 @@
 		    queue_push(&queue, make(ROUTE_LOOKUP, 1000), capacity, now, &shed),
 		    REASON_NONE);
 	EXPECT_EQ(queue_wait_expected(
-		      &queue, ROUTE_LOOKUP, now + 1000 * NS_PER_MS, capacity, now),
+		      &queue, {0, ROUTE_LOOKUP}, now + 1000 * NS_PER_MS, capacity, now),
 	    350 * NS_PER_MS);
 	EXPECT_EQ(queue_push(&queue, make(ROUTE_LOOKUP, 300), capacity, now, &shed),
 	    REASON_NONE);
--- a/test/test_throttle.cc
+++ b/test/test_throttle.cc
@@ -13,13 +13,24 @@
 
 const uint64_t START = 100 * NS_PER_S;
 
+// The end of a call that a request of rank 0 has made.
+void
+record(throttle_t *throttle, route_class_t route_class, uint32_t pressure, bool refused,
+    bool late, uint64_t now)
+{
+	throttle_outcome_t outcome = {
+	    .called = 1, .pressure = pressure, .refused = refused, .late = late};
+
+	throttle_call_record(throttle, {0, route_class}, &outcome, now);
+}
+
 int
 admitted_of(throttle_t *throttle, route_class_t route_class, int count, uint64_t now)
 {
 	int admitted = 0;
 
 	for (int i = 0; i < count; i++)
-		admitted += throttle_admit(throttle, route_class, now);
+		admitted += throttle_admit(throttle, {0, route_class}, now);
 	return admitted;
 }
 
@@ -27,14 +38,13 @@
 // which left 9,106 runs of a day without a result.
 TEST(Throttle, RefusedCallsReduceTheShareOfTheirClass)
 {
-	throttle_t throttle;
+	throttle_t throttle = {};
 	uint64_t now = START;
 
-	throttle_init(&throttle);
 	EXPECT_EQ(admitted_of(&throttle, ROUTE_LOOKUP, 100, now), 100);
 	for (int i = 0; i < 30; i++) {
 		now += THROTTLE_STEP_MS * NS_PER_MS;
-		throttle_call_record(&throttle, ROUTE_LOOKUP, 0, true, false, now);
+		record(&throttle, ROUTE_LOOKUP, 0, true, false, now);
 	}
 	EXPECT_LE(admitted_of(&throttle, ROUTE_LOOKUP, 1000, now), 110);
 	EXPECT_GE(admitted_of(&throttle, ROUTE_LOOKUP, 1000, now), 90);
@@ -48,24 +58,23 @@
 // 42,134 late).
 TEST(Throttle, LateCallsReduceTheShareOfTheirClass)
 {
-	throttle_t throttle;
+	throttle_t throttle = {};
 	uint64_t now = START;
 
-	throttle_init(&throttle);
 	for (int i = 0; i < 200; i++) {
 		now += 10 * NS_PER_MS;
-		throttle_call_record(&throttle, ROUTE_LOOKUP, 0, false, i % 10 == 0, now);
+		record(&throttle, ROUTE_LOOKUP, 0, false, i % 10 == 0, now);
 	}
 	/* One late call in ten is below the threshold. */
 	EXPECT_EQ(throttle_percent(&throttle, ROUTE_LOOKUP), 100u);
 	for (int i = 0; i < 400; i++) {
 		now += 10 * NS_PER_MS;
-		throttle_call_record(&throttle, ROUTE_LOOKUP, 0, false, i % 2 == 0, now);
+		record(&throttle, ROUTE_LOOKUP, 0, false, i % 2 == 0, now);
 	}
 	EXPECT_LT(throttle_percent(&throttle, ROUTE_LOOKUP), 50u);
 	for (int i = 0; i < 400; i++) {
 		now += 10 * NS_PER_MS;
-		throttle_call_record(&throttle, ROUTE_LOOKUP, 0, false, false, now);
+		record(&throttle, ROUTE_LOOKUP, 0, false, false, now);
 	}
 	EXPECT_EQ(throttle_percent(&throttle, ROUTE_LOOKUP), 100u);
 }
@@ -73,11 +82,10 @@
 // Guards against a short burst of refusals stopping a class immediately.
 TEST(Throttle, TheShareChangesOncePerStep)
 {
-	throttle_t throttle;
+	throttle_t throttle = {};
 
-	throttle_init(&throttle);
 	for (int i = 0; i < 100; i++)
-		throttle_call_record(&throttle, ROUTE_LOOKUP, 100, true, false, START);
+		record(&throttle, ROUTE_LOOKUP, 100, true, false, START);
 	EXPECT_EQ(throttle_percent(&throttle, ROUTE_LOOKUP), 90u);
 }
 
@@ -85,22 +93,20 @@
 // because no request is admitted whose calls would show the recovery.
 TEST(Throttle, TheShareRecovers)
 {
-	throttle_t throttle;
+	throttle_t throttle = {};
 	uint64_t now = START;
 
-	throttle_init(&throttle);
 	for (int i = 0; i < 40; i++) {
 		now += THROTTLE_STEP_MS * NS_PER_MS;
-		throttle_call_record(&throttle, ROUTE_LOOKUP, 100, false, false, now);
+		record(&throttle, ROUTE_LOOKUP, 100, false, false, now);
 	}
 	ASSERT_EQ(throttle_percent(&throttle, ROUTE_LOOKUP), 10u);
 	for (int i = 0; i < 30; i++) {
 		now += THROTTLE_STEP_MS * NS_PER_MS;
 		if (i < 10)
-			throttle_call_record(
-			    &throttle, ROUTE_LOOKUP, 0, false, false, now);
+			record(&throttle, ROUTE_LOOKUP, 0, false, false, now);
 		else
-			throttle_admit(&throttle, ROUTE_LOOKUP, now);
+			throttle_admit(&throttle, {0, ROUTE_LOOKUP}, now);
 	}
 	EXPECT_EQ(throttle_percent(&throttle, ROUTE_LOOKUP), 100u);
 }
