Refusals for load: returns in time, shares of workspaces, late calls wait

A caller refused for load returns while it can still be in time (retry_after) instead of after 100 to 500 ms; the end of the retry budget after refusals for load counts as one, for the caller and for the gate of the request that made the call. The throttle no longer counts a call as late by its nested call when it waited longer at its own gate; after an overload slot-view was refused at empty queues for 4 s. A call without room displaces one of a workspace with twice as much waiting for its rate. While arrivals find no room in time, late calls leave a slot free. Counters of gate refusals by priority, of the throttle's steps and of held late calls; the rank in the request's log line.

--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -85,12 +85,6 @@
  * since entries have no information on each other's retries.
  */
 #define ENTRY_RETRY_EXTRA_SHARE 0.6
-/*
- * Range of the random Retry-After of an overload refusal, ms. Callers wait for at
- * most a third of the time to their deadline.
- */
-#define ENTRY_RETRY_AFTER_MIN_MS 100
-#define ENTRY_RETRY_AFTER_MAX_MS 500
 /*
  * A request is not retried after this many of its attempts ended as
  * REASON_BACKEND_LOST: the third attempt of a lookup that crashes backend servers
--- a/src/entry_refuse.c
+++ b/src/entry_refuse.c
@@ -3,6 +3,7 @@
  * refusal of the request.
  */
 #include "entry_internal.h"
+#include "retry_after.h"
 
 void
 entry_stream_post(entry_request_t *request, message_t *message)
@@ -64,22 +65,42 @@
 	balance_attempt_end(entry->balance, &request->attempt, kernel_now(entry->kernel));
 }
 
+/*
+ * True if the request was not run because there was no room for it. The retry budget
+ * ends a request after several gates have refused it; their reason counts then.
+ */
+static bool
+refusal_is_overload(const entry_request_t *request, reason_t reason, run_state_t run)
+{
+	if (reason == REASON_RETRY_BUDGET)
+		reason = request->last_reason;
+	return run == RUN_NO && reason_is_overload(reason);
+}
+
+static uint32_t
+refusal_retry_after(const entry_request_t *request)
+{
+	const entry_t *entry = request->entry;
+	retry_after_t retry_after = {.deadline = request->head->deadline,
+	    .target = request->head->target,
+	    .run_ns = request->last_load.latency_us * NS_PER_US};
+
+	return retry_after_ms(
+	    &retry_after, kernel_rng(entry->kernel), kernel_now(entry->kernel));
+}
+
 void
 entry_request_refuse(
     entry_request_t *request, reason_t reason, run_state_t run, bool final)
 {
 	entry_t *entry = request->entry;
+	bool overload = refusal_is_overload(request, reason, run);
 
 	metrics_refusal_add(kernel_metrics(entry->kernel), reason);
 	entry_attempt_cancel(request);
-	entry_nested_report(request, &request->last_load,
-	    run == RUN_NO && reason_is_overload(reason), true);
-	if (run == RUN_NO && request->refusal.retry_after_ms == 0 &&
-	    reason_is_overload(reason))
-		request->refusal.retry_after_ms =
-		    ENTRY_RETRY_AFTER_MIN_MS +
-		    (uint32_t)rng_below(kernel_rng(entry->kernel),
-			ENTRY_RETRY_AFTER_MAX_MS - ENTRY_RETRY_AFTER_MIN_MS);
+	entry_nested_report(request, &request->last_load, overload, true);
+	if (overload && request->refusal.retry_after_ms == 0)
+		request->refusal.retry_after_ms = refusal_retry_after(request);
 	request->refusal.reason = reason;
 	request->refusal.run = run;
 	request->refusal.final = final;
--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -40,7 +40,8 @@
 	    LOG_NUMBER(
 		"version", request->snapshot != NULL ? request->snapshot->version : 0),
 	    LOG_TEXT("class", route_class_text(head->route_class)),
-	    LOG_NUMBER("attempts", request->attempts), LOG_TEXT("instance_node", node),
+	    LOG_NUMBER("rank", head->rank), LOG_NUMBER("attempts", request->attempts),
+	    LOG_TEXT("instance_node", node),
 	    LOG_NUMBER("first_byte_ms",
 		request->first_byte_at != 0
 		    ? elapsed_ms(request->accepted_at, request->first_byte_at)
--- a/src/gate.c
+++ b/src/gate.c
@@ -60,6 +60,7 @@
 	    call, call->answered ? MESSAGE_ANSWER_ABORT : MESSAGE_REFUSAL);
 
 	metrics_refusal_add(kernel_metrics(gate->kernel), reason);
+	metrics_gate_refusal_add(kernel_metrics(gate->kernel), reason, call->head->rank);
 	gate_ticket_fail(call, run);
 	if (message != NULL) {
 		message->u.refusal.reason = reason;
@@ -128,6 +129,7 @@
 		return NULL;
 	call->gate = gate;
 	call->head = message->u.call;
+	call->arrived_at = now;
 	call->stream.service = message->from;
 	call->stream.node = message->node;
 	call->stream.stream = message->stream;
@@ -285,13 +287,30 @@
 
 /*
  * True if call missed its latency target and a nested call of this duration took
- * more than half of its running time.
+ * more than half of the time since it arrived here. A call that waited for longer is
+ * late because this gate has no room, which fewer admitted requests would not change.
  */
 static bool
 nested_call_missed_target(const gate_call_t *call, uint64_t duration, uint64_t now)
 {
 	return call->head->target > call->started_at && now > call->head->target &&
-	       duration > (now - call->started_at) / 2;
+	       duration > (now - call->arrived_at) / 2;
+}
+
+static void
+throttle_change_report(gate_t *gate, const throttle_change_t *change)
+{
+	if (change->cause == THROTTLE_UNCHANGED)
+		return;
+	metrics_add(kernel_metrics(gate->kernel),
+	    change->cause == THROTTLE_ROOM ? METRIC_THROTTLE_RAISED
+					   : METRIC_THROTTLE_LOWERED,
+	    1);
+	log_info(kernel_log(gate->kernel), "share of admitted requests changed",
+	    LOG_TEXT("cause", throttle_cause_text(change->cause)),
+	    LOG_NUMBER("rank", change->key.rank),
+	    LOG_TEXT("class", route_class_text(change->key.route_class)),
+	    LOG_NUMBER("percent", (int64_t)(change->share * 100 + 0.5)));
 }
 
 /* Records the end of a nested call, if the call that made it is still running. */
@@ -300,6 +319,7 @@
 {
 	uint64_t now = kernel_now(gate->kernel);
 	throttle_outcome_t outcome;
+	throttle_change_t change;
 
 	LIST_FOREACH (node, &gate->calls) {
 		gate_call_t *call = LIST_ENTRY(node, gate_call_t, link);
@@ -313,7 +333,9 @@
 		    .refused = message->u.nested.refused,
 		    .late =
 			nested_call_missed_target(call, message->u.nested.duration, now)};
-		throttle_call_record(&gate->throttle, gate_call_key(call), &outcome, now);
+		change = throttle_call_record(
+		    &gate->throttle, gate_call_key(call), &outcome, now);
+		throttle_change_report(gate, &change);
 		return;
 	}
 }
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -131,6 +131,19 @@
 	       limit_gate_admits(&gate->limit, route_class);
 }
 
+/* Rate of the call's workspace in the version in force; 0: it has none. */
+static double
+workspace_rate(const gate_call_t *call)
+{
+	const gate_t *gate = call->gate;
+	const preset_workspace_t *workspace = NULL;
+
+	if (gate->snapshot != NULL && call->head->workspace[0] != '\0')
+		workspace =
+		    preset_workspace_find(gate->snapshot->preset, call->head->workspace);
+	return workspace != NULL ? workspace->rate : 0;
+}
+
 static reason_t
 call_queue(gate_call_t *call, uint64_t now)
 {
@@ -144,6 +157,9 @@
 
 	call->item.rank = call->head->rank;
 	call->item.route_class = call->head->route_class;
+	call->item.workspace =
+	    call->head->workspace[0] != '\0' ? hash_string(call->head->workspace) : 0;
+	call->item.workspace_rate = workspace_rate(call);
 	call->item.deadline = call->head->deadline;
 	call->item.target = call->head->target;
 	reason = queue_push(&gate->queue, &call->item, capacity, now, &shed);
@@ -167,6 +183,33 @@
 		    &call->gate->pressure, call->head->rank, refused, now);
 }
 
+/* Nested calls have no latency target of their own. */
+static void
+shortage_update(const gate_call_t *call, bool late, uint64_t now)
+{
+	if (call->head->route_class != ROUTE_INTERNAL)
+		pressure_record(&call->gate->shortage, late, now);
+}
+
+/*
+ * Late calls wait while many arriving calls find no room in time, unless they leave a
+ * slot free for the next one.
+ */
+static void
+late_hold_update(gate_t *gate, uint64_t now)
+{
+	uint32_t running = limit_gate_non_uploads(&gate->limit);
+	bool held =
+	    running > 0 &&
+	    running + GATE_LATE_FREE_SLOTS >= limit_gate_non_uploads_max(&gate->limit) &&
+	    pressure_percent(&gate->shortage, now) > GATE_SHORTAGE_PERCENT;
+
+	if (held != gate->queue.late_held)
+		metrics_add(kernel_metrics(gate->kernel),
+		    held ? METRIC_GATE_LATE_HELD : METRIC_GATE_LATE_RELEASED, 1);
+	queue_late_hold(&gate->queue, held);
+}
+
 void
 gate_call_admit(gate_call_t *call)
 {
@@ -196,13 +239,16 @@
 	}
 	if (call_may_run(call)) {
 		pressure_update(call, false, now);
+		shortage_update(call, false, now);
 		call_start(call);
 		return;
 	}
 	if (!gate_rate_admits(gate))
 		metrics_add(kernel_metrics(gate->kernel), METRIC_GATE_RATE_LIMITED, 1);
+	late_hold_update(gate, now);
 	reason = call_queue(call, now);
 	pressure_update(call, reason != REASON_NONE, now);
+	pressure_record(&gate->shortage, reason != REASON_NONE || call->item.late, now);
 	if (reason != REASON_NONE)
 		gate_call_refuse(call, reason, RUN_NO, false);
 }
@@ -247,7 +293,10 @@
 	now = kernel_now(gate->kernel);
 	queue_expire_late(gate, now);
 	while (gate->backend.live && gate_rate_admits(gate)) {
-		queue_item_t *item =
+		queue_item_t *item;
+
+		late_hold_update(gate, now);
+		item =
 		    queue_pop(&gate->queue, limit_gate_admits(&gate->limit, ROUTE_UPLOAD),
 			limit_gate_admits(&gate->limit, ROUTE_LOOKUP), now);
 
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -63,6 +63,13 @@
 #define GATE_ITERATION_READ_MAX_BYTES (64 * 1024)
 /* Time for the body of a refusal to end, after which its connection is closed, ms. */
 #define GATE_REFUSAL_BODY_MS 100
+/*
+ * Share of the arriving calls that cannot be in time here above which late calls leave
+ * GATE_LATE_FREE_SLOTS free for those that can, percent. A burst of a few calls causes
+ * less.
+ */
+#define GATE_SHORTAGE_PERCENT 15
+#define GATE_LATE_FREE_SLOTS 1
 /* Queued and running calls of a gate; further calls are refused. */
 #define GATE_CALLS_MAX 8192
 /* Connect timeout: a working backend server on the same host accepts immediately. */
@@ -95,6 +102,7 @@
 	rate_limit_t rate_limit;
 	throttle_t throttle;
 	pressure_table_t pressure;
+	pressure_t shortage; /* arriving calls that could not be in time */
 	bool naive;
 	bool in_queue_run; /* gate_queue_run() is active */
 	ticket_table_t *tickets;
@@ -145,6 +153,7 @@
 	call_head_t *head;
 	gate_call_state_t state;
 	ev_timer deadline;
+	uint64_t arrived_at;
 	uint64_t started_at;
 	uint32_t running_at_start;
 	bool fingerprint_in_flight; /* in the quarantine's in-flight set */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -50,6 +50,13 @@
 	metrics->refusals[reason]++;
 }
 
+void
+metrics_gate_refusal_add(metrics_t *metrics, reason_t reason, uint32_t rank)
+{
+	INVARIANT((unsigned)reason < REASON_COUNT);
+	metrics->gate_refusals[order_band(rank)][reason]++;
+}
+
 void
 metrics_retry_add(metrics_t *metrics, reason_t reason)
 {
@@ -150,6 +157,31 @@
 	return error;
 }
 
+/* Only counters above 0: most reasons concern few ranks. */
+static int
+gate_refusals_format(const metrics_t *metrics, buffer_t *text)
+{
+	int error = buffer_printf(text,
+	    "# HELP masticpitch_gate_refusals_total calls refused by the gate, by "
+	    "priority of workspace and route\n"
+	    "# TYPE masticpitch_gate_refusals_total counter\n");
+
+	for (unsigned i = 0; i < ORDER_BANDS * REASON_COUNT; i++) {
+		unsigned band = i / REASON_COUNT;
+		reason_t reason = (reason_t)(i % REASON_COUNT);
+		uint64_t count = metrics->gate_refusals[band][reason];
+
+		if (error != MASTICPITCH_OK || count == 0)
+			continue;
+		error = buffer_printf(text,
+		    "masticpitch_gate_refusals_total{reason=\"%s\",priority=\"%s\"} "
+		    "%llu\n",
+		    reason_text(reason), order_band_text(band),
+		    (unsigned long long)count);
+	}
+	return error;
+}
+
 int
 metrics_format(const metrics_t *metrics, buffer_t *text)
 {
@@ -178,6 +210,8 @@
 	if (error == MASTICPITCH_OK)
 		error = reasons_format(metrics->retries, "retries_total",
 		    "attempts repeated, by the reason of the failed one", text);
+	if (error == MASTICPITCH_OK)
+		error = gate_refusals_format(metrics, text);
 	for (int i = 0; error == MASTICPITCH_OK && i < HISTOGRAM_COUNT; i++)
 		error =
 		    histogram_format(&metrics->histograms[i], histogram_names[i], text);
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -6,6 +6,7 @@
 #define MASTICPITCH_METRICS_H
 
 #include "buffer.h"
+#include "order.h"
 #include "reason.h"
 
 #include <stdint.h>
@@ -43,12 +44,15 @@
 	uint64_t values[METRIC_COUNT];
 	uint64_t refusals[REASON_COUNT];
 	uint64_t retries[REASON_COUNT];
+	uint64_t gate_refusals[ORDER_BANDS][REASON_COUNT];
 	histogram_t histograms[HISTOGRAM_COUNT];
 } metrics_t;
 
 void metrics_add(metrics_t *metrics, metric_t metric, uint64_t amount);
 void metrics_set(metrics_t *metrics, metric_t metric, uint64_t value);
 void metrics_refusal_add(metrics_t *metrics, reason_t reason);
+/* A call of a rank that the gate refused; counted in addition to the reason. */
+void metrics_gate_refusal_add(metrics_t *metrics, reason_t reason, uint32_t rank);
 void metrics_retry_add(metrics_t *metrics, reason_t reason);
 /* Records a duration in ns. */
 void metrics_observe(metrics_t *metrics, metric_histogram_t which, uint64_t duration_ns);
--- a/src/order.h
+++ b/src/order.h
@@ -19,7 +19,17 @@
 } order_key_t;
 
 /* Below 0: a is served before b; 0: the keys are equal. */
-int order_compare(order_key_t a, order_key_t b);
+int order_key_compare(order_key_t a, order_key_t b);
+
+/*
+ * Bands of ranks for counters: the workspace's priority is 0, or lower, and the route's
+ * priority is 0, 1, or lower.
+ */
+#define ORDER_BANDS 6
+
+unsigned order_band(uint32_t rank);
+/* As in "0/2+": workspace, route. */
+const char *order_band_text(unsigned band);
 
 #ifdef __cplusplus
 }
--- a/src/queue.c
+++ b/src/queue.c
@@ -85,8 +85,8 @@
 
 	band->key = key;
 	band->bypassed = 0;
-	while (
-	    position > 0 && order_compare(queue->waiting[position - 1]->key, key) > 0) {
+	while (position > 0 &&
+	       order_key_compare(queue->waiting[position - 1]->key, key) > 0) {
 		queue->waiting[position] = queue->waiting[position - 1];
 		position--;
 	}
@@ -223,7 +223,7 @@
 
 	for (uint32_t i = 0; i < queue->waiting_count; i++) {
 		const queue_band_t *band = queue->waiting[i];
-		int order = order_compare(band->key, key);
+		int order = order_key_compare(band->key, key);
 		uint32_t ahead =
 		    order == 0 ? band_count_ahead(band, deadline) : band->count;
 
@@ -340,6 +340,88 @@
 	return band_last(queue->waiting[queue->waiting_count - 1]);
 }
 
+/* Calls of a workspace that wait in a band, for each call a second of its quota. */
+static double
+workspace_load(
+    const queue_band_t *band, uint64_t workspace, double rate, uint32_t additional)
+{
+	uint32_t count = additional;
+
+	LIST_FOREACH (node, &band->items)
+		count +=
+		    LIST_ENTRY(node, const queue_item_t, link)->workspace == workspace;
+	return rate > 0 ? count / rate : count;
+}
+
+/*
+ * The last waiting call of the workspace that has most waiting in the band of an item
+ * that finds no room, if that is in excess of the item's own; else NULL. Without this, a
+ * workspace with many times its usual requests takes the room of the others of its rank.
+ */
+static queue_item_t *
+queue_excess_find(const queue_t *queue, const queue_item_t *item)
+{
+	queue_item_t *found = NULL;
+	double most;
+
+	for (uint32_t i = 0; i < queue->waiting_count; i++) {
+		const queue_band_t *band = queue->waiting[i];
+
+		if (order_key_compare(band->key, item_key(item)) != 0)
+			continue;
+		most = QUEUE_WORKSPACE_EXCESS *
+		       workspace_load(band, item->workspace, item->workspace_rate, 1);
+		for (list_t *node = band->items.prev; node != &band->items;
+		     node = node->prev) {
+			queue_item_t *other = LIST_ENTRY(node, queue_item_t, link);
+			double load;
+
+			if (other->workspace == item->workspace || other->workspace == 0)
+				continue;
+			load = workspace_load(
+			    band, other->workspace, other->workspace_rate, 0);
+			if (load <= most)
+				continue;
+			most = load;
+			found = other;
+		}
+	}
+	return found;
+}
+
+/* Time until the answer of an item that is queued now, ns. */
+static uint64_t
+item_needed(const queue_t *queue, const queue_item_t *item, queue_capacity_t capacity,
+    uint64_t now)
+{
+	return queue_wait_expected(queue, item_key(item), item->deadline, capacity, now) +
+	       item_run_expected(queue, item, now);
+}
+
+/*
+ * Removes a call of a workspace with too many if a late item is in time then; true with
+ * *shed if so.
+ */
+static bool
+excess_displace(queue_t *queue, const queue_item_t *item, queue_capacity_t capacity,
+    uint64_t now, queue_item_t **shed)
+{
+	queue_item_t *other;
+
+	if (item->workspace == 0)
+		return false;
+	other = queue_excess_find(queue, item);
+	if (other == NULL || other->deadline > item->deadline)
+		return false;
+	queue_remove(queue, other);
+	if (item_is_late(item, item_needed(queue, item, capacity, now), now)) {
+		queue_insert(queue, other, other->queued_at);
+		return false;
+	}
+	*shed = other;
+	return true;
+}
+
 reason_t
 queue_push(queue_t *queue, queue_item_t *item, queue_capacity_t capacity, uint64_t now,
     queue_item_t **shed)
@@ -357,20 +439,21 @@
 	}
 	if (item->deadline <= now)
 		return REASON_DEADLINE_PASSED;
-	needed =
-	    queue_wait_expected(queue, item_key(item), item->deadline, capacity, now) +
-	    item_run_expected(queue, item, now);
+	needed = item_needed(queue, item, capacity, now);
 	if (needed > item->deadline - now)
 		return REASON_DEADLINE_TOO_SHORT;
-	if (item_is_late(item, needed, now)) {
-		if (!late_turn_suffices(queue, item, capacity, now) ||
+	if (item_is_late(item, needed, now) &&
+	    !excess_displace(queue, item, capacity, now, shed)) {
+		if ((queue->late_held &&
+			!item_is_late(item, item_run_expected(queue, item, now), now)) ||
+		    !late_turn_suffices(queue, item, capacity, now) ||
 		    !late_reserve(queue, item, shed))
 			return REASON_TARGET_MISSED;
 		late_insert(queue, item, now);
 		return REASON_NONE;
 	}
 	queue_insert(queue, item, now);
-	if (queue->count <= queue->limit)
+	if (queue->count <= queue->limit || *shed != NULL)
 		return REASON_NONE;
 	*shed = queue_shed_candidate(queue);
 	INVARIANT(*shed != NULL);
@@ -465,7 +548,7 @@
 	late_collect(queue, now);
 	next = queue_next_band(queue, uploads, non_uploads);
 	if (next == NULL)
-		return late_pop(queue, uploads, non_uploads);
+		return queue->late_held ? NULL : late_pop(queue, uploads, non_uploads);
 	for (uint32_t i = queue->waiting_count; queue->waiting[i - 1] != next; i--)
 		queue->waiting[i - 1]->bypassed++;
 	next->bypassed = 0;
@@ -474,6 +557,12 @@
 	return item;
 }
 
+void
+queue_late_hold(queue_t *queue, bool held)
+{
+	queue->late_held = held;
+}
+
 /* Removes and returns the late item past give_up_at that is due first, or NULL. */
 static queue_item_t *
 late_expire(queue_t *queue, uint64_t now, reason_t *reason)
--- a/src/queue.h
+++ b/src/queue.h
@@ -33,6 +33,12 @@
  */
 #define QUEUE_RANKS_MAX 8
 #define QUEUE_BANDS_MAX (QUEUE_RANKS_MAX * ROUTE_CLASS_COUNT)
+/*
+ * A call that has no room displaces one of its band whose workspace has this many times
+ * as much waiting for its rate. Small queues hold one call more or less of a workspace
+ * by chance.
+ */
+#define QUEUE_WORKSPACE_EXCESS 2
 /* Calls of a class that fills at most this share of the queue limit are not shed. */
 #define QUEUE_CLASS_SHARE_PERCENT 12
 
@@ -46,6 +52,9 @@
 	list_t link;
 	uint32_t rank;
 	route_class_t route_class;
+	uint64_t workspace; /* hash of its name; 0: none */
+	/* Rate that its quota allows; 0: no quota. Workspaces share room by it. */
+	double workspace_rate;
 	uint64_t deadline;
 	uint64_t target; /* latency target as a point in time; 0: none */
 	/* Refused if it is late and has not started by then; 0: it was not late yet. */
@@ -75,11 +84,13 @@
 /* Embedded by the gate, and not moved: the bands' lists refer to themselves. */
 typedef struct queue {
 	queue_class_t classes[ROUTE_CLASS_COUNT];
-	queue_band_t *waiting[QUEUE_BANDS_MAX]; /* bands with items, by order_compare() */
+	queue_band_t
+	    *waiting[QUEUE_BANDS_MAX]; /* bands with items, by order_key_compare() */
 	uint32_t waiting_count;
 	list_t late; /* by rank, then deadline */
 	uint32_t late_count;
 	uint32_t late_limit;
+	bool late_held; /* see queue_late_hold() */
 	uint32_t count; /* without the late items */
 	uint32_t limit;
 	bool prioritized; /* false (naive policy): first come first served, no shedding */
@@ -106,7 +117,8 @@
 /*
  * Adds an item. capacity: calls that the gate may run concurrently. Returns
  * REASON_NONE with the item queued; then *shed, if not NULL, is an item that was
- * removed to make room and is to be refused as not run with REASON_QUEUE_SHED.
+ * removed to make room, for a more urgent one or for one of a workspace that has less
+ * waiting, and is to be refused as not run with REASON_QUEUE_SHED.
  * Otherwise the item is not queued and is to be refused as not run:
  * REASON_DEADLINE_PASSED; REASON_DEADLINE_TOO_SHORT: the expected wait and run do
  * not fit before its deadline; REASON_QUEUE_FULL: the queue is full and the item
@@ -128,6 +140,13 @@
  * (DEADLINE_PASSED, DEADLINE_TOO_SHORT or TARGET_MISSED).
  */
 queue_item_t *queue_expire(queue_t *queue, uint64_t now, reason_t *reason);
+/*
+ * Whether late calls are to wait although a call may start. A late call that starts
+ * makes the next arrivals wait for its slot, and under sustained overload they are late
+ * for that reason. A call that could be in time at another gate is refused as
+ * TARGET_MISSED meanwhile, instead of waiting as a late one.
+ */
+void queue_late_hold(queue_t *queue, bool held);
 /* Earliest deadline of all items; TIME_NEVER if the queue is empty. */
 uint64_t queue_next_deadline(const queue_t *queue);
 /* Removes a cancelled item; no effect on an item that is not queued. */
--- a/src/throttle.c
+++ b/src/throttle.c
@@ -91,7 +91,7 @@
 	for (int i = 0; i < THROTTLE_ROWS_MAX; i++) {
 		throttle_row_t *row = &throttle->rows[i];
 
-		if (row->used && order_compare(row->key, key) == 0)
+		if (row->used && order_key_compare(row->key, key) == 0)
 			return row;
 	}
 	return NULL;
@@ -162,43 +162,80 @@
 	return found;
 }
 
-/* Whether a row of a more urgent rank that calls the same service is still reduced. */
+/*
+ * Whether a row of a more urgent rank that calls the same service is still reduced, or
+ * had no room within the last step.
+ */
 static bool
-more_urgent_is_reduced(
-    const throttle_t *throttle, const throttle_row_t *row, uint64_t now)
+more_urgent_is_short(const throttle_t *throttle, const throttle_row_t *row, uint64_t now)
 {
 	for (int i = 0; i < THROTTLE_ROWS_MAX; i++) {
 		const throttle_row_t *other = &throttle->rows[i];
 
-		if (rows_compete(row, other, now) && other->share < 1 &&
-		    other->key.rank < row->key.rank)
+		if (rows_compete(row, other, now) && other->key.rank < row->key.rank &&
+		    (other->share < 1 ||
+			now <= other->short_at + THROTTLE_STEP_MS * NS_PER_MS))
 			return true;
 	}
 	return false;
 }
 
-void
+/* Why the share is to change after an outcome. */
+static throttle_cause_t
+outcome_cause(const throttle_t *throttle, const throttle_row_t *row,
+    const throttle_outcome_t *outcome, uint64_t now)
+{
+	if (outcome->refused)
+		return THROTTLE_REFUSED;
+	if (outcome->pressure > THROTTLE_PRESSURE_HIGH_PERCENT)
+		return THROTTLE_PRESSURE;
+	if (row->late > THROTTLE_LATE_HIGH)
+		return THROTTLE_LATE;
+	if (outcome->pressure <= THROTTLE_PRESSURE_LOW_PERCENT &&
+	    row->late <= THROTTLE_LATE_LOW && row->share < 1 &&
+	    !more_urgent_is_short(throttle, row, now))
+		return THROTTLE_ROOM;
+	return THROTTLE_UNCHANGED;
+}
+
+throttle_change_t
 throttle_call_record(throttle_t *throttle, order_key_t key,
     const throttle_outcome_t *outcome, uint64_t now)
 {
+	throttle_change_t change = {.cause = THROTTLE_UNCHANGED};
 	throttle_row_t *row = row_find(throttle, key);
+	throttle_cause_t cause;
 
 	if (row == NULL)
 		row = row_add(throttle, key);
 	row->outcome_at = now;
 	row->called = outcome->called;
 	row->late += THROTTLE_LATE_SAMPLE_WEIGHT * ((outcome->late ? 1 : 0) - row->late);
-	if (outcome->refused || outcome->pressure > THROTTLE_PRESSURE_HIGH_PERCENT ||
-	    row->late > THROTTLE_LATE_HIGH) {
+	cause = outcome_cause(throttle, row, outcome, now);
+	if (cause == THROTTLE_UNCHANGED)
+		return change;
+	if (cause != THROTTLE_ROOM) {
+		row->short_at = now;
 		row = row_to_reduce(throttle, row, now);
-		if (step_try(row, now))
-			share_set(row, row->share * THROTTLE_DECREASE_FACTOR);
-	} else if (outcome->pressure <= THROTTLE_PRESSURE_LOW_PERCENT &&
-		   row->late <= THROTTLE_LATE_LOW && row->share < 1 &&
-		   !more_urgent_is_reduced(throttle, row, now)) {
-		if (step_try(row, now))
-			share_set(row, row->share + THROTTLE_INCREASE);
 	}
+	if (!step_try(row, now))
+		return change;
+	if (cause == THROTTLE_ROOM)
+		share_set(row, row->share + THROTTLE_INCREASE);
+	else
+		share_set(row, row->share * THROTTLE_DECREASE_FACTOR);
+	change =
+	    (throttle_change_t){.cause = cause, .key = row->key, .share = row->share};
+	return change;
+}
+
+const char *
+throttle_cause_text(throttle_cause_t cause)
+{
+	static const char *const texts[] = {
+	    "none", "call-refused", "pressure", "calls-late", "room"};
+
+	return texts[cause];
 }
 
 bool
--- a/src/throttle.h
+++ b/src/throttle.h
@@ -51,6 +51,7 @@
 	double tokens;	     /* admitting a request costs 1 */
 	uint64_t step_at;    /* latest change of share */
 	uint64_t outcome_at; /* latest end of a call */
+	uint64_t short_at;   /* latest outcome that called for a reduction */
 	double late;	     /* smoothed fraction of late calls */
 } throttle_row_t;
 
@@ -104,9 +105,28 @@
 uint32_t pressure_table_percent(
     const pressure_table_t *table, uint32_t rank, uint64_t now);
 
-/* Records the end of a nested call made by a request of this key. */
-void throttle_call_record(throttle_t *throttle, order_key_t key,
+typedef enum throttle_cause {
+	THROTTLE_UNCHANGED,
+	THROTTLE_REFUSED,  /* lowered: a call was refused */
+	THROTTLE_PRESSURE, /* lowered: the called service refuses calls as urgent */
+	THROTTLE_LATE,	   /* lowered: calls make their requests late */
+	THROTTLE_ROOM	   /* raised */
+} throttle_cause_t;
+
+/* A change of one share. */
+typedef struct throttle_change {
+	throttle_cause_t cause;
+	order_key_t key;
+	double share;
+} throttle_change_t;
+
+/*
+ * Records the end of a nested call made by a request of this key, and returns the
+ * change that follows from it.
+ */
+throttle_change_t throttle_call_record(throttle_t *throttle, order_key_t key,
     const throttle_outcome_t *outcome, uint64_t now);
+const char *throttle_cause_text(throttle_cause_t cause);
 /*
  * True if a new request of this key is admitted; always for ROUTE_INTERNAL. Not
  * called for calls nested in running requests, which are always admitted.
--- a/test/test_throttle.cc
+++ b/test/test_throttle.cc
@@ -111,6 +111,77 @@
 	EXPECT_EQ(throttle_percent(&throttle, ROUTE_LOOKUP), 100u);
 }
 
+// Guards against the most urgent requests being refused because a service that they
+// call has no room, while less urgent ones that call it are admitted.
+TEST(Throttle, TheLeastUrgentAreReducedFirstAndRaisedLast)
+{
+	const order_key_t urgent = {0, ROUTE_CALL}, other = {1001, ROUTE_CALL};
+	const order_key_t elsewhere = {1002, ROUTE_CALL};
+	throttle_t throttle = {};
+	throttle_outcome_t good = {.called = 1};
+	throttle_outcome_t refused = {.called = 1, .refused = true};
+	throttle_outcome_t unrelated = {.called = 2};
+	throttle_change_t change;
+	uint64_t now = START;
+	bool raised = false;
+
+	for (int i = 0; i < 40; i++) {
+		now += THROTTLE_STEP_MS * NS_PER_MS;
+		throttle_call_record(&throttle, elsewhere, &unrelated, now);
+		throttle_call_record(&throttle, other, &good, now);
+		change = throttle_call_record(&throttle, urgent, &refused, now);
+		if (i == 10) {
+			EXPECT_EQ(change.key.rank, other.rank);
+			EXPECT_EQ(change.cause, THROTTLE_REFUSED);
+			EXPECT_TRUE(throttle_admit(&throttle, urgent, now));
+		}
+	}
+	/* The least urgent is at its minimum by now, and the urgent one follows. */
+	EXPECT_EQ(change.key.rank, urgent.rank);
+	EXPECT_TRUE(throttle_admit(&throttle, elsewhere, now));
+	for (int i = 0; i < 100; i++) {
+		now += THROTTLE_STEP_MS * NS_PER_MS;
+		change = throttle_call_record(&throttle, other, &good, now);
+		raised |= change.cause == THROTTLE_ROOM;
+		change = throttle_call_record(&throttle, urgent, &good, now);
+		if (change.cause == THROTTLE_ROOM && change.share < 1)
+			ASSERT_FALSE(raised);
+	}
+	EXPECT_TRUE(raised);
+}
+
+// Guards against refused bookings at a called service that keep more urgent requests
+// from calling it.
+TEST(Pressure, RefusalsOfLessUrgentCallsAreNotReported)
+{
+	pressure_table_t table = {};
+
+	for (int i = 0; i < 20; i++) {
+		pressure_table_record(&table, 1, true, START);
+		pressure_table_record(&table, 0, false, START);
+	}
+	EXPECT_EQ(pressure_table_percent(&table, 0, START), 0u);
+	EXPECT_EQ(pressure_table_percent(&table, 1, START), 50u);
+	EXPECT_EQ(pressure_table_percent(&table, 9, START), 50u);
+	EXPECT_EQ(pressure_table_percent(&table, 9, START + 10 * NS_PER_S), 0u);
+}
+
+// Guards against the pressure of an earlier rank counting for the one that takes its row.
+TEST(Pressure, RowsAreReused)
+{
+	pressure_table_t table = {};
+
+	for (uint32_t rank = 0; rank < PRESSURE_RANKS_MAX; rank++) {
+		for (int i = 0; i < 10; i++)
+			pressure_table_record(&table, rank, true, START + rank);
+	}
+	for (int i = 0; i < 10; i++)
+		pressure_table_record(&table, 100, false, START + 100);
+	EXPECT_EQ(pressure_table_percent(&table, 0, START + 100), 0u);
+	EXPECT_EQ(pressure_table_percent(&table, 1, START + 100), 100u);
+	EXPECT_EQ(pressure_table_percent(&table, 100, START + 100), 87u);
+}
+
 TEST(Pressure, PercentageOfRefusals)
 {
 	pressure_t pressure = {};
