--- a/src/gate.c
+++ b/src/gate.c
@@ -4,17 +4,25 @@
 #include <string.h>
 
 void
-gate_load(const gate_t *gate, load_report_t *load)
+gate_load(const gate_t *gate, uint32_t rank, load_report_t *load)
 {
 	memset(load, 0, sizeof(*load));
 	load->running = gate->running;
 	load->queued = queue_length(&gate->queue);
 	load->latency_us = limit_gate_latency_us(&gate->limit);
 	load->limit = gate_limit(gate);
-	load->pressure = pressure_percent(&gate->pressure, kernel_now(gate->kernel));
+	load->pressure =
+	    pressure_table_percent(&gate->pressure, rank, kernel_now(gate->kernel));
 	load->slots = gate->backend.live ? gate->backend.slots : 0;
 }
 
+order_key_t
+gate_call_key(const gate_call_t *call)
+{
+	return (order_key_t){
+	    .rank = call->head->rank, .route_class = call->head->route_class};
+}
+
 message_t *
 gate_call_message(const gate_call_t *call, message_type_t type)
 {
@@ -40,7 +48,7 @@
 		return;
 	message->u.refusal.reason = reason;
 	message->u.refusal.run = RUN_NO;
-	gate_load(gate, &message->u.refusal.load);
+	gate_load(gate, open->u.call->rank, &message->u.refusal.load);
 	kernel_message_post(gate->kernel, &gate->service, open->from, message);
 }
 
@@ -52,12 +60,13 @@
 	    call, call->answered ? MESSAGE_ANSWER_ABORT : MESSAGE_REFUSAL);
 
 	metrics_refusal_add(kernel_metrics(gate->kernel), reason);
+	metrics_gate_refusal_add(kernel_metrics(gate->kernel), reason, call->head->rank);
 	gate_ticket_fail(call, run);
 	if (message != NULL) {
 		message->u.refusal.reason = reason;
 		message->u.refusal.run = run;
 		message->u.refusal.final = final;
-		gate_load(gate, &message->u.refusal.load);
+		gate_load(gate, call->head->rank, &message->u.refusal.load);
 	}
 	gate_call_post(call, message);
 	gate_call_finish(call);
@@ -120,6 +129,7 @@
 		return NULL;
 	call->gate = gate;
 	call->head = message->u.call;
+	call->arrived_at = now;
 	call->stream.service = message->from;
 	call->stream.node = message->node;
 	call->stream.stream = message->stream;
@@ -240,7 +250,7 @@
 	    gate->backend.service, gate->backend.instance, gate->backend.slots,
 	    gate->backend.connections, gate_limit(gate), gate->running,
 	    queue_length(&gate->queue), gate->backend.load,
-	    pressure_percent(&gate->pressure, kernel_now(gate->kernel)),
+	    pressure_table_percent(&gate->pressure, UINT32_MAX, kernel_now(gate->kernel)),
 	    throttle_percent(&gate->throttle, ROUTE_CALL),
 	    throttle_percent(&gate->throttle, ROUTE_LOOKUP),
 	    gate->leaving ? "true" : "false");
@@ -277,13 +287,30 @@
 
 /*
  * True if call missed its latency target and a nested call of this duration took
- * more than half of its running time.
+ * more than half of the time since it arrived here. A call that waited for longer is
+ * late because this gate has no room, which fewer admitted requests would not change.
  */
 static bool
 nested_call_missed_target(const gate_call_t *call, uint64_t duration, uint64_t now)
 {
 	return call->head->target > call->started_at && now > call->head->target &&
-	       duration > (now - call->started_at) / 2;
+	       duration > (now - call->arrived_at) / 2;
+}
+
+static void
+throttle_change_report(gate_t *gate, const throttle_change_t *change)
+{
+	if (change->cause == THROTTLE_UNCHANGED)
+		return;
+	metrics_add(kernel_metrics(gate->kernel),
+	    change->cause == THROTTLE_ROOM ? METRIC_THROTTLE_RAISED
+					   : METRIC_THROTTLE_LOWERED,
+	    1);
+	log_info(kernel_log(gate->kernel), "share of admitted requests changed",
+	    LOG_TEXT("cause", throttle_cause_text(change->cause)),
+	    LOG_NUMBER("rank", change->key.rank),
+	    LOG_TEXT("class", route_class_text(change->key.route_class)),
+	    LOG_NUMBER("percent", (int64_t)(change->share * 100 + 0.5)));
 }
 
 /* Records the end of a nested call, if the call that made it is still running. */
@@ -291,6 +318,8 @@
 nested_receive(gate_t *gate, const message_t *message)
 {
 	uint64_t now = kernel_now(gate->kernel);
+	throttle_outcome_t outcome;
+	throttle_change_t change;
 
 	LIST_FOREACH (node, &gate->calls) {
 		gate_call_t *call = LIST_ENTRY(node, gate_call_t, link);
@@ -299,10 +328,14 @@
 		    hash_string(call->head->request_id) != message->u.nested.parent)
 			continue;
 		call->nested_failed |= message->u.nested.failed;
-		throttle_call_record(&gate->throttle, call->head->route_class,
-		    message->u.nested.pressure, message->u.nested.refused,
-		    nested_call_missed_target(call, message->u.nested.duration, now),
-		    now);
+		outcome = (throttle_outcome_t){.called = message->u.nested.called,
+		    .pressure = message->u.nested.pressure,
+		    .refused = message->u.nested.refused,
+		    .late =
+			nested_call_missed_target(call, message->u.nested.duration, now)};
+		change = throttle_call_record(
+		    &gate->throttle, gate_call_key(call), &outcome, now);
+		throttle_change_report(gate, &change);
 		return;
 	}
 }
@@ -401,7 +434,6 @@
 	queue_init(&gate->queue, 0, 1, !gate->naive);
 	limit_gate_init(
 	    &gate->limit, 1, !gate->naive && !settings->fixed_limit, kernel_now(kernel));
-	throttle_init(&gate->throttle);
 	gate_crash_init(gate);
 	gate_rate_open(gate);
 	error = stream_table_init(&gate->streams);
