--- a/src/message.h
+++ b/src/message.h
@@ -50,6 +50,7 @@
 	MESSAGE_VERSION,	  /* config to membership: version now in force */
 	MESSAGE_VERSION_RECEIVED, /* membership to config: a member's version */
 	MESSAGE_SNAPSHOT,	  /* from config: the configuration now in force */
+	MESSAGE_VERIFIED,	  /* from config: the platform had no newer version */
 	MESSAGE_QUERY,		  /* from operators: report your state */
 	MESSAGE_REPORT,		  /* JSON text in answer to a query */
 	MESSAGE_LEAVE,		  /* from node: shutdown has begun */
@@ -107,9 +108,13 @@
 	uint32_t queued;
 	uint32_t limit; /* adaptive limit, calls */
 	uint32_t slots;
-	uint32_t latency_us;   /* smoothed backend latency */
-	uint32_t pressure;     /* share of the urgent calls refused for load, percent */
-	uint32_t link_wait_us; /* until a long body queued now leaves the host */
+	uint32_t latency_us; /* smoothed backend latency */
+	/*
+	 * Share of the urgent calls, of the call's rank and of more urgent ones, that are
+	 * refused for load, percent.
+	 */
+	uint32_t pressure;
+	uint32_t link_wait_us;	       /* until a long body queued now leaves the host */
 	uint32_t link_ns_per_kilobyte; /* of the host's link; 0: not known */
 } load_report_t;
 
@@ -189,6 +194,7 @@
 		} run; /* RUN */
 		struct {
 			uint64_t parent;   /* hash of the running request's id */
+			uint64_t called;   /* hash of the called service's name */
 			uint64_t duration; /* of the call, ns */
 			uint32_t pressure; /* at the called service, percent */
 			bool refused;	   /* for load */
@@ -204,6 +210,7 @@
 			uint64_t floor;	   /* of this node, as that member saw it */
 		} version;		   /* VERSION, VERSION_RECEIVED */
 		struct snapshot *snapshot; /* SNAPSHOT; one reference */
+		uint64_t verified_at;	   /* VERIFIED; monotonic, ns */
 		query_t query;		   /* QUERY; stream names it */
 		chunk_t *report;	   /* REPORT: JSON object, same stream */
 		address_t address;	   /* JOIN_ADDRESS */
--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -40,7 +40,7 @@
 	const char *service;
 	const char *prefix;
 	const char *inner;
-	const char *key; /* NULL: none */
+	const char *key; /* of a workspace; NULL: none */
 	double mix[LOAD_CLASSES];
 	double rate;
 	double seconds;
