--- a/test/test_member.cc
+++ b/test/test_member.cc
@@ -542,6 +542,53 @@
 // node that hears of it has it in force 250 ms later (a pull of a large version on a
 // narrow link). Guards against hosts that miss all announcements and learn of a version
 // too late to have it in force in time; the bounds are those of docs/design.md section 6.
+// Guards against asks and grants that do not fit into a datagram, or lose a field.
+TEST(Member, QuotaItemsArriveInOneDatagram)
+{
+	VirtualMesh mesh(3, 1, 1);
+	std::vector<member_quota_t> items, received;
+	std::vector<member_action_type_t> types;
+	uint64_t datagrams;
+
+	mesh.start_all();
+	ASSERT_TRUE(mesh.run(10000, [&] { return mesh.is_converged(); }));
+	mesh.on_action = [&](int i, const member_action_t *action) {
+		if (action->type != MEMBER_ACTION_QUOTA_ASK &&
+		    action->type != MEMBER_ACTION_QUOTA_GRANT)
+			return;
+		EXPECT_EQ(i, 1);
+		EXPECT_EQ(action->node, mesh.id(0));
+		types.push_back(action->type);
+		received.push_back(action->u.quota);
+	};
+	for (uint32_t i = 0; i < MEMBER_QUOTA_ITEMS_MAX; i++)
+		items.push_back({~UINT64_C(0) - i, UINT32_MAX - i, UINT32_MAX - i, true});
+	for (bool grants : {false, true}) {
+		received.clear();
+		types.clear();
+		datagrams = mesh.nodes[0].datagrams;
+		mesh.perform_on(0, [&](member_table_t *table, list_t *actions) {
+			EXPECT_TRUE(member_send_quota(table, mesh.id(1), grants,
+			    items.data(), items.size(), mesh.now, actions));
+			EXPECT_FALSE(member_send_quota(table, mesh.id(1), grants,
+			    items.data(), MEMBER_QUOTA_ITEMS_MAX + 1, mesh.now, actions));
+			EXPECT_FALSE(member_send_quota(
+			    table, 12345, grants, items.data(), 1, mesh.now, actions));
+		});
+		EXPECT_EQ(mesh.nodes[0].datagrams, datagrams + 1);
+		mesh.run(100);
+		ASSERT_EQ(received.size(), items.size());
+		for (size_t i = 0; i < items.size(); i++) {
+			EXPECT_EQ(types[i],
+			    grants ? MEMBER_ACTION_QUOTA_GRANT : MEMBER_ACTION_QUOTA_ASK);
+			EXPECT_EQ(received[i].workspace, items[i].workspace);
+			EXPECT_EQ(received[i].tokens, items[i].tokens);
+			EXPECT_EQ(received[i].retry_ms, grants ? items[i].retry_ms : 0u);
+			EXPECT_EQ(received[i].hold, grants);
+		}
+	}
+}
+
 TEST(Member, VersionIsHeardWithoutAnnouncements)
 {
 	const struct {
