--- a/src/quota.c
+++ b/src/quota.c
@@ -151,7 +151,7 @@
 	quota_row_t *row = quota_table_find(&quota->table, item.workspace);
 	uint64_t owner = row == NULL ? 0 : quota_row_owner(row, quota->rank);
 
-	if (owner == quota->node &&
+	if (row != NULL && owner == quota->node &&
 	    quota_rank_may_lend(quota->rank, kernel_now(quota->kernel))) {
 		quota_lend(quota, row, message->node, &item);
 		return;
