--- a/test/standin_caller.c
+++ b/test/standin_caller.c
@@ -6,7 +6,7 @@
  * --work-ms N --deadline-ms N --inner PATH --levels N --tickets 0|1
  * --failover N (further targets to try after one that can't be connected, or that
  * refuses the request because it is leaving or has no configuration yet)
- * --outcomes FILE --prefix TEXT (of request ids) --seed N.
+ * --outcomes FILE --prefix TEXT (of request ids) --key TEXT (of a workspace) --seed N.
  * The report is printed to standard output as one JSON object. Each line of the
  * outcomes file (US: latency):
  *   ID once|many CLASS answered|refused|unknown|failed|wrong|cut REASON US
