--- a/src/balance.c
+++ b/src/balance.c
@@ -189,17 +189,42 @@
 	    candidates->link_wait_sum_us / (double)candidates->count / LINK_WAIT_FULL_US);
 }
 
+/* Which instances a choice is made from. */
+typedef enum choice {
+	CHOICE_PREFERRED,
+	CHOICE_ELIGIBLE, /* ejected and suspect ones too */
+	CHOICE_ANY_ROLE, /* also those that a rollout has taken out of service */
+	CHOICE_SAMPLE	 /* of a release that is being rolled out */
+} choice_t;
+
+static bool
+instance_is_candidate(const balance_instance_t *instance, choice_t choice, uint64_t now)
+{
+	switch (choice) {
+	case CHOICE_PREFERRED:
+		return instance->role == ROLLOUT_ROLE_SERVES &&
+		       instance_is_preferred(instance, now);
+	case CHOICE_ELIGIBLE:
+		return instance->role == ROLLOUT_ROLE_SERVES &&
+		       balance_instance_is_eligible(instance, now);
+	case CHOICE_ANY_ROLE:
+		return balance_instance_is_eligible(instance, now);
+	case CHOICE_SAMPLE:
+		return instance->sampled && instance_is_preferred(instance, now);
+	}
+	return false;
+}
+
 static void
 candidates_collect(const balance_t *balance, const balance_service_t *service,
     const balance_request_t *request, const uint64_t *excluded, size_t excluded_count,
-    bool preferred, rng_t *rng, uint64_t now, candidates_t tiers[TIER_COUNT])
+    choice_t choice, rng_t *rng, uint64_t now, candidates_t tiers[TIER_COUNT])
 {
 	memset(tiers, 0, TIER_COUNT * sizeof(*tiers));
 	for (size_t i = 0; i < service->count; i++) {
 		balance_instance_t *instance = service->instances[i];
 
-		if (preferred ? !instance_is_preferred(instance, now)
-			      : !balance_instance_is_eligible(instance, now))
+		if (!instance_is_candidate(instance, choice, now))
 			continue;
 		if (!instance_is_excluded(instance, excluded, excluded_count))
 			candidates_add(
@@ -283,13 +308,18 @@
 	candidates_t tiers[TIER_COUNT];
 	const candidates_t *selected;
 
-	candidates_collect(
-	    balance, service, request, excluded, excluded_count, true, rng, now, tiers);
+	candidates_collect(balance, service, request, excluded, excluded_count,
+	    CHOICE_PREFERRED, rng, now, tiers);
 	selected = candidates_select(tiers, settings->spill_percent, rng);
 	if (selected == NULL) {
 		/* Falls back to ejected and suspect instances. */
 		candidates_collect(balance, service, request, excluded, excluded_count,
-		    false, rng, now, tiers);
+		    CHOICE_ELIGIBLE, rng, now, tiers);
+		selected = candidates_select(tiers, settings->spill_percent, rng);
+	}
+	if (selected == NULL && rollout_may_fall_back(service->rollout)) {
+		candidates_collect(balance, service, request, excluded, excluded_count,
+		    CHOICE_ANY_ROLE, rng, now, tiers);
 		selected = candidates_select(tiers, settings->spill_percent, rng);
 	}
 	if (selected == NULL)
@@ -298,6 +328,41 @@
 	return MASTICPITCH_OK;
 }
 
+/*
+ * Chooses an instance of a release that is being rolled out, if its next request is due.
+ * One without a free slot is passed over: the sample must not measure overload. Retries
+ * are no samples.
+ */
+static bool
+choose_sample(balance_t *balance, const balance_service_t *service,
+    const preset_service_t *settings, const balance_request_t *request, rng_t *rng,
+    uint64_t now, uint64_t *node)
+{
+	rollout_target_t *target = rollout_sample_draw(service->rollout, now);
+	const balance_instance_t *best = NULL;
+	candidates_t found = {.count = 0};
+
+	if (target == NULL)
+		return false;
+	for (size_t i = 0; i < service->count; i++) {
+		balance_instance_t *instance = service->instances[i];
+
+		if (instance_is_candidate(instance, CHOICE_SAMPLE, now) &&
+		    strcmp(instance->release, target->step.release) == 0 &&
+		    instance_work(instance, ROUTE_CALL, now) <
+			instance_capacity(instance))
+			candidates_add(balance, &found, instance, request, rng, now);
+	}
+	if (found.count == 0)
+		return false;
+	found.local = NULL;
+	best = candidates_best(balance, &found, settings, request, rng, now);
+	rollout_sample_sent(target);
+	balance->sampled++;
+	*node = best->node;
+	return true;
+}
+
 static int
 choose_naive(balance_service_t *service, const uint64_t *excluded, size_t excluded_count,
     uint64_t now, uint64_t *node)
@@ -306,7 +371,7 @@
 		size_t position = (service->u.next_position + i) % service->count;
 		const balance_instance_t *instance = service->instances[position];
 
-		if (!balance_instance_is_eligible(instance, now) ||
+		if (!instance_is_candidate(instance, CHOICE_ELIGIBLE, now) ||
 		    instance_is_excluded(instance, excluded, excluded_count))
 			continue;
 		service->u.next_position = position + 1;
@@ -336,6 +401,9 @@
 
 	if (service == NULL)
 		return MASTICPITCH_E_NOT_FOUND;
+	if (service->rollout != NULL && excluded_count == 0 &&
+	    choose_sample(balance, service, settings, request, rng, now, node))
+		return MASTICPITCH_OK;
 	switch (balance->kind) {
 	case BALANCE_NAIVE:
 		return choose_naive(service, excluded, excluded_count, now, node);
@@ -361,7 +429,9 @@
 	    .weight_percent =
 		(uint32_t)(100 * instance_weight(instance, slow_start_ms, now)),
 	    .successes = instance->successes,
-	    .failures = instance->failures};
+	    .failures = instance->failures,
+	    .role = instance->role};
+	memcpy(view->release, instance->release, sizeof(view->release));
 	if (view->ejected)
 		view->ejected_until = instance->ejected_until;
 	memcpy(view->service, instance->service->name, sizeof(view->service));
--- a/src/balance.h
+++ b/src/balance.h
@@ -10,6 +10,7 @@
 #include "member_types.h"
 #include "message.h"
 #include "preset.h"
+#include "rollout_step.h"
 #include "util.h"
 
 #ifdef __cplusplus
@@ -47,12 +48,15 @@
 	route_class_t route_class;
 	bool long_answer;
 	bool open;
+	uint32_t route;	    /* hash of its name */
+	bool nested_failed; /* set before the answer is recorded */
 } balance_attempt_t;
 
 /* Properties of a request that the choice depends on. */
 typedef struct balance_request {
 	route_class_t route_class;
 	uint32_t answer_bytes; /* expected; 0: not known */
+	uint32_t route;	       /* hash of its name */
 } balance_request_t;
 
 /* State of one instance as the balancer sees it, for operators. */
@@ -71,6 +75,8 @@
 	uint32_t weight_percent; /* below 100 during slow start */
 	uint64_t successes;
 	uint64_t failures;
+	char release[NAME_BYTES];
+	rollout_role_t role;
 } balance_view_t;
 
 /*
@@ -137,6 +143,19 @@
 /* The answer is complete or the caller has disconnected; closes the attempt. */
 void balance_attempt_end(balance_t *balance, balance_attempt_t *attempt, uint64_t now);
 
+/*
+ * From now on a release of a service gets requests only as rollouts allow: a second one
+ * waits for its step. Without this call all instances serve.
+ */
+void balance_rollouts_enable(balance_t *balance);
+rollout_accept_t balance_step_accept(
+    balance_t *balance, const rollout_step_t *step, uint64_t now);
+/* What this entry saw of a rollout; false: it has no such step. */
+bool balance_rollout_report(
+    const balance_t *balance, const rollout_step_t *step, rollout_report_t *report);
+/* Requests sent to releases as samples. */
+uint64_t balance_sampled_count(const balance_t *balance);
+
 /* Number of instances in the table. */
 size_t balance_instance_count(const balance_t *balance);
 /*
--- a/src/balance_record.c
+++ b/src/balance_record.c
@@ -41,7 +41,8 @@
 	*attempt = (balance_attempt_t){.node = node,
 	    .started_at = now,
 	    .route_class = request->route_class,
-	    .long_answer = request->answer_bytes > LINK_SHORT_BYTES};
+	    .long_answer = request->answer_bytes > LINK_SHORT_BYTES,
+	    .route = request->route};
 	if (instance == NULL)
 		return;
 	attempt->open = true;
@@ -206,6 +207,7 @@
 		return;
 	instance_load_record(instance, load, now);
 	instance_acceptance_record(instance, false, now);
+	balance_rollout_record(instance, attempt, status, now);
 	if (status >= 500) {
 		instance_failure_record(instance, now);
 		return;
@@ -267,8 +269,10 @@
 {
 	balance_instance_t *instance = attempt_instance(balance, attempt);
 
-	if (instance != NULL)
+	if (instance != NULL) {
+		balance_rollout_record(instance, attempt, 0, now);
 		instance_consecutive_failure_record(instance, attempt, now);
+	}
 	balance_attempt_end(balance, attempt, now);
 }
 
--- /dev/null
+++ b/src/balance_rollout.c
@@ -0,0 +1,171 @@
+/*
+ * Rollouts in the instance table: which instances serve, which get sampled requests, and
+ * what was seen of them.
+ */
+#include "balance_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Releases of one service that are told apart; instances of further ones are held. */
+#define RELEASES_MAX 8
+
+void
+balance_rollouts_enable(balance_t *balance)
+{
+	balance->rollouts = true;
+}
+
+/*
+ * The release that serves while no order says otherwise: the one with most instances
+ * among those that no order names. A rolling restart keeps its release.
+ */
+static const char *
+base_release(const balance_service_t *service)
+{
+	const char *releases[RELEASES_MAX];
+	size_t counts[RELEASES_MAX] = {0};
+	size_t count = 0, best = 0;
+
+	for (size_t i = 0; i < service->count; i++) {
+		const balance_instance_t *instance = service->instances[i];
+		size_t j = 0;
+
+		if (instance->release[0] == '\0' ||
+		    (service->rollout != NULL &&
+			rollout_target_find(service->rollout, instance->release) != NULL))
+			continue;
+		while (j < count && strcmp(releases[j], instance->release) != 0)
+			j++;
+		if (j == RELEASES_MAX)
+			continue;
+		if (j == count)
+			releases[count++] = instance->release;
+		counts[j]++;
+	}
+	for (size_t j = 1; j < count; j++) {
+		if (counts[j] > counts[best])
+			best = j;
+	}
+	return count == 0 ? "" : releases[best];
+}
+
+/* Order in which instances are sampled: the same at every entry. */
+static uint64_t
+sample_rank(const balance_instance_t *instance, const rollout_target_t *target)
+{
+	return hash_bytes(&instance->node, sizeof(instance->node), target->step.order);
+}
+
+/* Marks the instances that rank lowest among the ready ones of the target's release. */
+static void
+samples_mark(balance_service_t *service, const rollout_target_t *target)
+{
+	for (uint32_t marked = 0; marked < target->step.instances; marked++) {
+		balance_instance_t *lowest = NULL;
+
+		for (size_t i = 0; i < service->count; i++) {
+			balance_instance_t *instance = service->instances[i];
+
+			if (instance->role == ROLLOUT_ROLE_TARGET && !instance->sampled &&
+			    instance->state == INSTANCE_READY && instance->reachable &&
+			    instance->member_state == MEMBER_ALIVE &&
+			    strcmp(instance->release, target->step.release) == 0 &&
+			    (lowest == NULL || sample_rank(instance, target) <
+						   sample_rank(lowest, target)))
+				lowest = instance;
+		}
+		if (lowest == NULL)
+			return;
+		lowest->sampled = true;
+	}
+}
+
+void
+balance_roles_update(balance_t *balance, balance_service_t *service)
+{
+	const char *base;
+
+	if (!balance->rollouts)
+		return;
+	base = base_release(service);
+	for (size_t i = 0; i < service->count; i++) {
+		balance_instance_t *instance = service->instances[i];
+
+		instance->role =
+		    rollout_role_of(service->rollout, instance->release, base);
+		instance->sampled = false;
+	}
+	if (service->rollout == NULL)
+		return;
+	for (size_t i = 0; i < service->rollout->count; i++) {
+		if (service->rollout->targets[i].step.mode == ROLLOUT_SAMPLE)
+			samples_mark(service, &service->rollout->targets[i]);
+	}
+}
+
+rollout_accept_t
+balance_step_accept(balance_t *balance, const rollout_step_t *step, uint64_t now)
+{
+	balance_service_t *service = balance_service_find(balance, step->service);
+	rollout_accept_t result = rollout_step_accept(&balance->rollout, step, now);
+
+	if (service == NULL || result == ROLLOUT_NO_ROOM || result == ROLLOUT_OUTDATED)
+		return result;
+	service->rollout = rollout_service_find(&balance->rollout, step->service);
+	balance_roles_update(balance, service);
+	return result;
+}
+
+bool
+balance_rollout_report(
+    const balance_t *balance, const rollout_step_t *step, rollout_report_t *report)
+{
+	const balance_service_t *service = balance_service_find(balance, step->service);
+	rollout_service_t *rollout =
+	    rollout_service_find(&balance->rollout, step->service);
+	const rollout_target_t *target =
+	    rollout != NULL ? rollout_target_find(rollout, step->release) : NULL;
+
+	if (target == NULL)
+		return false;
+	memset(report, 0, sizeof(*report));
+	memcpy(report->service, step->service, sizeof(report->service));
+	memcpy(report->release, step->release, sizeof(report->release));
+	report->order = target->step.order;
+	report->mode = target->step.mode;
+	report->target = target->counts;
+	report->base = target->base;
+	for (size_t i = 0; service != NULL && i < service->count; i++) {
+		if (service->instances[i]->role != ROLLOUT_ROLE_SERVES)
+			report->others_in_flight += service->instances[i]->in_flight;
+	}
+	return true;
+}
+
+void
+balance_rollout_record(balance_instance_t *instance, const balance_attempt_t *attempt,
+    int status, uint64_t now)
+{
+	rollout_service_t *rollout = instance->service->rollout;
+	rollout_sample_t sample = {.route = attempt->route,
+	    .answered = status != 0,
+	    .failed = status >= 500 && !attempt->nested_failed,
+	    .timed = attempt->route_class != ROUTE_UPLOAD && instance->load.queued == 0,
+	    .latency = now - MIN_OF(attempt->started_at, now)};
+	rollout_target_t *target;
+
+	if (rollout == NULL || instance->role == ROLLOUT_ROLE_NONE)
+		return;
+	target = rollout_target_find(rollout, instance->release);
+	if (target != NULL && target->step.mode == ROLLOUT_SAMPLE)
+		rollout_target_record(target, &sample);
+	else
+		rollout_base_record(rollout, &sample, now);
+}
+
+uint64_t
+balance_sampled_count(const balance_t *balance)
+{
+	return balance->sampled;
+}
--- a/src/balance_table.c
+++ b/src/balance_table.c
@@ -42,6 +42,7 @@
 			free(service);
 		}
 	}
+	rollout_table_free(&balance->rollout);
 	free(balance);
 }
 
@@ -92,6 +93,7 @@
 		if (service == NULL)
 			return MASTICPITCH_E_NOMEM;
 		string_copy(service->name, sizeof(service->name), name);
+		service->rollout = rollout_service_find(&balance->rollout, name);
 		*ref = service;
 	}
 	if (service->count == service->capacity) {
@@ -167,6 +169,7 @@
 	service->instances[instance->position]->position = instance->position;
 	balance->count--;
 	free(instance);
+	balance_roles_update(balance, service);
 	service_drop_if_empty(balance, service);
 }
 
@@ -218,6 +221,9 @@
 	instance->incarnation = member->incarnation;
 	instance->sequence = announced->sequence;
 	instance->slots = announced->slots;
+	instance->started_ms = announced->started_ms;
+	memcpy(instance->release, announced->release, sizeof(instance->release));
+	balance_roles_update(balance, instance->service);
 	return MASTICPITCH_OK;
 }
 
--- a/src/balance_table.h
+++ b/src/balance_table.h
@@ -50,6 +50,10 @@
 	uint32_t ejections;	/* since the last reset of the backoff */
 	uint64_t successes;
 	uint64_t failures;
+	char release[NAME_BYTES];
+	uint64_t started_ms;
+	rollout_role_t role;
+	bool sampled; /* TARGET: one of those that sampled requests go to */
 } balance_instance_t;
 
 struct balance_service {
@@ -58,7 +62,8 @@
 	balance_instance_t **instances;
 	size_t count;
 	size_t capacity;
-	double latency_us; /* moving average over all instances; 0: no sample */
+	double latency_us;	    /* moving average over all instances; 0: no sample */
+	rollout_service_t *rollout; /* NULL: no step; in the balance's table */
 	union {
 		size_t next_position; /* BALANCE_NAIVE */
 	} u;
@@ -71,6 +76,9 @@
 	char region[ZONE_BYTES];
 	uint64_t generation;
 	size_t count;
+	bool rollouts; /* enabled */
+	rollout_table_t rollout;
+	uint64_t sampled; /* requests */
 	balance_instance_t *instances[BALANCE_INSTANCE_BUCKETS];
 	balance_service_t *services[BALANCE_SERVICE_BUCKETS];
 };
@@ -95,4 +103,11 @@
  */
 double balance_instance_acceptance(const balance_instance_t *instance, uint64_t now);
 
+/* balance_rollout.c */
+/* Computes the roles of a service's instances after a change. */
+void balance_roles_update(balance_t *balance, balance_service_t *service);
+/* Records an answer of the instance, or the end of an attempt without one: status 0. */
+void balance_rollout_record(balance_instance_t *instance,
+    const balance_attempt_t *attempt, int status, uint64_t now);
+
 #endif
--- a/src/entry.c
+++ b/src/entry.c
@@ -99,6 +99,39 @@
 	}
 }
 
+/* Puts a step in force and reports what this entry saw of the release. */
+static void
+rollout_step_receive(entry_t *entry, const message_t *message)
+{
+	metrics_t *metrics = kernel_metrics(entry->kernel);
+	const rollout_step_t *step = message->u.step;
+	rollout_accept_t result =
+	    balance_step_accept(entry->balance, step, kernel_now(entry->kernel));
+	rollout_report_t *report = malloc(sizeof(*report));
+	message_t *answer = message_create(MESSAGE_ROLLOUT_REPORT, message->node, 0);
+
+	if (result == ROLLOUT_ACCEPTED) {
+		metrics_add(metrics, METRIC_ROLLOUT_STEPS, 1);
+		log_info(kernel_log(entry->kernel), "rollout: step in force",
+		    LOG_TEXT("service", step->service),
+		    LOG_TEXT("release", step->release),
+		    LOG_TEXT("step", rollout_mode_text(step->mode)),
+		    LOG_NUMBER("order", step->order));
+	} else if (result != ROLLOUT_CONFIRMED) {
+		metrics_add(metrics, METRIC_ROLLOUT_STEPS_REFUSED, 1);
+	}
+	metrics_set(
+	    metrics, METRIC_ROLLOUT_SAMPLED, balance_sampled_count(entry->balance));
+	if (answer == NULL || report == NULL ||
+	    !balance_rollout_report(entry->balance, step, report)) {
+		free(report);
+		message_destroy(answer);
+		return;
+	}
+	answer->u.rollout = report;
+	kernel_message_post(entry->kernel, &entry->service, message->from, answer);
+}
+
 static void
 entry_receive(void *state, message_t *message)
 {
@@ -113,6 +146,9 @@
 	case MESSAGE_STREAM_LOST:
 		stream_receive(entry, message);
 		break;
+	case MESSAGE_ROLLOUT_STEP:
+		rollout_step_receive(entry, message);
+		break;
 	case MESSAGE_MEMBER:
 		if (message->u.member.node != entry->node)
 			member_update(entry, &message->u.member);
@@ -181,6 +217,8 @@
 
 	if (error == MASTICPITCH_OK) {
 		balance_local_set(entry->balance, entry->node);
+		if (settings->bounds.exposure_percent > 0)
+			balance_rollouts_enable(entry->balance);
 		error = retry_create(
 		    entry->naive ? RETRY_NAIVE : RETRY_ADAPTIVE, &entry->retry);
 	}
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -30,7 +30,8 @@
 attempt_balance_request(const entry_request_t *request)
 {
 	return (balance_request_t){.route_class = request->head->route_class,
-	    .answer_bytes = request->head->answer_bytes};
+	    .answer_bytes = request->head->answer_bytes,
+	    .route = (uint32_t)hash_string(request->route->name)};
 }
 
 static bool
@@ -383,6 +384,7 @@
 		stream_protocol_error(request);
 		return;
 	}
+	request->attempt.nested_failed = answer->nested_failed;
 	if (server_error_is_retried(request, answer))
 		return;
 	message->u.answer = NULL;
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -952,6 +952,186 @@
   assert(message->base.descriptor == &masticpitch__config_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticpitch__rollout_step__init
+                     (Masticpitch__RolloutStep         *message)
+{
+  static const Masticpitch__RolloutStep init_value = MASTICPITCH__ROLLOUT_STEP__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_step__get_packed_size
+                     (const Masticpitch__RolloutStep *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_step__pack
+                     (const Masticpitch__RolloutStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_step__pack_to_buffer
+                     (const Masticpitch__RolloutStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutStep *
+       masticpitch__rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutStep *)
+     protobuf_c_message_unpack (&masticpitch__rollout_step__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_step__free_unpacked
+                     (Masticpitch__RolloutStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__rollout_route__init
+                     (Masticpitch__RolloutRoute         *message)
+{
+  static const Masticpitch__RolloutRoute init_value = MASTICPITCH__ROLLOUT_ROUTE__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_route__get_packed_size
+                     (const Masticpitch__RolloutRoute *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_route__pack
+                     (const Masticpitch__RolloutRoute *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_route__pack_to_buffer
+                     (const Masticpitch__RolloutRoute *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutRoute *
+       masticpitch__rollout_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutRoute *)
+     protobuf_c_message_unpack (&masticpitch__rollout_route__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_route__free_unpacked
+                     (Masticpitch__RolloutRoute *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__rollout_report__init
+                     (Masticpitch__RolloutReport         *message)
+{
+  static const Masticpitch__RolloutReport init_value = MASTICPITCH__ROLLOUT_REPORT__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_report__get_packed_size
+                     (const Masticpitch__RolloutReport *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_report__pack
+                     (const Masticpitch__RolloutReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_report__pack_to_buffer
+                     (const Masticpitch__RolloutReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutReport *
+       masticpitch__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutReport *)
+     protobuf_c_message_unpack (&masticpitch__rollout_report__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_report__free_unpacked
+                     (Masticpitch__RolloutReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__rollout_message__init
+                     (Masticpitch__RolloutMessage         *message)
+{
+  static const Masticpitch__RolloutMessage init_value = MASTICPITCH__ROLLOUT_MESSAGE__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_message__get_packed_size
+                     (const Masticpitch__RolloutMessage *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_message__pack
+                     (const Masticpitch__RolloutMessage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_message__pack_to_buffer
+                     (const Masticpitch__RolloutMessage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutMessage *
+       masticpitch__rollout_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutMessage *)
+     protobuf_c_message_unpack (&masticpitch__rollout_message__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_message__free_unpacked
+                     (Masticpitch__RolloutMessage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor masticpitch__header__field_descriptors[2] =
 {
   {
@@ -3349,3 +3529,350 @@
   (ProtobufCMessageInit) masticpitch__config_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticpitch__rollout_step__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, release),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mode",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, mode),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_step__field_indices_by_name[] = {
+  5,   /* field[5] = instances */
+  3,   /* field[3] = mode */
+  2,   /* field[2] = order */
+  4,   /* field[4] = permille */
+  1,   /* field[1] = release */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange masticpitch__rollout_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutStep",
+  "RolloutStep",
+  "Masticpitch__RolloutStep",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutStep),
+  6,
+  masticpitch__rollout_step__field_descriptors,
+  masticpitch__rollout_step__field_indices_by_name,
+  1,  masticpitch__rollout_step__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__rollout_route__field_descriptors[4] =
+{
+  {
+    "slot",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutRoute, slot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutRoute, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutRoute, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latencies",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Masticpitch__RolloutRoute, n_latencies),
+    offsetof(Masticpitch__RolloutRoute, latencies),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_route__field_indices_by_name[] = {
+  1,   /* field[1] = answers */
+  2,   /* field[2] = failures */
+  3,   /* field[3] = latencies */
+  0,   /* field[0] = slot */
+};
+static const ProtobufCIntRange masticpitch__rollout_route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutRoute",
+  "RolloutRoute",
+  "Masticpitch__RolloutRoute",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutRoute),
+  4,
+  masticpitch__rollout_route__field_descriptors,
+  masticpitch__rollout_route__field_indices_by_name,
+  1,  masticpitch__rollout_route__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__rollout_report__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, release),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mode",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, mode),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "others_in_flight",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, others_in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutReport, n_target),
+    offsetof(Masticpitch__RolloutReport, target),
+    &masticpitch__rollout_route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "others",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutReport, n_others),
+    offsetof(Masticpitch__RolloutReport, others),
+    &masticpitch__rollout_route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_report__field_indices_by_name[] = {
+  3,   /* field[3] = mode */
+  2,   /* field[2] = order */
+  6,   /* field[6] = others */
+  4,   /* field[4] = others_in_flight */
+  1,   /* field[1] = release */
+  0,   /* field[0] = service */
+  5,   /* field[5] = target */
+};
+static const ProtobufCIntRange masticpitch__rollout_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutReport",
+  "RolloutReport",
+  "Masticpitch__RolloutReport",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutReport),
+  7,
+  masticpitch__rollout_report__field_descriptors,
+  masticpitch__rollout_report__field_indices_by_name,
+  1,  masticpitch__rollout_report__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__rollout_message__field_descriptors[2] =
+{
+  {
+    "steps",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutMessage, n_steps),
+    offsetof(Masticpitch__RolloutMessage, steps),
+    &masticpitch__rollout_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reports",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutMessage, n_reports),
+    offsetof(Masticpitch__RolloutMessage, reports),
+    &masticpitch__rollout_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_message__field_indices_by_name[] = {
+  1,   /* field[1] = reports */
+  0,   /* field[0] = steps */
+};
+static const ProtobufCIntRange masticpitch__rollout_message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutMessage",
+  "RolloutMessage",
+  "Masticpitch__RolloutMessage",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutMessage),
+  2,
+  masticpitch__rollout_message__field_descriptors,
+  masticpitch__rollout_message__field_indices_by_name,
+  1,  masticpitch__rollout_message__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_message__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -36,6 +36,10 @@
 typedef struct Masticpitch__MemberSync Masticpitch__MemberSync;
 typedef struct Masticpitch__Part Masticpitch__Part;
 typedef struct Masticpitch__ConfigMessage Masticpitch__ConfigMessage;
+typedef struct Masticpitch__RolloutStep Masticpitch__RolloutStep;
+typedef struct Masticpitch__RolloutRoute Masticpitch__RolloutRoute;
+typedef struct Masticpitch__RolloutReport Masticpitch__RolloutReport;
+typedef struct Masticpitch__RolloutMessage Masticpitch__RolloutMessage;
 
 
 /* --- enums --- */
@@ -531,6 +535,78 @@
     , MASTICPITCH__CONFIG_MESSAGE__KIND__ANNOUNCE, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0 }
 
 
+struct  Masticpitch__RolloutStep
+{
+  ProtobufCMessage base;
+  char *service;
+  char *release;
+  /*
+   * revision of the order in the store
+   */
+  uint64_t order;
+  uint32_t mode;
+  uint32_t permille;
+  uint32_t instances;
+};
+#define MASTICPITCH__ROLLOUT_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_step__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Masticpitch__RolloutRoute
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the route's name
+   */
+  uint32_t slot;
+  uint32_t answers;
+  uint32_t failures;
+  /*
+   * answers in each bucket
+   */
+  size_t n_latencies;
+  uint32_t *latencies;
+};
+#define MASTICPITCH__ROLLOUT_ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_route__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Masticpitch__RolloutReport
+{
+  ProtobufCMessage base;
+  char *service;
+  char *release;
+  uint64_t order;
+  uint32_t mode;
+  uint32_t others_in_flight;
+  size_t n_target;
+  Masticpitch__RolloutRoute **target;
+  size_t n_others;
+  Masticpitch__RolloutRoute **others;
+};
+#define MASTICPITCH__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * From the node that decides: steps; in answer to it: reports.
+ */
+struct  Masticpitch__RolloutMessage
+{
+  ProtobufCMessage base;
+  size_t n_steps;
+  Masticpitch__RolloutStep **steps;
+  size_t n_reports;
+  Masticpitch__RolloutReport **reports;
+};
+#define MASTICPITCH__ROLLOUT_MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_message__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /* Masticpitch__Header methods */
 void   masticpitch__header__init
                      (Masticpitch__Header         *message);
@@ -930,6 +1006,82 @@
 void   masticpitch__config_message__free_unpacked
                      (Masticpitch__ConfigMessage *message,
                       ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutStep methods */
+void   masticpitch__rollout_step__init
+                     (Masticpitch__RolloutStep         *message);
+size_t masticpitch__rollout_step__get_packed_size
+                     (const Masticpitch__RolloutStep   *message);
+size_t masticpitch__rollout_step__pack
+                     (const Masticpitch__RolloutStep   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_step__pack_to_buffer
+                     (const Masticpitch__RolloutStep   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutStep *
+       masticpitch__rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_step__free_unpacked
+                     (Masticpitch__RolloutStep *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutRoute methods */
+void   masticpitch__rollout_route__init
+                     (Masticpitch__RolloutRoute         *message);
+size_t masticpitch__rollout_route__get_packed_size
+                     (const Masticpitch__RolloutRoute   *message);
+size_t masticpitch__rollout_route__pack
+                     (const Masticpitch__RolloutRoute   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_route__pack_to_buffer
+                     (const Masticpitch__RolloutRoute   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutRoute *
+       masticpitch__rollout_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_route__free_unpacked
+                     (Masticpitch__RolloutRoute *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutReport methods */
+void   masticpitch__rollout_report__init
+                     (Masticpitch__RolloutReport         *message);
+size_t masticpitch__rollout_report__get_packed_size
+                     (const Masticpitch__RolloutReport   *message);
+size_t masticpitch__rollout_report__pack
+                     (const Masticpitch__RolloutReport   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_report__pack_to_buffer
+                     (const Masticpitch__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutReport *
+       masticpitch__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_report__free_unpacked
+                     (Masticpitch__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutMessage methods */
+void   masticpitch__rollout_message__init
+                     (Masticpitch__RolloutMessage         *message);
+size_t masticpitch__rollout_message__get_packed_size
+                     (const Masticpitch__RolloutMessage   *message);
+size_t masticpitch__rollout_message__pack
+                     (const Masticpitch__RolloutMessage   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_message__pack_to_buffer
+                     (const Masticpitch__RolloutMessage   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutMessage *
+       masticpitch__rollout_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_message__free_unpacked
+                     (Masticpitch__RolloutMessage *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Masticpitch__Header_Closure)
@@ -995,6 +1147,18 @@
 typedef void (*Masticpitch__ConfigMessage_Closure)
                  (const Masticpitch__ConfigMessage *message,
                   void *closure_data);
+typedef void (*Masticpitch__RolloutStep_Closure)
+                 (const Masticpitch__RolloutStep *message,
+                  void *closure_data);
+typedef void (*Masticpitch__RolloutRoute_Closure)
+                 (const Masticpitch__RolloutRoute *message,
+                  void *closure_data);
+typedef void (*Masticpitch__RolloutReport_Closure)
+                 (const Masticpitch__RolloutReport *message,
+                  void *closure_data);
+typedef void (*Masticpitch__RolloutMessage_Closure)
+                 (const Masticpitch__RolloutMessage *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1024,6 +1188,10 @@
 extern const ProtobufCMessageDescriptor masticpitch__part__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__config_message__descriptor;
 extern const ProtobufCEnumDescriptor    masticpitch__config_message__kind__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_step__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_route__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_report__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_message__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -77,7 +77,8 @@
 static void
 member_post(membership_t *membership, const member_t *member)
 {
-	static const char *const receivers[] = {"peer", "entry", "config", "operators"};
+	static const char *const receivers[] = {
+	    "peer", "entry", "config", "operators", "rollout"};
 
 	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++) {
 		message_t *message = message_create(MESSAGE_MEMBER, member->node, 0);
@@ -91,7 +92,8 @@
 static void
 removed_post(membership_t *membership, uint64_t node)
 {
-	static const char *const receivers[] = {"peer", "entry", "config", "operators"};
+	static const char *const receivers[] = {
+	    "peer", "entry", "config", "operators", "rollout"};
 
 	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++)
 		membership_post(membership, receivers[i],
--- a/src/message.c
+++ b/src/message.c
@@ -113,6 +113,12 @@
 	case MESSAGE_SNAPSHOT:
 		snapshot_release(message->u.snapshot);
 		break;
+	case MESSAGE_ROLLOUT_STEP:
+		free(message->u.step);
+		break;
+	case MESSAGE_ROLLOUT_REPORT:
+		free(message->u.rollout);
+		break;
 	case MESSAGE_CALL_CREDIT:
 	case MESSAGE_CALL_CANCEL:
 	case MESSAGE_ANSWER_CREDIT:
--- a/src/message.h
+++ b/src/message.h
@@ -18,6 +18,7 @@
 #include "member_types.h"
 #include "preset.h"
 #include "reason.h"
+#include "rollout.h"
 #include "run_set.h"
 
 #ifdef __cplusplus
@@ -56,8 +57,10 @@
 	MESSAGE_STOP_LISTENING,	  /* from node: no request is running any more */
 	MESSAGE_STOP_WAITING,	  /* from node: the shutdown's grace period ends */
 	MESSAGE_JOIN_NEEDED,	  /* membership to config: no seed answers */
-	MESSAGE_JOIN_ADDRESS, /* config to membership: one more node to join through */
-	MESSAGE_DEPARTURE     /* membership to gate: a local backend server has left */
+	MESSAGE_JOIN_ADDRESS,  /* config to membership: one more node to join through */
+	MESSAGE_DEPARTURE,     /* membership to gate: a local backend server has left */
+	MESSAGE_ROLLOUT_STEP,  /* rollout to entry */
+	MESSAGE_ROLLOUT_REPORT /* entry to rollout, in answer to a step */
 } message_type_t;
 
 /* Most bytes of body in one CALL_DATA or ANSWER_DATA message. */
@@ -127,7 +130,11 @@
 } refusal_t;
 
 /* The service that receives a MESSAGE_CONTROL on the other node. */
-typedef enum control_kind { CONTROL_CONFIG = 1, CONTROL_MEMBERSHIP = 2 } control_kind_t;
+typedef enum control_kind {
+	CONTROL_CONFIG = 1,
+	CONTROL_MEMBERSHIP = 2,
+	CONTROL_ROLLOUT = 3 /* only while an order of a rollout exists */
+} control_kind_t;
 
 /* Longest payload of one MESSAGE_CONTROL; a longer one returns as CONTROL_FAILED. */
 #define CONTROL_PAYLOAD_MAX_BYTES (2 * 1024 * 1024)
@@ -192,6 +199,8 @@
 		query_t query;		   /* QUERY; stream names it */
 		chunk_t *report;	   /* REPORT: JSON object, same stream */
 		address_t address;	   /* JOIN_ADDRESS */
+		rollout_step_t *step;	   /* ROLLOUT_STEP; node: that decides */
+		rollout_report_t *rollout; /* ROLLOUT_REPORT; node: as in the step */
 	} u;
 } message_t;
 
--- a/src/node.c
+++ b/src/node.c
@@ -13,6 +13,7 @@
 #include "peer.h"
 #include "preset.h"
 #include "readiness.h"
+#include "rollout_task.h"
 #include "settings.h"
 
 #include <curl/curl.h>
@@ -67,6 +68,7 @@
 	gate_t *gate;
 	entry_t *entry;
 	config_t *config;
+	rollout_task_t *rollout;
 	operators_t *operators;
 	readiness_t *readiness;
 	ev_signal reload;
@@ -98,7 +100,8 @@
  * with "membership": another node assumes the role of relay only after it has learned
  * that this one is leaving, so stopping earlier would leave the zone without a relay.
  */
-static const char *const withdraw_services[] = {"gate", "membership", "config"};
+static const char *const withdraw_services[] = {
+    "gate", "membership", "config", "rollout"};
 
 /*
  * Services that get MESSAGE_STOP_WAITING, one at each poll: the gate's refusals of queued
@@ -321,6 +324,12 @@
 	return membership_create(node->kernel, &node->settings, &node->membership);
 }
 
+static int
+start_rollout(masticpitch_node_t *node)
+{
+	return rollout_task_create(node->kernel, &node->settings, &node->rollout);
+}
+
 static int
 start_gate(masticpitch_node_t *node)
 {
@@ -349,6 +358,7 @@
 static const start_step_t start_steps[] = {
     {"listen.operators", offsetof(settings_t, operators), start_operators},
     {"listen.peers", offsetof(settings_t, peers), start_peer},
+    {"platform.url", offsetof(settings_t, callers), start_rollout},
     {"listen.peers", offsetof(settings_t, peers), start_membership},
     {"listen.backend_servers", offsetof(settings_t, backend_servers), start_gate},
     {"listen.readiness", offsetof(settings_t, readiness), start_readiness},
@@ -494,6 +504,7 @@
 	if (node == NULL)
 		return;
 	config_destroy(node->config);
+	rollout_task_destroy(node->rollout);
 	readiness_destroy(node->readiness);
 	entry_destroy(node->entry);
 	gate_destroy(node->gate);
--- a/src/peer.c
+++ b/src/peer.c
@@ -48,7 +48,15 @@
 const char *
 peer_control_service(control_kind_t kind)
 {
-	return kind == CONTROL_CONFIG ? "config" : "membership";
+	switch (kind) {
+	case CONTROL_CONFIG:
+		return "config";
+	case CONTROL_ROLLOUT:
+		return "rollout";
+	case CONTROL_MEMBERSHIP:
+	default:
+		return "membership";
+	}
 }
 
 void
--- a/src/peer_connection.c
+++ b/src/peer_connection.c
@@ -144,7 +144,7 @@
 	buffer_t *assembly = &connection->assembly;
 	message_t *message;
 
-	if (control->kind != CONTROL_CONFIG && control->kind != CONTROL_MEMBERSHIP)
+	if (control->kind < CONTROL_CONFIG || control->kind > CONTROL_ROLLOUT)
 		return MASTICPITCH_E_INVALID;
 	if (assembly->size > 0 && control->kind != connection->assembly_kind)
 		return MASTICPITCH_E_INVALID;
--- a/src/platform.c
+++ b/src/platform.c
@@ -305,7 +305,15 @@
 	    .value = put->value,
 	    .size = put->size,
 	    .expect = put->expect,
-	    .lease = put->lease};
+	    .lease = put->lease,
+	    .guard_expect = put->guard_expect};
+
+	if (put->guard != NULL && platform->dialect != DIALECT_HOSTED)
+		return MASTICPITCH_E_INVALID;
+	if (put->guard != NULL && (key_check(put->guard) != MASTICPITCH_OK ||
+				      string_copy(request.guard, sizeof(request.guard),
+					  put->guard) != MASTICPITCH_OK))
+		return MASTICPITCH_E_INVALID;
 
 	return call_start(platform, &request, put->key, deadline, callback, state, call);
 }
--- a/src/platform.h
+++ b/src/platform.h
@@ -44,7 +44,8 @@
 
 /* One key with its value. */
 typedef struct platform_entry {
-	const char *key; /* without the client's prefix */
+	/* Without the client's prefix; of an operator's key only the last part. */
+	const char *key;
 	const char *value;
 	size_t size;
 	uint64_t revision;
@@ -115,6 +116,12 @@
 	size_t size;
 	uint64_t expect; /* 0: the key must not exist; or PLATFORM_EXPECT_ANY */
 	uint64_t lease;	 /* 0: none */
+	/*
+	 * Another key, whose revision must be guard_expect too; NULL: none. The native
+	 * dialect has no such condition and refuses it.
+	 */
+	const char *guard;
+	uint64_t guard_expect;
 } platform_put_t;
 
 int platform_put(platform_t *platform, const platform_put_t *put, uint64_t deadline,
--- a/src/platform_codec.h
+++ b/src/platform_codec.h
@@ -22,6 +22,9 @@
 #define PLATFORM_SMALL_ANSWER_MAX_BYTES 4096
 /* Key of the operator's configuration. */
 #define PLATFORM_KEY_HEAD "head"
+/* Start of the operator's keys about rollouts, followed by the service. */
+#define PLATFORM_KEY_ROLLOUT_ORDERS "rollout-orders/"
+#define PLATFORM_KEY_ROLLOUT_STATUS "rollout-status/"
 
 typedef enum platform_call_kind {
 	PLATFORM_CALL_GET,
@@ -41,7 +44,9 @@
 	char key[PLATFORM_KEY_BYTES];	    /* without prefix; LIST: start of keys */
 	const char *value;		    /* PUT; only while it is encoded */
 	size_t size;
-	uint64_t expect; /* PUT, DELETE; or PLATFORM_EXPECT_ANY */
+	uint64_t expect;		/* PUT, DELETE; or PLATFORM_EXPECT_ANY */
+	char guard[PLATFORM_KEY_BYTES]; /* PUT: see platform_put_t; empty: none */
+	uint64_t guard_expect;
 	uint64_t lease;
 	uint32_t ttl_ms;
 	uint64_t after; /* WATCH */
--- /dev/null
+++ b/src/rollout_verdict.c
@@ -0,0 +1,121 @@
+#include "rollout_verdict.h"
+
+#include "util.h"
+
+#include <math.h>
+
+/* Fewest bad answers that a verdict rests on. */
+#define BAD_MIN 6
+/* Fewest answers of the serving instances that a share is taken of. */
+#define BASE_MIN 20
+/* A share of bad answers must exceed the others' by this much ... */
+#define SHARE_GAP 0.06
+/* ... and by so many standard errors: several routes are tested twice a second. */
+#define DEVIATIONS_MIN 4.0
+/*
+ * An answer is slow beyond this multiple of the others' median, in buckets of a factor
+ * of sqrt(2): 4 to 5.7 times. A host of half the speed takes 2 times as long, a bad
+ * release 8.
+ */
+#define SLOW_BUCKETS 5
+
+void
+rollout_counts_add(rollout_counts_t *sum, const rollout_counts_t *counts)
+{
+	for (size_t i = 0; i < ROLLOUT_ROUTE_SLOTS; i++) {
+		rollout_route_counts_t *to = &sum->routes[i];
+		const rollout_route_counts_t *from = &counts->routes[i];
+
+		to->answers += from->answers;
+		to->failures += from->failures;
+		for (size_t j = 0; j < ROLLOUT_LATENCY_BUCKETS; j++)
+			to->latencies[j] += from->latencies[j];
+	}
+}
+
+uint32_t
+rollout_counts_answers(const rollout_counts_t *counts)
+{
+	uint32_t sum = 0;
+
+	for (size_t i = 0; i < ROLLOUT_ROUTE_SLOTS; i++)
+		sum += counts->routes[i].answers;
+	return sum;
+}
+
+/* True if the first share of bad answers is clearly above the second. */
+static bool
+share_is_higher(uint32_t bad, uint32_t all, uint32_t base_bad, uint32_t base_all)
+{
+	double share, base_share, both, error;
+
+	if (bad < BAD_MIN || base_all < BASE_MIN)
+		return false;
+	share = (double)bad / all;
+	base_share = (double)base_bad / base_all;
+	both = ((double)bad + base_bad) / ((double)all + base_all);
+	error = sqrt(both * (1 - both) * (1.0 / all + 1.0 / base_all));
+	return share - base_share > SHARE_GAP &&
+	       share - base_share > DEVIATIONS_MIN * error;
+}
+
+static uint32_t
+latencies_sum(const rollout_route_counts_t *route, size_t from)
+{
+	uint32_t sum = 0;
+
+	for (size_t i = from; i < ROLLOUT_LATENCY_BUCKETS; i++)
+		sum += route->latencies[i];
+	return sum;
+}
+
+static bool
+route_is_slow(const rollout_route_counts_t *target, const rollout_route_counts_t *base)
+{
+	uint32_t base_all = latencies_sum(base, 0), seen = 0;
+	size_t median = 0, slow;
+
+	for (; median < ROLLOUT_LATENCY_BUCKETS - 1; median++) {
+		seen += base->latencies[median];
+		if (2 * seen >= base_all)
+			break;
+	}
+	slow = MIN_OF(median + SLOW_BUCKETS, (size_t)ROLLOUT_LATENCY_BUCKETS - 1);
+	return share_is_higher(latencies_sum(target, slow), latencies_sum(target, 0),
+	    latencies_sum(base, slow), base_all);
+}
+
+rollout_verdict_t
+rollout_verdict(
+    const rollout_counts_t *target, const rollout_counts_t *base, bool with_latency)
+{
+	rollout_route_counts_t all = {0}, base_all = {0};
+
+	for (size_t i = 0; i < ROLLOUT_ROUTE_SLOTS; i++) {
+		const rollout_route_counts_t *route = &target->routes[i];
+		const rollout_route_counts_t *base_route = &base->routes[i];
+
+		all.answers += route->answers;
+		all.failures += route->failures;
+		base_all.answers += base_route->answers;
+		base_all.failures += base_route->failures;
+		if (share_is_higher(route->failures, route->answers, base_route->failures,
+			base_route->answers))
+			return ROLLOUT_VERDICT_FAILS;
+		if (with_latency && route_is_slow(route, base_route))
+			return ROLLOUT_VERDICT_SLOW;
+	}
+	if (share_is_higher(
+		all.failures, all.answers, base_all.failures, base_all.answers))
+		return ROLLOUT_VERDICT_FAILS;
+	return all.answers < ROLLOUT_ANSWERS_MIN ? ROLLOUT_VERDICT_OPEN
+						 : ROLLOUT_VERDICT_GOOD;
+}
+
+const char *
+rollout_verdict_text(rollout_verdict_t verdict)
+{
+	static const char *const texts[] = {"open", "good", "fails", "slow"};
+
+	return texts[verdict];
+}
--- a/src/settings.c
+++ b/src/settings.c
@@ -418,6 +418,11 @@
 	    &bounds->retry_window_ms);
 	read_number(reader, root, "bounds.retry_extra", 0, 1000000, &bounds->retry_extra);
 	read_number(reader, root, "bounds.kill_ms", 0, 86400000, &bounds->kill_ms);
+	read_number(
+	    reader, root, "bounds.exposure_percent", 0, 100, &bounds->exposure_percent);
+	read_number(
+	    reader, root, "bounds.exposure_extra", 0, 1000000, &bounds->exposure_extra);
+	read_number(reader, root, "bounds.rollback_ms", 0, 3600000, &bounds->rollback_ms);
 }
 
 static void
@@ -479,7 +484,7 @@
     {"platform", {"url", "prefix", "timeout_ms", "dialect", "bounds", "seeds", NULL}},
     {"backend_server", {"service", "address", "announce_ms", NULL}},
     {"bounds", {"apply_ms", "drain_ms", "retry_percent", "retry_window_ms", "retry_extra",
-		   "kill_ms", NULL}},
+		   "kill_ms", "exposure_percent", "exposure_extra", "rollback_ms", NULL}},
     {"mesh", {"seeds", "keys", NULL}},
     {"operators", {"token", NULL}},
     {"configuration", {"spread", "source", "watchers", NULL}},
--- a/src/settings.h
+++ b/src/settings.h
@@ -44,6 +44,10 @@
 	uint32_t retry_window_ms; /* window over which the share applies */
 	uint32_t retry_extra;	  /* retries in a window beyond the share, all nodes */
 	uint32_t kill_ms;	  /* a stopped process is killed after it; 0: no bound */
+	/* Of a service's requests, to a new release that may be bad; 0: no rollouts. */
+	uint32_t exposure_percent;
+	uint32_t exposure_extra; /* requests beyond the share */
+	uint32_t rollback_ms;	 /* after 50 bad answers a release gets no requests */
 } settings_bounds_t;
 
 /* The backend server of this host, if the settings name it. */
