Rollouts: the gate's time of an exchange decides whether a release is slow

Cause: an answer counted only if the gate's queue was empty; a slow release fills its slots, so hardly any counted and it passed as good. Change: each answer's load report has the time at the backend server.

--- a/src/balance_rollout.c
+++ b/src/balance_rollout.c
@@ -151,12 +151,18 @@
 	rollout_sample_t sample = {.route = attempt->route,
 	    .answered = status != 0,
 	    .failed = status >= 500 && !attempt->nested_failed,
-	    .timed = attempt->route_class != ROUTE_UPLOAD && instance->load.queued == 0,
-	    .latency = now - MIN_OF(attempt->started_at, now)};
+	    .timed = attempt->route_class != ROUTE_UPLOAD,
+	    .latency = (uint64_t)instance->load.exchange_us * NS_PER_US};
 	rollout_target_t *target;
 
 	if (rollout == NULL || instance->role == ROLLOUT_ROLE_NONE)
 		return;
+	/* Without an answer the wait at the gate is not known; none if its queue is
+	 * empty. */
+	if (status == 0) {
+		sample.timed = instance->load.queued == 0;
+		sample.latency = now - MIN_OF(attempt->started_at, now);
+	}
 	target = rollout_target_find(rollout, instance->release);
 	if (target != NULL && target->step.mode == ROLLOUT_SAMPLE)
 		rollout_target_record(target, &sample);
--- a/src/frame.c
+++ b/src/frame.c
@@ -62,6 +62,7 @@
 	scratch->load.pressure = load->pressure;
 	scratch->load.link_wait_us = load->link_wait_us;
 	scratch->load.link_ns_per_kilobyte = load->link_ns_per_kilobyte;
+	scratch->load.exchange_us = load->exchange_us;
 	return &scratch->load;
 }
 
@@ -238,6 +239,7 @@
 	report->pressure = MIN_OF(load->pressure, 100U);
 	report->link_wait_us = load->link_wait_us;
 	report->link_ns_per_kilobyte = load->link_ns_per_kilobyte;
+	report->exchange_us = load->exchange_us;
 }
 
 static int
--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -159,6 +159,9 @@
 	if (final)
 		headers_add(&answer->headers, final_name, "1");
 	gate_load(call->gate, &answer->load);
+	answer->load.exchange_us = (uint32_t)MIN_OF(
+	    (kernel_now(call->gate->kernel) - call->started_at) / NS_PER_US,
+	    (uint64_t)UINT32_MAX);
 	answer->nested_failed = call->nested_failed;
 	message = gate_call_message(call, MESSAGE_ANSWER_HEAD);
 	if (message == NULL)
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -1183,7 +1183,7 @@
   (ProtobufCMessageInit) masticpitch__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[9] =
 {
   {
     "running",
@@ -1281,8 +1281,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "exchange_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, exchange_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__load__field_indices_by_name[] = {
+  8,   /* field[8] = exchange_us */
   4,   /* field[4] = latency_us */
   2,   /* field[2] = limit */
   7,   /* field[7] = link_ns_per_kilobyte */
@@ -1295,7 +1308,7 @@
 static const ProtobufCIntRange masticpitch__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor masticpitch__load__descriptor =
 {
@@ -1305,7 +1318,7 @@
   "Masticpitch__Load",
   "masticpitch",
   sizeof(Masticpitch__Load),
-  8,
+  9,
   masticpitch__load__field_descriptors,
   masticpitch__load__field_indices_by_name,
   1,  masticpitch__load__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -111,10 +111,14 @@
    * of the host's link; 0: unknown
    */
   uint32_t link_ns_per_kilobyte;
+  /*
+   * with an answer: it took at the backend server
+   */
+  uint32_t exchange_us;
 };
 #define MASTICPITCH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Masticpitch__Hello
--- a/src/message.h
+++ b/src/message.h
@@ -111,6 +111,7 @@
 	uint32_t pressure;     /* share of the urgent calls refused for load, percent */
 	uint32_t link_wait_us; /* until a long body queued now leaves the host */
 	uint32_t link_ns_per_kilobyte; /* of the host's link; 0: not known */
+	uint32_t exchange_us; /* until the answer, without its wait at the gate */
 } load_report_t;
 
 typedef struct answer_head {
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -53,7 +53,7 @@
 	uint32_t instances; /* SAMPLE: over so many instances */
 } rollout_step_t;
 
-/* Answers of one route; latencies only of those that did not wait in a queue. */
+/* Answers of one route; latencies without the wait at the gate. */
 typedef struct rollout_route_counts {
 	uint32_t answers;
 	uint32_t failures;
