--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -3542,7 +3542,7 @@
   (ProtobufCMessageInit) masticpitch__config_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__rollout_step__field_descriptors[6] =
+static const ProtobufCFieldDescriptor masticpitch__rollout_step__field_descriptors[7] =
 {
   {
     "service",
@@ -3616,8 +3616,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "elapsed_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__rollout_step__field_indices_by_name[] = {
+  6,   /* field[6] = elapsed_ms */
   5,   /* field[5] = instances */
   3,   /* field[3] = mode */
   2,   /* field[2] = order */
@@ -3628,7 +3641,7 @@
 static const ProtobufCIntRange masticpitch__rollout_step__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor masticpitch__rollout_step__descriptor =
 {
@@ -3638,7 +3651,7 @@
   "Masticpitch__RolloutStep",
   "masticpitch",
   sizeof(Masticpitch__RolloutStep),
-  6,
+  7,
   masticpitch__rollout_step__field_descriptors,
   masticpitch__rollout_step__field_indices_by_name,
   1,  masticpitch__rollout_step__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -551,10 +551,14 @@
   uint32_t mode;
   uint32_t permille;
   uint32_t instances;
+  /*
+   * since the order
+   */
+  uint64_t elapsed_ms;
 };
 #define MASTICPITCH__ROLLOUT_STEP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_step__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Masticpitch__RolloutRoute
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -49,8 +49,9 @@
 	char release[NAME_BYTES];
 	uint64_t order; /* revision of the order; 0 with FREE */
 	rollout_mode_t mode;
-	uint32_t permille;  /* SAMPLE: of the answered requests */
-	uint32_t instances; /* SAMPLE: over so many instances */
+	uint32_t permille;   /* SAMPLE: of the answered requests */
+	uint32_t instances;  /* SAMPLE: over so many instances */
+	uint64_t elapsed_ms; /* since the order; for the next decider */
 } rollout_step_t;
 
 /* Answers of one route; latencies without the wait at the gate. */
--- a/src/rollout_decider.c
+++ b/src/rollout_decider.c
@@ -293,6 +293,15 @@
 	return NULL;
 }
 
+/* A decider that started after the order takes the deadline from an earlier one. */
+static void
+seen_at_lower(decider_item_t *item, uint64_t elapsed, uint64_t now)
+{
+	uint64_t passed = MIN_OF(elapsed, now / NS_PER_MS) * NS_PER_MS;
+
+	item->seen_at = MIN_OF(item->seen_at, now - passed);
+}
+
 void
 rollout_decider_step_heard(
     rollout_decider_t *decider, const rollout_step_t *step, uint64_t now)
@@ -304,6 +313,7 @@
 	if (item == NULL || item->order.revision != step->order ||
 	    rollout_decider_leads(decider, now) || mode_is_final(item->mode))
 		return;
+	seen_at_lower(item, step->elapsed_ms, now);
 	if (step->mode > item->mode)
 		item_mode_set(item, step->mode, now);
 	/* The status is read again, by a node that has to write it. */
@@ -713,8 +723,7 @@
 		if (state->order != item->order.revision)
 			continue;
 		item->kept = state->mode;
-		item->seen_at = MIN_OF(
-		    item->seen_at, now - MIN_OF(state->elapsed_ms * NS_PER_MS, now));
+		seen_at_lower(item, state->elapsed_ms, now);
 		if (state->mode > item->mode && !mode_is_final(item->mode))
 			item_mode_set(item, state->mode, now);
 	}
@@ -957,6 +966,7 @@
 		step->order = item->order.revision;
 		step->mode = item->mode;
 		step->permille = permille;
+		step->elapsed_ms = elapsed_ms(item, now);
 		step->instances =
 		    (uint32_t)MAX_OF((serving * permille + 999) / 1000, (size_t)1);
 		return true;
--- a/src/rollout_message.c
+++ b/src/rollout_message.c
@@ -33,6 +33,7 @@
 	item.mode = step->mode;
 	item.permille = step->permille;
 	item.instances = step->instances;
+	item.elapsed_ms = step->elapsed_ms;
 	packed.n_steps = 1;
 	packed.steps = items;
 	return message_pack(&packed);
@@ -109,6 +110,7 @@
 	step->mode = (rollout_mode_t)packed->mode;
 	step->permille = packed->permille;
 	step->instances = packed->instances;
+	step->elapsed_ms = packed->elapsed_ms;
 	if (packed->permille > 1000)
 		return MASTICPITCH_E_INVALID;
 	return names_unpack(
--- a/src/rollout_verdict.c
+++ b/src/rollout_verdict.c
@@ -10,8 +10,8 @@
 #define BASE_MIN 20
 /* A share of bad answers must exceed the others' by this much ... */
 #define SHARE_GAP 0.06
-/* ... and by so many standard errors: several routes are tested twice a second. */
-#define DEVIATIONS_MIN 4.0
+/* ... and be less likely than this: some 10 tests are made several times a second. */
+#define CHANCE_MAX 1e-6
 /*
  * An answer is slow beyond this multiple of the others' median, in buckets of a factor
  * of sqrt(2): 4 to 5.7 times. A host of half the speed takes 2 times as long, a bad
@@ -43,20 +43,40 @@
 	return sum;
 }
 
+/*
+ * Probability that at least so many of all answers are bad if each is with the given
+ * share. Exact: with few answers a normal approximation gives false alarms.
+ */
+static double
+chance_of(uint32_t bad, uint32_t all, double share)
+{
+	double n = all, sum = 0;
+
+	for (uint32_t i = bad; i <= all; i++) {
+		double k = i;
+		double term = exp(lgamma(n + 1) - lgamma(k + 1) - lgamma(n - k + 1) +
+				  k * log(share) + (n - k) * log1p(-share));
+
+		sum += term;
+		if (term < sum * 1e-9)
+			break;
+	}
+	return sum;
+}
+
 /* True if the first share of bad answers is clearly above the second. */
 static bool
 share_is_higher(uint32_t bad, uint32_t all, uint32_t base_bad, uint32_t base_all)
 {
-	double share, base_share, both, error;
+	double share, base_share;
 
 	if (bad < BAD_MIN || base_all < BASE_MIN)
 		return false;
 	share = (double)bad / all;
-	base_share = (double)base_bad / base_all;
-	both = ((double)bad + base_bad) / ((double)all + base_all);
-	error = sqrt(both * (1 - both) * (1.0 / all + 1.0 / base_all));
+	/* At least one bad and one good answer more, so that no share is 0 or 1. */
+	base_share = ((double)base_bad + 1) / ((double)base_all + 2);
 	return share - base_share > SHARE_GAP &&
-	       share - base_share > DEVIATIONS_MIN * error;
+	       chance_of(bad, all, base_share) < CHANCE_MAX;
 }
 
 static uint32_t
