Rollouts: watch a sample without a pause before traffic moves

Change: traffic moves only after 3 s of watching without a pause; the last seconds are also judged alone.

--- a/src/rollout_decider.c
+++ b/src/rollout_decider.c
@@ -15,6 +15,16 @@
 #define FINAL_INTERVAL_MS 1000
 /* Shortest pause between two verdicts, ms. */
 #define VERDICT_INTERVAL_MS 200
+/*
+ * Length of the window of answers that are also judged alone, ms: a release that turns
+ * bad late would be diluted by its earlier answers.
+ */
+#define WINDOW_MS 2000
+/*
+ * The traffic moves only after the sample was watched so long without a pause, ms: while
+ * nobody decides, a release may turn bad unseen.
+ */
+#define WATCHED_MIN_MS 3000
 /* Without enough answers the traffic still moves after this share of the ramp ... */
 #define OBSERVE_LATEST_PERCENT 80
 /* ... if the release has given this many. */
@@ -51,7 +61,13 @@
 	rollout_outcome_t written;
 	rollout_verdict_t verdict;
 	uint64_t verdict_at;
-	bool moves; /* the verdict is good: FULL as soon as it is in the store */
+	uint64_t watched_at; /* the sample is watched without a pause since then */
+	uint64_t window_at;  /* start of the newer window */
+	struct decider_sums {
+		rollout_counts_t target;
+		rollout_counts_t base;
+	} windows[2]; /* sums at the start of the older and the newer window */
+	bool moves;   /* the verdict is good: FULL as soon as it is in the store */
 	bool changed;
 	uint64_t step_at; /* next one is due */
 	decider_report_t *reports;
@@ -160,6 +176,7 @@
 		return;
 	item->mode = mode;
 	item->mode_at = now;
+	item->watched_at = now;
 	item->step_at = now;
 	item->changed = true;
 }
@@ -365,20 +382,31 @@
 	return elapsed_ms(item, now) * 100 >= (uint64_t)item->order.ramp_ms * percent;
 }
 
+/* Judges all answers, and those of the last one or two windows; returns their number. */
 static uint32_t
 verdict_update(decider_item_t *item, uint64_t now)
 {
-	rollout_counts_t target = {0}, base = {0};
-	uint32_t answers;
+	struct decider_sums sums = {0}, recent;
+	rollout_verdict_t verdict;
 
 	for (size_t i = 0; i < item->report_count; i++) {
-		rollout_counts_add(&target, &item->reports[i].target);
-		rollout_counts_add(&base, &item->reports[i].base);
+		rollout_counts_add(&sums.target, &item->reports[i].target);
+		rollout_counts_add(&sums.base, &item->reports[i].base);
 	}
-	answers = rollout_counts_answers(&target);
-	item->verdict = rollout_verdict(&target, &base, true);
+	recent = sums;
+	rollout_counts_subtract(&recent.target, &item->windows[0].target);
+	rollout_counts_subtract(&recent.base, &item->windows[0].base);
+	item->verdict = rollout_verdict(&sums.target, &sums.base, true);
+	verdict = rollout_verdict(&recent.target, &recent.base, true);
+	if (item->verdict == ROLLOUT_VERDICT_GOOD)
+		item->verdict = verdict;
 	item->verdict_at = now;
-	return answers;
+	if (now >= item->window_at + WINDOW_MS * NS_PER_MS) {
+		item->windows[0] = item->windows[1];
+		item->windows[1] = sums;
+		item->window_at = now;
+	}
+	return rollout_counts_answers(&recent.target);
 }
 
 static bool
@@ -388,6 +416,12 @@
 	       item->verdict == ROLLOUT_VERDICT_SLOW;
 }
 
+static uint64_t
+watched_min(const decider_item_t *item)
+{
+	return MIN_OF(WATCHED_MIN_MS, item->order.ramp_ms / 4) * NS_PER_MS;
+}
+
 /* Usable members that have not moved, or still wait for answers of old instances. */
 static size_t
 nodes_missing(const rollout_decider_t *decider, const decider_item_t *item)
@@ -787,11 +821,22 @@
 	decider->renew_at = decider->call_sent_at + ROLLOUT_LEASE_RENEW_MS * NS_PER_MS;
 }
 
+/* This node begins to decide; until now perhaps nobody watched the samples. */
+static void
+watch_restart(rollout_decider_t *decider, uint64_t now)
+{
+	for (size_t i = 0; i < decider->item_count; i++) {
+		decider->items[i]->watched_at = now;
+		decider->items[i]->moves = false;
+	}
+}
+
 static void
 leader_receive(rollout_decider_t *decider, const rollout_answer_t *answer, uint64_t now)
 {
 	if (answer->outcome == PLATFORM_OK) {
 		decider->leads = true;
+		watch_restart(decider, now);
 		/* An earlier decider may have written since the last read. */
 		decider->states_needed = true;
 		decider->statuses_needed = true;
@@ -892,9 +937,11 @@
 		}
 		break;
 	case ROLLOUT_CALL_RENEW:
-		if (answer->outcome == PLATFORM_OK)
+		if (answer->outcome == PLATFORM_OK) {
+			if (now >= decider->lease_until)
+				watch_restart(decider, now);
 			lease_extend(decider);
-		else if (answer->outcome == PLATFORM_NOT_FOUND)
+		} else if (answer->outcome == PLATFORM_NOT_FOUND)
 			lease_drop(decider);
 		break;
 	case ROLLOUT_CALL_REVOKE:
--- a/src/rollout_verdict.c
+++ b/src/rollout_verdict.c
@@ -33,6 +33,28 @@
 	}
 }
 
+static uint32_t
+difference(uint32_t a, uint32_t b)
+{
+	return a - MIN_OF(a, b);
+}
+
+void
+rollout_counts_subtract(rollout_counts_t *sum, const rollout_counts_t *earlier)
+{
+	for (size_t i = 0; i < ROLLOUT_ROUTE_SLOTS; i++) {
+		rollout_route_counts_t *to = &sum->routes[i];
+		const rollout_route_counts_t *from = &earlier->routes[i];
+
+		to->answers = difference(to->answers, from->answers);
+		to->failures =
+		    MIN_OF(difference(to->failures, from->failures), to->answers);
+		for (size_t j = 0; j < ROLLOUT_LATENCY_BUCKETS; j++)
+			to->latencies[j] =
+			    difference(to->latencies[j], from->latencies[j]);
+	}
+}
+
 uint32_t
 rollout_counts_answers(const rollout_counts_t *counts)
 {
--- a/src/rollout_verdict.h
+++ b/src/rollout_verdict.h
@@ -22,6 +22,9 @@
 #define ROLLOUT_ANSWERS_MIN 40
 
 void rollout_counts_add(rollout_counts_t *sum, const rollout_counts_t *counts);
+/* The counts since an earlier state of the same sums; none where a sum has become less.
+ */
+void rollout_counts_subtract(rollout_counts_t *sum, const rollout_counts_t *earlier);
 uint32_t rollout_counts_answers(const rollout_counts_t *counts);
 /* with_latency: false compares the failures only. */
 rollout_verdict_t rollout_verdict(
--- a/test/test_rollout.cc
+++ b/test/test_rollout.cc
@@ -28,8 +28,9 @@
 
 class Fleet : public ::testing::Test
 {
-    protected:
-	void SetUp() override
+      protected:
+	void
+	SetUp() override
 	{
 		ASSERT_EQ(
 		    balance_create(BALANCE_ADAPTIVE, "a", "r", &balance), MASTICPITCH_OK);
@@ -41,12 +42,14 @@
 		for (uint64_t node = 1; node <= 20; node++)
 			member_set(node, "v1");
 	}
-	void TearDown() override
+	void
+	TearDown() override
 	{
 		balance_destroy(balance);
 	}
-	void member_set(uint64_t node, const char *release,
-	    instance_state_t state = INSTANCE_READY)
+	void
+	member_set(
+	    uint64_t node, const char *release, instance_state_t state = INSTANCE_READY)
 	{
 		member_t member;
 
@@ -62,7 +65,8 @@
 		ASSERT_EQ(balance_member_update(balance, &member, now), MASTICPITCH_OK);
 	}
 	/* One request that is answered with the status; returns its node, 0: none. */
-	uint64_t request(int status = 200, size_t excluded_count = 0)
+	uint64_t
+	request(int status = 200, size_t excluded_count = 0)
 	{
 		const uint64_t excluded[] = {1};
 		const balance_request_t kind = {.route_class = ROUTE_CALL, .route = 3};
@@ -80,7 +84,8 @@
 		return node;
 	}
 	/* Requests out of count that went to nodes above 20, the new release. */
-	int sampled(int count, size_t excluded_count = 0)
+	int
+	sampled(int count, size_t excluded_count = 0)
 	{
 		int sum = 0;
 
@@ -88,7 +93,8 @@
 			sum += request(200, excluded_count) > 20;
 		return sum;
 	}
-	rollout_accept_t step(rollout_mode_t mode, uint64_t order = 7)
+	rollout_accept_t
+	step(rollout_mode_t mode, uint64_t order = 7)
 	{
 		rollout_step_t value = step_of(mode, order);
 
@@ -145,8 +151,7 @@
 		    balance, &service, &kind, nullptr, 0, &rng, now, &node);
 		ASSERT_LE(node, 20u);
 		balance_attempt_start(balance, node, &kind, now, &attempt);
-		balance_attempt_refused(
-		    balance, &attempt, REASON_QUEUE_FULL, &load, now);
+		balance_attempt_refused(balance, &attempt, REASON_QUEUE_FULL, &load, now);
 	}
 }
 
@@ -259,8 +264,8 @@
 	for (int i = 0; i < 100; i++)
 		request(500);
 	ASSERT_TRUE(balance_rollout_report(balance, &sample, &report));
-	EXPECT_EQ(rollout_counts_answers(&report.target) +
-		      rollout_counts_answers(&report.base),
+	EXPECT_EQ(
+	    rollout_counts_answers(&report.target) + rollout_counts_answers(&report.base),
 	    100u);
 	EXPECT_EQ(report.target.routes[3].failures, report.target.routes[3].answers);
 	EXPECT_GT(report.target.routes[3].answers, 0u);
@@ -287,8 +292,8 @@
 	for (int i = 0; i < 3; i++) {
 		chunk_t *packed = rollout_step_pack(&step);
 
-		EXPECT_EQ(rollout_message_unpack(packed->data, packed->size, &kind, &copy,
-			      &report),
+		EXPECT_EQ(rollout_message_unpack(
+			      packed->data, packed->size, &kind, &copy, &report),
 		    i < 2 ? MASTICPITCH_E_INVALID : MASTICPITCH_OK);
 		chunk_release(packed);
 		step.permille = 65;
@@ -339,6 +344,20 @@
 	EXPECT_EQ(verdict_of(3, 0, 3, 9), ROLLOUT_VERDICT_GOOD);
 }
 
+// A fault on a route with few calls must not vanish among the others.
+TEST(RolloutVerdict, FaultOnARareRouteShows)
+{
+	rollout_counts_t target, base;
+
+	memset(&target, 0, sizeof(target));
+	memset(&base, 0, sizeof(base));
+	route_fill(&target, 1, 400, 2, 4);
+	route_fill(&base, 1, 6000, 24, 60);
+	route_fill(&target, 2, 12, 8, 0);
+	route_fill(&base, 2, 180, 1, 1);
+	EXPECT_EQ(rollout_verdict(&target, &base, true), ROLLOUT_VERDICT_FAILS);
+}
+
 // Hosts differ in speed by a factor of two; that is no fault of a release.
 TEST(RolloutVerdict, SlowerHostIsNoFault)
 {
@@ -382,8 +401,7 @@
 			route_fill(to, (int)rng_below(&rng, 6), 1, failed, slow);
 			if (i % 200 != 0)
 				continue;
-			rollout_verdict_t verdict =
-			    rollout_verdict(&target, &base, true);
+			rollout_verdict_t verdict = rollout_verdict(&target, &base, true);
 			if (verdict == ROLLOUT_VERDICT_FAILS ||
 			    verdict == ROLLOUT_VERDICT_SLOW) {
 				alarms++;
--- a/test/test_rollout_decider.cc
+++ b/test/test_rollout_decider.cc
@@ -6,8 +6,8 @@
 #include "rollout_step.h"
 #include "util.h"
 
-#include <gtest/gtest.h>
 #include <deque>
+#include <gtest/gtest.h>
 #include <map>
 #include <set>
 #include <string>
@@ -37,7 +37,8 @@
 	double lost = 0; /* share of answers that are lost after the call took effect */
 	int calls = 0;
 
-	void expire(uint64_t now)
+	void
+	expire(uint64_t now)
 	{
 		for (auto item = leases.begin(); item != leases.end();) {
 			if (item->second > now) {
@@ -49,7 +50,8 @@
 			item = leases.erase(item);
 		}
 	}
-	void order(const char *release, uint32_t ramp_ms)
+	void
+	order(const char *release, uint32_t ramp_ms)
 	{
 		rollout_order_t value;
 
@@ -60,7 +62,8 @@
 		value.revision = ++revision;
 		orders["katalogo"] = value;
 	}
-	bool put_state(const rollout_state_t &state)
+	bool
+	put_state(const rollout_state_t &state)
 	{
 		std::string key = std::string(state.service) + "/" + state.release;
 		uint64_t current = states.count(key) ? states[key].revision : 0;
@@ -71,7 +74,8 @@
 		states[key].revision = ++revision;
 		return true;
 	}
-	bool put_status(const rollout_call_t &call, uint64_t now)
+	bool
+	put_status(const rollout_call_t &call, uint64_t now)
 	{
 		std::string key =
 		    std::string(call.state.service) + "/" + call.state.release;
@@ -88,8 +92,8 @@
 		written_at.push_back(now);
 		return true;
 	}
-	platform_outcome_t apply(
-	    const rollout_call_t &call, rollout_answer_t &answer, uint64_t now)
+	platform_outcome_t
+	apply(const rollout_call_t &call, rollout_answer_t &answer, uint64_t now)
 	{
 		calls++;
 		switch (call.kind) {
@@ -147,8 +151,9 @@
 
 class Mesh : public ::testing::Test
 {
-    protected:
-	void SetUp() override
+      protected:
+	void
+	SetUp() override
 	{
 		rng_init(&rng, 11);
 		for (int i = 0; i < RELAYS; i++)
@@ -156,14 +161,16 @@
 		for (Entry &entry : entries)
 			memset(&entry.table, 0, sizeof(entry.table));
 	}
-	void TearDown() override
+	void
+	TearDown() override
 	{
 		for (Relay &relay : relays)
 			rollout_decider_destroy(relay.decider);
 		for (Entry &entry : entries)
 			rollout_table_free(&entry.table);
 	}
-	member_t member_of(int node)
+	member_t
+	member_of(int node)
 	{
 		member_t member;
 
@@ -179,7 +186,8 @@
 		return member;
 	}
 	/* Nodes 0 to ENTRIES - 1 have old instances; the next two the new release. */
-	void members_tell(int relay)
+	void
+	members_tell(int relay)
 	{
 		for (int i = 0; i < ENTRIES + (instances_started ? 2 : 0); i++) {
 			member_t member = member_of(i);
@@ -191,7 +199,8 @@
 			    relays[relay].decider, &member, now);
 		}
 	}
-	void relay_start(int i)
+	void
+	relay_start(int i)
 	{
 		const rollout_decider_options_t options = {
 		    .node = (uint64_t)i + 1, .exposure_percent = 10, .watches = true};
@@ -202,7 +211,8 @@
 		members_tell(i);
 		rollout_decider_rank_set(relays[i].decider, i, now);
 	}
-	int leader()
+	int
+	leader()
 	{
 		for (int i = 0; i < RELAYS; i++) {
 			if (rollout_decider_leads(relays[i].decider, now) &&
@@ -211,7 +221,8 @@
 		}
 		return -1;
 	}
-	rollout_mode_t mode_at(int entry)
+	rollout_mode_t
+	mode_at(int entry)
 	{
 		rollout_service_t *service =
 		    rollout_service_find(&entries[entry].table, "katalogo");
@@ -220,7 +231,8 @@
 
 		return target != nullptr ? target->step.mode : ROLLOUT_HOLD;
 	}
-	void call_finish(Relay &relay, const rollout_call_t &call)
+	void
+	call_finish(Relay &relay, const rollout_call_t &call)
 	{
 		rollout_answer_t answer;
 		std::vector<rollout_order_t> orders;
@@ -257,7 +269,8 @@
 			answer.outcome = PLATFORM_UNKNOWN;
 		rollout_decider_answer(relay.decider, &answer, now);
 	}
-	void step_send(int from, const rollout_step_t &step, uint64_t node)
+	void
+	step_send(int from, const rollout_step_t &step, uint64_t node)
 	{
 		rollout_report_t report;
 		Entry *entry;
@@ -292,7 +305,8 @@
 		    report.mode >= ROLLOUT_FULL && entry->old_until > now;
 		rollout_decider_report(relays[from].decider, node, &report, now);
 	}
-	void relay_run(int i)
+	void
+	relay_run(int i)
 	{
 		Relay &relay = relays[i];
 		rollout_call_t call;
@@ -324,12 +338,14 @@
 				call_finish(relay, call);
 			}
 		}
-		while (rollout_decider_step(relay.decider, now, &step, nodes, 32, &count)) {
+		while (
+		    rollout_decider_step(relay.decider, now, &step, nodes, 32, &count)) {
 			for (size_t n = 0; n < count; n++)
 				step_send(i, step, nodes[n]);
 		}
 	}
-	bool relays_idle()
+	bool
+	relays_idle()
 	{
 		for (Relay &relay : relays) {
 			if (!relay.late.empty())
@@ -337,7 +353,8 @@
 		}
 		return true;
 	}
-	uint64_t orders_revision()
+	uint64_t
+	orders_revision()
 	{
 		uint64_t last = orders_changed;
 
@@ -346,7 +363,8 @@
 		return last;
 	}
 	/* One request at an entry, 100 each second and entry. */
-	void request(Entry &entry)
+	void
+	request(Entry &entry)
 	{
 		rollout_service_t *service =
 		    rollout_service_find(&entry.table, "katalogo");
@@ -385,11 +403,13 @@
 			rollout_target_record(target, &sample);
 		}
 	}
-	uint64_t completed_at()
+	uint64_t
+	completed_at()
 	{
 		return outcome_at(ROLLOUT_COMPLETED);
 	}
-	uint64_t outcome_at(rollout_outcome_t outcome)
+	uint64_t
+	outcome_at(rollout_outcome_t outcome)
 	{
 		for (size_t i = 0; i < store.written.size(); i++) {
 			if (store.written[i].outcome == outcome)
@@ -397,7 +417,8 @@
 		}
 		return 0;
 	}
-	void run(uint64_t seconds_ms)
+	void
+	run(uint64_t seconds_ms)
 	{
 		for (uint64_t end = now + seconds_ms * NS_PER_MS; now < end;
 		     now += TICK) {
@@ -417,20 +438,23 @@
 		}
 	}
 	/* Runs until the mode is in force at entry 5. */
-	void run_until(rollout_mode_t mode)
+	void
+	run_until(rollout_mode_t mode)
 	{
 		for (int i = 0; i < 1500 && mode_at(5) != mode; i++)
 			run(20);
 		ASSERT_EQ(mode_at(5), mode);
 	}
-	void expect_good(uint64_t deadline_ms = 15000)
+	void
+	expect_good(uint64_t deadline_ms = 15000)
 	{
 		ASSERT_NE(completed_at(), 0u);
 		EXPECT_LE(completed_at(), T0 + deadline_ms * NS_PER_MS);
 		EXPECT_EQ(outcome_at(ROLLOUT_ROLLED_BACK), 0u);
 		EXPECT_EQ(sent_to_ended, 0);
 	}
-	void expect_bad(uint64_t deadline_ms = 15000)
+	void
+	expect_bad(uint64_t deadline_ms = 15000)
 	{
 		ASSERT_NE(outcome_at(ROLLOUT_ROLLED_BACK), 0u);
 		EXPECT_LE(outcome_at(ROLLOUT_ROLLED_BACK), T0 + deadline_ms * NS_PER_MS);
@@ -524,11 +548,26 @@
 	}
 }
 
+// All relays end while the traffic moves: the next ones go on from the store.
+TEST_F(Mesh, MoveGoesOnAfterAllRelaysWereReplaced)
+{
+	store.order("v2", 20000);
+	old_answer_ns = 60 * NS_PER_S;
+	run_until(ROLLOUT_FULL);
+	for (int i = 0; i < RELAYS; i++)
+		relay_start(i);
+	for (Entry &entry : entries)
+		entry.old_until = 0;
+	run(5000);
+	expect_good(20000);
+}
+
 // All relays are replaced one after the other: the last one never saw the order begin.
 TEST_F(Mesh, NewDeciderKeepsTheDeadline)
 {
 	store.order("v2", 20000);
 	run_until(ROLLOUT_SAMPLE);
+	run(5000);
 	for (int i = RELAYS - 1; i >= 0; i--) {
 		run(1500);
 		relay_start(i);
@@ -574,8 +613,7 @@
 	ASSERT_NE(leader(), old);
 	rollout_answer_t answer;
 	memset(&answer, 0, sizeof(answer));
-	EXPECT_EQ(
-	    store.apply(relays[old].late.front(), answer, now), PLATFORM_CONFLICT);
+	EXPECT_EQ(store.apply(relays[old].late.front(), answer, now), PLATFORM_CONFLICT);
 	EXPECT_EQ(completed_at(), 0u);
 }
 
@@ -620,6 +658,24 @@
 	expect_bad(20000);
 }
 
+// Seen on a day of the bench: the release turned bad while nobody could decide, and its
+// good answers of before moved all traffic to it as soon as the store was back.
+TEST_F(Mesh, ReleaseThatTurnsBadWhileNobodyDecidesIsNotMovedTo)
+{
+	bad = Bad::Late;
+	store.order("v2", 16000);
+	run(9000);
+	store.down = true;
+	run(2600);
+	bad_from = now;
+	run(2000);
+	store.down = false;
+	run(10000);
+	EXPECT_NE(outcome_at(ROLLOUT_ROLLED_BACK), 0u);
+	EXPECT_EQ(completed_at(), 0u);
+	EXPECT_LE(exposed, requests / 10 + 50);
+}
+
 TEST_F(Mesh, LostAnswersOfTheStoreDoNotStopIt)
 {
 	store.lost = 0.3;
