--- a/src/rollout_decider.c
+++ b/src/rollout_decider.c
@@ -66,8 +66,9 @@
 	struct decider_sums {
 		rollout_counts_t target;
 		rollout_counts_t base;
-	} windows[2]; /* sums at the start of the older and the newer window */
-	bool moves;   /* the verdict is good: FULL as soon as it is in the store */
+	} windows[2];  /* sums at the start of the older and the newer window */
+	bool doubtful; /* the last answers are worse, but that may be chance */
+	bool moves;    /* the verdict is good: FULL as soon as it is in the store */
 	bool changed;
 	uint64_t step_at; /* next one is due */
 	decider_report_t *reports;
@@ -400,6 +401,7 @@
 	verdict = rollout_verdict(&recent.target, &recent.base, true);
 	if (item->verdict == ROLLOUT_VERDICT_GOOD)
 		item->verdict = verdict;
+	item->doubtful = rollout_counts_doubtful(&recent.target, &recent.base);
 	item->verdict_at = now;
 	if (now >= item->window_at + WINDOW_MS * NS_PER_MS) {
 		item->windows[0] = item->windows[1];
@@ -467,10 +469,12 @@
 			item_mode_set(item, ROLLOUT_STOPPED, now);
 			break;
 		}
-		item->moves = (item->verdict == ROLLOUT_VERDICT_GOOD &&
-				  ramp_has_passed(item, ROLLOUT_OBSERVE_PERCENT, now)) ||
-			      (answers >= ANSWERS_LATEST_MIN &&
-				  ramp_has_passed(item, OBSERVE_LATEST_PERCENT, now));
+		item->moves =
+		    !item->doubtful && now >= item->watched_at + watched_min(item) &&
+		    ((item->verdict == ROLLOUT_VERDICT_GOOD &&
+			 ramp_has_passed(item, ROLLOUT_OBSERVE_PERCENT, now)) ||
+			(answers >= ANSWERS_LATEST_MIN &&
+			    ramp_has_passed(item, OBSERVE_LATEST_PERCENT, now)));
 		break;
 	default:
 		break;
--- a/src/rollout_verdict.c
+++ b/src/rollout_verdict.c
@@ -4,14 +4,19 @@
 
 #include <math.h>
 
-/* Fewest bad answers that a verdict rests on. */
-#define BAD_MIN 6
+/* What a conclusion from shares of bad answers rests on. */
+typedef struct test {
+	uint32_t bad_min; /* fewest bad answers */
+	double gap;	  /* least difference of the shares */
+	/* Greatest probability that it is chance; some 10 tests are made at a time. */
+	double chance_max;
+} test_t;
+
+static const test_t test_clear = {6, 0.06, 1e-6};
+/* Holds back some good releases too, for a moment. */
+static const test_t test_doubt = {3, 0.0, 2e-3};
 /* Fewest answers of the serving instances that a share is taken of. */
 #define BASE_MIN 20
-/* A share of bad answers must exceed the others' by this much ... */
-#define SHARE_GAP 0.06
-/* ... and be less likely than this: some 10 tests are made several times a second. */
-#define CHANCE_MAX 1e-6
 /*
  * An answer is slow beyond this multiple of the others' median, in buckets of a factor
  * of sqrt(2): 4 to 5.7 times. A host of half the speed takes 2 times as long, a bad
@@ -88,17 +93,18 @@
 
 /* True if the first share of bad answers is clearly above the second. */
 static bool
-share_is_higher(uint32_t bad, uint32_t all, uint32_t base_bad, uint32_t base_all)
+share_is_higher(
+    const test_t *test, uint32_t bad, uint32_t all, uint32_t base_bad, uint32_t base_all)
 {
 	double share, base_share;
 
-	if (bad < BAD_MIN || base_all < BASE_MIN)
+	if (bad < test->bad_min || base_all < BASE_MIN)
 		return false;
 	share = (double)bad / all;
 	/* At least one bad and one good answer more, so that no share is 0 or 1. */
 	base_share = ((double)base_bad + 1) / ((double)base_all + 2);
-	return share - base_share > SHARE_GAP &&
-	       chance_of(bad, all, base_share) < CHANCE_MAX;
+	return share - base_share > test->gap &&
+	       chance_of(bad, all, base_share) < test->chance_max;
 }
 
 static uint32_t
@@ -112,7 +118,8 @@
 }
 
 static bool
-route_is_slow(const rollout_route_counts_t *target, const rollout_route_counts_t *base)
+route_is_slow(const test_t *test, const rollout_route_counts_t *target,
+    const rollout_route_counts_t *base)
 {
 	uint32_t base_all = latencies_sum(base, 0), seen = 0;
 	size_t median = 0, slow;
@@ -123,8 +130,8 @@
 			break;
 	}
 	slow = MIN_OF(median + SLOW_BUCKETS, (size_t)ROLLOUT_LATENCY_BUCKETS - 1);
-	return share_is_higher(latencies_sum(target, slow), latencies_sum(target, 0),
-	    latencies_sum(base, slow), base_all);
+	return share_is_higher(test, latencies_sum(target, slow),
+	    latencies_sum(target, 0), latencies_sum(base, slow), base_all);
 }
 
 rollout_verdict_t
@@ -141,19 +148,34 @@
 		all.failures += route->failures;
 		base_all.answers += base_route->answers;
 		base_all.failures += base_route->failures;
-		if (share_is_higher(route->failures, route->answers, base_route->failures,
-			base_route->answers))
+		if (share_is_higher(&test_clear, route->failures, route->answers,
+			base_route->failures, base_route->answers))
 			return ROLLOUT_VERDICT_FAILS;
-		if (with_latency && route_is_slow(route, base_route))
+		if (with_latency && route_is_slow(&test_clear, route, base_route))
 			return ROLLOUT_VERDICT_SLOW;
 	}
-	if (share_is_higher(
-		all.failures, all.answers, base_all.failures, base_all.answers))
+	if (share_is_higher(&test_clear, all.failures, all.answers, base_all.failures,
+		base_all.answers))
 		return ROLLOUT_VERDICT_FAILS;
 	return all.answers < ROLLOUT_ANSWERS_MIN ? ROLLOUT_VERDICT_OPEN
 						 : ROLLOUT_VERDICT_GOOD;
 }
 
+bool
+rollout_counts_doubtful(const rollout_counts_t *target, const rollout_counts_t *base)
+{
+	for (size_t i = 0; i < ROLLOUT_ROUTE_SLOTS; i++) {
+		const rollout_route_counts_t *route = &target->routes[i];
+		const rollout_route_counts_t *base_route = &base->routes[i];
+
+		if (share_is_higher(&test_doubt, route->failures, route->answers,
+			base_route->failures, base_route->answers) ||
+		    route_is_slow(&test_doubt, route, base_route))
+			return true;
+	}
+	return false;
+}
+
 const char *
 rollout_verdict_text(rollout_verdict_t verdict)
 {
--- a/src/rollout_verdict.h
+++ b/src/rollout_verdict.h
@@ -29,6 +29,10 @@
 /* with_latency: false compares the failures only. */
 rollout_verdict_t rollout_verdict(
     const rollout_counts_t *target, const rollout_counts_t *base, bool with_latency);
+/* True if the release looks worse, though not clearly: no moment to move traffic to it.
+ */
+bool rollout_counts_doubtful(
+    const rollout_counts_t *target, const rollout_counts_t *base);
 /* "open", "good", "fails", "slow". */
 const char *rollout_verdict_text(rollout_verdict_t verdict);
 
--- a/test/test_rollout_decider.cc
+++ b/test/test_rollout_decider.cc
@@ -676,6 +676,16 @@
 	EXPECT_LE(exposed, requests / 10 + 50);
 }
 
+// The first bad answers come just before the traffic would move.
+TEST_F(Mesh, ReleaseThatTurnsBadAtTheLastMomentIsNotMovedTo)
+{
+	bad = Bad::Late;
+	bad_from = now + 9400 * NS_PER_MS;
+	store.order("v2", 15000);
+	run(15000);
+	expect_bad();
+}
+
 TEST_F(Mesh, LostAnswersOfTheStoreDoNotStopIt)
 {
 	store.lost = 0.3;
