Rollouts: entries remember how long ago an order was given

Cause: a relay that decides right after its start knew the time of the order only from the last state written, and missed the deadline (test_rollout_decider, NewDeciderKeepsTheDeadline: 26 s of 24 s). Change: steps and reports carry the time since the order.

--- a/src/balance.h
+++ b/src/balance.h
@@ -151,8 +151,8 @@
 rollout_accept_t balance_step_accept(
     balance_t *balance, const rollout_step_t *step, uint64_t now);
 /* What this entry saw of a rollout; false: it has no such step. */
-bool balance_rollout_report(
-    const balance_t *balance, const rollout_step_t *step, rollout_report_t *report);
+bool balance_rollout_report(const balance_t *balance, const rollout_step_t *step,
+    uint64_t now, rollout_report_t *report);
 /* Requests sent to releases as samples. */
 uint64_t balance_sampled_count(const balance_t *balance);
 
--- a/src/balance_rollout.c
+++ b/src/balance_rollout.c
@@ -118,8 +118,8 @@
 }
 
 bool
-balance_rollout_report(
-    const balance_t *balance, const rollout_step_t *step, rollout_report_t *report)
+balance_rollout_report(const balance_t *balance, const rollout_step_t *step, uint64_t now,
+    rollout_report_t *report)
 {
 	const balance_service_t *service = balance_service_find(balance, step->service);
 	rollout_service_t *rollout =
@@ -134,6 +134,7 @@
 	memcpy(report->release, step->release, sizeof(report->release));
 	report->order = target->step.order;
 	report->mode = target->step.mode;
+	report->elapsed_ms = rollout_target_elapsed(target, now);
 	report->target = target->counts;
 	report->base = target->base;
 	for (size_t i = 0; service != NULL && i < service->count; i++) {
--- a/src/entry.c
+++ b/src/entry.c
@@ -123,7 +123,8 @@
 	metrics_set(
 	    metrics, METRIC_ROLLOUT_SAMPLED, balance_sampled_count(entry->balance));
 	if (answer == NULL || report == NULL ||
-	    !balance_rollout_report(entry->balance, step, report)) {
+	    !balance_rollout_report(
+		entry->balance, step, kernel_now(entry->kernel), report)) {
 		free(report);
 		message_destroy(answer);
 		return;
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -3735,7 +3735,7 @@
   (ProtobufCMessageInit) masticpitch__rollout_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__rollout_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor masticpitch__rollout_report__field_descriptors[8] =
 {
   {
     "service",
@@ -3821,8 +3821,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "elapsed_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__rollout_report__field_indices_by_name[] = {
+  7,   /* field[7] = elapsed_ms */
   3,   /* field[3] = mode */
   2,   /* field[2] = order */
   6,   /* field[6] = others */
@@ -3834,7 +3847,7 @@
 static const ProtobufCIntRange masticpitch__rollout_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor masticpitch__rollout_report__descriptor =
 {
@@ -3844,7 +3857,7 @@
   "Masticpitch__RolloutReport",
   "masticpitch",
   sizeof(Masticpitch__RolloutReport),
-  7,
+  8,
   masticpitch__rollout_report__field_descriptors,
   masticpitch__rollout_report__field_indices_by_name,
   1,  masticpitch__rollout_report__number_ranges,
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -593,10 +593,14 @@
   Masticpitch__RolloutRoute **target;
   size_t n_others;
   Masticpitch__RolloutRoute **others;
+  /*
+   * since the order, as far as the node knows
+   */
+  uint64_t elapsed_ms;
 };
 #define MASTICPITCH__ROLLOUT_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -72,6 +72,7 @@
 	uint64_t order;
 	rollout_mode_t mode;	   /* in force there */
 	uint32_t others_in_flight; /* attempts at instances that no longer serve */
+	uint64_t elapsed_ms;	   /* since the order, by the steps it got */
 	rollout_counts_t target;
 	rollout_counts_t base; /* instances that serve, at the same time */
 } rollout_report_t;
--- a/src/rollout_decider.c
+++ b/src/rollout_decider.c
@@ -346,9 +346,9 @@
 	decider_item_t *item = item_find(decider, update->service, update->release);
 	decider_report_t *report;
 
-	(void)now;
 	if (item == NULL || item->order.revision != update->order)
 		return;
+	seen_at_lower(item, update->elapsed_ms, now);
 	report = report_find(item, node);
 	if (report == NULL) {
 		if (item->report_count == item->report_capacity) {
--- a/src/rollout_message.c
+++ b/src/rollout_message.c
@@ -81,6 +81,7 @@
 	item.order = report->order;
 	item.mode = report->mode;
 	item.others_in_flight = report->others_in_flight;
+	item.elapsed_ms = report->elapsed_ms;
 	item.target = space.list;
 	item.n_target = counts_pack(&space, &report->target);
 	item.others = space.list + item.n_target;
@@ -146,6 +147,7 @@
 	report->order = packed->order;
 	report->mode = (rollout_mode_t)packed->mode;
 	report->others_in_flight = packed->others_in_flight;
+	report->elapsed_ms = packed->elapsed_ms;
 	if (names_unpack(packed->service, packed->release, packed->mode, report->service,
 		report->release) != MASTICPITCH_OK ||
 	    counts_unpack(packed->target, packed->n_target, &report->target) !=
--- a/src/rollout_step.c
+++ b/src/rollout_step.c
@@ -103,7 +103,11 @@
 static void
 sample_extend(rollout_target_t *target, const rollout_step_t *step, uint64_t now)
 {
+	uint64_t passed = MIN_OF(step->elapsed_ms, now / NS_PER_MS) * NS_PER_MS;
+
 	target->step = *step;
+	if (target->ordered_at == 0 || now - passed < target->ordered_at)
+		target->ordered_at = now - passed;
 	target->valid_until = now + ROLLOUT_STEP_VALID_MS * NS_PER_MS;
 }
 
@@ -209,6 +213,12 @@
 	target->sent++;
 }
 
+uint64_t
+rollout_target_elapsed(const rollout_target_t *target, uint64_t now)
+{
+	return (now - MIN_OF(target->ordered_at, now)) / NS_PER_MS;
+}
+
 size_t
 rollout_latency_bucket(uint64_t latency)
 {
--- a/src/rollout_step.h
+++ b/src/rollout_step.h
@@ -17,6 +17,7 @@
 typedef struct rollout_target {
 	rollout_step_t step;
 	uint64_t valid_until; /* SAMPLE only */
+	uint64_t ordered_at;  /* by the steps; a new decider may not know it */
 	/* Requests that may still be sent to it; earned by the others' answers. */
 	double credit;
 	uint64_t sent;
@@ -81,6 +82,8 @@
 void rollout_base_record(
     rollout_service_t *service, const rollout_sample_t *sample, uint64_t now);
 void rollout_target_record(rollout_target_t *target, const rollout_sample_t *sample);
+/* Time since the order, ms. */
+uint64_t rollout_target_elapsed(const rollout_target_t *target, uint64_t now);
 /* The bucket of a latency; an upper bound of bucket i is 2^((i + 1) / 2) ms. */
 size_t rollout_latency_bucket(uint64_t latency);
 
