--- a/src/message.h
+++ b/src/message.h
@@ -51,6 +51,7 @@
 	MESSAGE_VERSION,	  /* config to membership: version now in force */
 	MESSAGE_VERSION_RECEIVED, /* membership to config: a member's version */
 	MESSAGE_SNAPSHOT,	  /* from config: the configuration now in force */
+	MESSAGE_VERIFIED,	  /* from config: the platform had no newer version */
 	MESSAGE_QUERY,		  /* from operators: report your state */
 	MESSAGE_REPORT,		  /* JSON text in answer to a query */
 	MESSAGE_LEAVE,		  /* from node: shutdown has begun */
@@ -59,6 +60,9 @@
 	MESSAGE_JOIN_NEEDED,	  /* membership to config: no seed answers */
 	MESSAGE_JOIN_ADDRESS,  /* config to membership: one more node to join through */
 	MESSAGE_DEPARTURE,     /* membership to gate: a local backend server has left */
+	MESSAGE_QUOTA_ASK,     /* entry to quota, or another node's: tokens wanted */
+	MESSAGE_QUOTA_GRANT,   /* quota to entry, or another node's: the answer */
+	MESSAGE_QUOTA_MEMBERS, /* quota to entry: number of members that may run */
 	MESSAGE_ROLLOUT_STEP,  /* rollout to entry */
 	MESSAGE_ROLLOUT_REPORT /* entry to rollout, in answer to a step */
 } message_type_t;
@@ -140,17 +144,29 @@
 /* Longest payload of one MESSAGE_CONTROL; a longer one returns as CONTROL_FAILED. */
 #define CONTROL_PAYLOAD_MAX_BYTES (2 * 1024 * 1024)
 
+/*
+ * Tokens of a workspace's quota, asked for or granted. Passes through membership, with
+ * node set, if the owner is another node.
+ */
+typedef struct quota_item {
+	uint64_t workspace; /* hash of its name */
+	uint32_t tokens;
+	uint32_t retry_ms; /* GRANT without tokens: there may be one then */
+	bool hold;	   /* GRANT without tokens: ask again */
+} quota_item_t;
+
 /* Queries from operators to a service. */
 typedef enum query_kind {
 	QUERY_STATUS,	 /* config, membership, entry, gate: a JSON object */
 	QUERY_INSTANCES, /* entry: instances with their balancing state */
-	QUERY_EXPLAIN	 /* entry: route, service, class, limits, instances */
+	QUERY_EXPLAIN,	 /* entry: route, service, class, limits, instances */
+	QUERY_QUOTA	 /* quota: a workspace's quota and its owner */
 } query_kind_t;
 
 typedef struct query {
 	query_kind_t kind;
 	char method[16];		/* EXPLAIN */
-	char path[PRESET_PREFIX_BYTES]; /* EXPLAIN */
+	char path[PRESET_PREFIX_BYTES]; /* EXPLAIN; QUOTA: name of the workspace */
 } query_t;
 
 typedef struct message {
@@ -197,11 +213,14 @@
 			uint64_t floor;	   /* of this node, as that member saw it */
 		} version;		   /* VERSION, VERSION_RECEIVED */
 		struct snapshot *snapshot; /* SNAPSHOT; one reference */
+		uint64_t verified_at;	   /* VERIFIED; monotonic, ns */
 		query_t query;		   /* QUERY; stream names it */
 		chunk_t *report;	   /* REPORT: JSON object, same stream */
 		address_t address;	   /* JOIN_ADDRESS */
 		rollout_step_t *step;	   /* ROLLOUT_STEP; node: that decides */
 		rollout_report_t *rollout; /* ROLLOUT_REPORT; node: as in the step */
+		quota_item_t quota;	   /* QUOTA_ASK, QUOTA_GRANT */
+		size_t members;		   /* QUOTA_MEMBERS */
 	} u;
 } message_t;
 
--- a/src/node.c
+++ b/src/node.c
@@ -12,6 +12,7 @@
 #include "os.h"
 #include "peer.h"
 #include "preset.h"
+#include "quota.h"
 #include "readiness.h"
 #include "rollout_task.h"
 #include "settings.h"
@@ -67,6 +68,7 @@
 	peer_t *peer;
 	gate_t *gate;
 	entry_t *entry;
+	quota_t *quota;
 	config_t *config;
 	rollout_task_t *rollout;
 	operators_t *operators;
@@ -101,7 +103,7 @@
  * that this one is leaving, so stopping earlier would leave the zone without a relay.
  */
 static const char *const withdraw_services[] = {
-    "gate", "membership", "config", "rollout"};
+    "gate", "membership", "quota", "config", "rollout"};
 
 /*
  * Services that get MESSAGE_STOP_WAITING, one at each poll: the gate's refusals of queued
@@ -348,6 +350,12 @@
 	return entry_create(node->kernel, &node->settings, &node->entry);
 }
 
+static int
+start_quota(masticpitch_node_t *node)
+{
+	return quota_create(node->kernel, &node->settings, &node->quota);
+}
+
 static int
 start_config(masticpitch_node_t *node)
 {
@@ -363,6 +371,7 @@
     {"listen.backend_servers", offsetof(settings_t, backend_servers), start_gate},
     {"listen.readiness", offsetof(settings_t, readiness), start_readiness},
     {"listen.callers", offsetof(settings_t, callers), start_entry},
+    {"listen.peers", offsetof(settings_t, peers), start_quota},
     {"platform.url", offsetof(settings_t, callers), start_config},
 };
 
@@ -507,6 +516,7 @@
 	rollout_task_destroy(node->rollout);
 	readiness_destroy(node->readiness);
 	entry_destroy(node->entry);
+	quota_destroy(node->quota);
 	gate_destroy(node->gate);
 	membership_destroy(node->membership);
 	peer_destroy(node->peer);
--- a/src/settings.h
+++ b/src/settings.h
@@ -48,6 +48,12 @@
 	uint32_t exposure_percent;
 	uint32_t exposure_extra; /* requests beyond the share */
 	uint32_t rollback_ms;	 /* after 50 bad answers a release gets no requests */
+	/*
+	 * If fail_closed, requests that need a workspace key are refused while the
+	 * version in force has not been verified for revoke_ms; else they are served.
+	 */
+	bool fail_closed;
+	uint32_t revoke_ms;
 } settings_bounds_t;
 
 /* The backend server of this host, if the settings name it. */
