Rollouts: a release without an order serves after a fresh read of the orders

Cause: entries hold a second release until they know its step; a rolling restart under a new release has no order and would have waited until it had the majority.

--- a/src/rollout_calls.c
+++ b/src/rollout_calls.c
@@ -234,6 +234,11 @@
 orders_receive(rollout_decider_t *decider, const rollout_answer_t *answer, uint64_t now)
 {
 	decider->orders_needed = false;
+	decider->orders_read_at = decider->call_sent_at;
+	decider->unreadable_count =
+	    MIN_OF(answer->unreadable_count, (size_t)ROLLOUT_ITEMS_MAX);
+	for (size_t i = 0; i < decider->unreadable_count; i++)
+		memcpy(decider->unreadable[i], answer->unreadable[i], NAME_BYTES);
 	decider->after = answer->store_revision;
 	decider->watch_at =
 	    decider->options.watches ? now : now + ROLLOUT_LIST_INTERVAL_MS * NS_PER_MS;
--- a/src/rollout_decider.c
+++ b/src/rollout_decider.c
@@ -21,6 +21,7 @@
 #define OBSERVE_LATEST_PERCENT 80
 /* ... if the release has given this many. */
 #define ANSWERS_LATEST_MIN 10
+
 rollout_decider_t *
 rollout_decider_create(const rollout_decider_options_t *options)
 {
@@ -113,7 +114,8 @@
 {
 	decider_item_t *item = rollout_item_find(decider, step->service, step->release);
 
-	if (!rollout_mode_is_final(step->mode))
+	/* Final and free steps come from relays that do not decide. */
+	if (step->mode < ROLLOUT_DONE)
 		decider->heard_at = now;
 	if (item == NULL || item->order.revision != step->order ||
 	    rollout_decider_leads(decider, now) || rollout_mode_is_final(item->mode))
@@ -273,6 +275,7 @@
 void
 rollout_decider_tick(rollout_decider_t *decider, uint64_t now)
 {
+	rollout_free_tick(decider, now);
 	if (!rollout_decider_leads(decider, now))
 		return;
 	for (size_t i = 0; i < decider->item_count; i++) {
@@ -357,7 +360,7 @@
 		    (uint32_t)MAX_OF((serving * permille + 999) / 1000, (size_t)1);
 		return true;
 	}
-	return false;
+	return rollout_free_step(decider, now, step, nodes, max, count);
 }
 
 size_t
--- a/src/rollout_decider.h
+++ b/src/rollout_decider.h
@@ -105,6 +105,7 @@
 
 typedef struct rollout_decider_options {
 	uint64_t node;
+	char zone[ZONE_BYTES];
 	uint32_t exposure_percent; /* of a service's requests */
 	bool watches;		   /* the store can wait for a change of the orders */
 } rollout_decider_options_t;
--- a/src/rollout_internal.h
+++ b/src/rollout_internal.h
@@ -16,6 +16,7 @@
 	char service[NAME_BYTES];
 	char release[NAME_BYTES];
 	uint64_t ready_at; /* 0: not ready */
+	char zone[ZONE_BYTES];
 } decider_member_t;
 
 typedef struct decider_report {
@@ -61,6 +62,19 @@
 	uint64_t revision;
 } decider_status_t;
 
+/* Releases of all services that a decider tells apart. */
+#define ROLLOUT_RELEASES_MAX 256
+
+/* A release that instances announce, see rollout_free.c. */
+typedef struct decider_release {
+	char service[NAME_BYTES];
+	char release[NAME_BYTES];
+	uint64_t seen_at;
+	size_t instances;
+	bool free; /* it serves without an order */
+	uint64_t step_at;
+} decider_release_t;
+
 struct rollout_decider {
 	rollout_decider_options_t options;
 	int rank; /* negative: no relay */
@@ -78,6 +92,12 @@
 	uint64_t retry_at;
 	uint64_t watch_at; /* next watch or list */
 	uint64_t after;
+	uint64_t orders_read_at; /* start of the last read; 0: none */
+	/* Services whose order could not be read then. */
+	char unreadable[ROLLOUT_ITEMS_MAX][NAME_BYTES];
+	size_t unreadable_count;
+	decider_release_t releases[ROLLOUT_RELEASES_MAX];
+	size_t release_count;
 	bool orders_needed;
 	bool states_needed;
 	bool statuses_needed;
@@ -109,6 +129,13 @@
 size_t rollout_nodes_missing(
     const rollout_decider_t *decider, const decider_item_t *item);
 
+/* rollout_free.c */
+/* Lets releases serve that no order names. */
+void rollout_free_tick(rollout_decider_t *decider, uint64_t now);
+/* As rollout_decider_step(). */
+bool rollout_free_step(rollout_decider_t *decider, uint64_t now, rollout_step_t *step,
+    uint64_t *nodes, size_t max, size_t *count);
+
 /* rollout_members.c */
 decider_member_t *rollout_member_find(const rollout_decider_t *decider, uint64_t node);
 decider_report_t *rollout_report_find(const decider_item_t *item, uint64_t node);
--- a/src/rollout_members.c
+++ b/src/rollout_members.c
@@ -69,6 +69,7 @@
 		}
 	}
 	member->incarnation = update->incarnation;
+	memcpy(member->zone, update->zone, sizeof(member->zone));
 	member->usable = update->state != MEMBER_DOWN && update->reachable;
 	if (strcmp(member->service, instance->service) != 0 ||
 	    strcmp(member->release, instance->release) != 0)
--- a/src/rollout_step.c
+++ b/src/rollout_step.c
@@ -129,12 +129,14 @@
 		}
 		if (step->mode < target->step.mode || mode_is_final(target->step.mode))
 			return ROLLOUT_OUTDATED;
+		target->accepted_at = now;
 		sample_extend(target, step, now);
 		return ROLLOUT_ACCEPTED;
 	}
 	if (target == NULL)
 		target = target_add(service);
 	memset(target, 0, sizeof(*target));
+	target->accepted_at = now;
 	sample_extend(target, step, now);
 	return ROLLOUT_ACCEPTED;
 }
@@ -169,7 +171,12 @@
 	}
 	if (charge != NULL && target == charge)
 		return ROLLOUT_ROLE_SERVES;
-	if (target == NULL || target->step.mode == ROLLOUT_FREE) {
+	/* One that was free before the last move is an old one now. */
+	if (target != NULL && target->step.mode == ROLLOUT_FREE)
+		return charge == NULL || target->accepted_at > charge->accepted_at
+			   ? ROLLOUT_ROLE_SERVES
+			   : ROLLOUT_ROLE_NONE;
+	if (target == NULL) {
 		if (charge != NULL)
 			return ROLLOUT_ROLE_NONE;
 		return target != NULL || strcmp(release, base) == 0 ? ROLLOUT_ROLE_SERVES
--- a/src/rollout_step.h
+++ b/src/rollout_step.h
@@ -17,6 +17,7 @@
 typedef struct rollout_target {
 	rollout_step_t step;
 	uint64_t valid_until; /* SAMPLE only */
+	uint64_t accepted_at; /* start of the mode */
 	uint64_t ordered_at;  /* by the steps; a new decider may not know it */
 	/* Requests that may still be sent to it; earned by the others' answers. */
 	double credit;
--- a/src/rollout_task.c
+++ b/src/rollout_task.c
@@ -496,6 +496,8 @@
 	    .prefix = settings->platform_prefix};
 	int error = http_client_create(kernel_loop(kernel), CONNECTIONS_MAX, &task->http);
 
+	string_copy(options.zone, sizeof(options.zone), settings->zone);
+
 	spread_members_init(
 	    &task->members, self, (uint32_t)settings->link_mbps, settings->zone, FAN_OUT);
 	if (error != MASTICPITCH_OK)
--- a/test/test_rollout_decider.cc
+++ b/test/test_rollout_decider.cc
@@ -202,8 +202,10 @@
 	void
 	relay_start(int i)
 	{
-		const rollout_decider_options_t options = {
-		    .node = (uint64_t)i + 1, .exposure_percent = 10, .watches = true};
+		const rollout_decider_options_t options = {.node = (uint64_t)i + 1,
+		    .zone = "",
+		    .exposure_percent = 10,
+		    .watches = true};
 
 		rollout_decider_destroy(relays[i].decider);
 		relays[i] = Relay();
@@ -292,6 +294,8 @@
 		rollout_step_accept(&entry->table, &step, now);
 		if (node <= (uint64_t)RELAYS && (int)node - 1 != from)
 			rollout_decider_step_heard(relays[node - 1].decider, &step, now);
+		if (step.mode == ROLLOUT_FREE)
+			return;
 		target = rollout_target_find(
 		    rollout_service_find(&entry->table, "katalogo"), step.release);
 		memset(&report, 0, sizeof(report));
@@ -319,7 +323,10 @@
 			return;
 		if (relay.watching && !store.down && !relay.cut &&
 		    orders_revision() > relay.watch_after) {
-			rollout_call_t watch = {.kind = ROLLOUT_CALL_WATCH};
+			rollout_call_t watch;
+
+			memset(&watch, 0, sizeof(watch));
+			watch.kind = ROLLOUT_CALL_WATCH;
 
 			relay.watching = false;
 			call_finish(relay, watch);
@@ -424,8 +431,8 @@
 		for (uint64_t end = now + seconds_ms * NS_PER_MS; now < end;
 		     now += TICK) {
 			store.expire(now);
-			if (!instances_started && !store.orders.empty() &&
-			    now >= T0 + 1300 * NS_PER_MS)
+			if (!instances_started && instances_wanted &&
+			    !store.orders.empty() && now >= T0 + 1300 * NS_PER_MS)
 				instances_started = true;
 			for (int i = 0; i < RELAYS; i++) {
 				if (now % (500 * NS_PER_MS) == 0)
@@ -475,6 +482,7 @@
 	double bad_share = 0.5;
 	uint64_t bad_from = 0, bad_50_at = 0, exposed_at = 0, orders_changed = 0;
 	uint64_t old_answer_ns = 150 * NS_PER_MS;
+	bool instances_wanted = true;
 	bool instances_started = false, hold_status = false;
 	int requests = 0, exposed = 0, bad_answers = 0, sent_to_ended = 0;
 };
@@ -678,6 +686,52 @@
 	EXPECT_LE(exposed, requests / 10 + 50);
 }
 
+// A rolling restart under a new release has no order; it must not be held for long. No
+// release of an order may get in this way.
+TEST_F(Mesh, ReleaseWithoutOrderServesAfterAFreshRead)
+{
+	instances_started = true;
+	run(4000);
+	EXPECT_EQ(mode_at(5), ROLLOUT_FREE);
+	EXPECT_EQ(store.written.size(), 0u);
+	/* A later order for it is a rollout like others. */
+	store.order("v2", 15000);
+	run(1000);
+	EXPECT_EQ(mode_at(5), ROLLOUT_HOLD);
+}
+
+TEST_F(Mesh, ReleaseWithoutOrderWaitsWhileTheStoreCannotBeRead)
+{
+	run(1000);
+	store.down = true;
+	instances_started = true;
+	run(10000);
+	EXPECT_EQ(mode_at(5), ROLLOUT_HOLD);
+	EXPECT_EQ(exposed, 0);
+}
+
+TEST_F(Mesh, ReleaseOfAnUnreadableOrderIsHeld)
+{
+	store.unreadable.insert("katalogo");
+	orders_changed = ++store.revision;
+	instances_started = true;
+	run(10000);
+	EXPECT_EQ(mode_at(5), ROLLOUT_HOLD);
+	EXPECT_EQ(exposed, 0);
+}
+
+// Old instances may be seen for some time after they ended.
+TEST_F(Mesh, OldReleaseIsNotLetInAgainAfterTheMove)
+{
+	rollout_service_t *service;
+
+	store.order("v2", 15000);
+	run(25000);
+	expect_good();
+	service = rollout_service_find(&entries[5].table, "katalogo");
+	EXPECT_EQ(rollout_target_find(service, "v1"), nullptr);
+}
+
 // Half a minute of good answers must not hide that one in five is bad now.
 TEST_F(Mesh, FewBadAnswersAfterManyGoodOnesShow)
 {
@@ -773,6 +827,7 @@
 TEST_F(Mesh, UnknownServiceIsOnlyReportedAsRunning)
 {
 	store.order("v9", 5000);
+	instances_wanted = false;
 	run(20000);
 	ASSERT_EQ(store.written.size(), 1u);
 	EXPECT_EQ(store.written[0].outcome, ROLLOUT_RUNNING);
