Rollouts: model of steps and fencing; full is not stopped by a late step

Cause: models/rollout.pml found that a stop of an earlier decider may reach an entry after the next one moved the traffic, so that completion could be written with requests on their way to old instances, and that a status written between a new decider's read and its claim was missed. Members that held the release back counted as moved. Change: an entry goes from full to done only; status read again after the claim; a decider takes over a stop that entries report.

--- /dev/null
+++ b/models/mutants/rollout-claim.sed
@@ -0,0 +1,1 @@
+s|revision++; /\* RULE: claim \*/|skip;|
--- /dev/null
+++ b/models/mutants/rollout-guard.sed
@@ -0,0 +1,1 @@
+s|:: outcome == NONE && revision == expected\[r\] -> /\* RULE: guard \*/|:: outcome == NONE ->|
--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -56,6 +56,7 @@
 views_write(entry_t *entry, const preset_service_t *service, buffer_t *text)
 {
 	static const char *const states[] = {"none", "starting", "ready", "leaving"};
+	static const char *const roles[] = {"serves", "sampled", "held"};
 	size_t max = balance_instance_count(entry->balance);
 	balance_view_t *views = calloc(max + 1, sizeof(*views));
 	size_t count = 0;
@@ -72,14 +73,15 @@
 		    "\"state\":\"%s\",\"reachable\":%s,\"usable\":%s,\"ejected\":%s,"
 		    "\"in_flight\":%u,\"running\":%u,\"queued\":%u,\"limit\":%u,"
 		    "\"slots\":%u,\"latency_us\":%u,\"weight_percent\":%u,"
-		    "\"successes\":%llu,\"failures\":%llu}",
+		    "\"successes\":%llu,\"failures\":%llu,\"release\":\"%s\","
+		    "\"rollout\":\"%s\"}",
 		    i == 0 ? "" : ",", (unsigned long long)view->node, view->service,
 		    view->zone, states[view->state], view->reachable ? "true" : "false",
 		    view->usable ? "true" : "false", view->ejected ? "true" : "false",
 		    view->in_flight, view->load.running, view->load.queued,
 		    view->load.limit, view->load.slots, view->latency_us,
 		    view->weight_percent, (unsigned long long)view->successes,
-		    (unsigned long long)view->failures);
+		    (unsigned long long)view->failures, view->release, roles[view->role]);
 	}
 	buffer_printf(text, "]");
 	free(views);
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -22,8 +22,8 @@
 
 /*
  * What a step allows. For one order a node only goes to a later mode; STOPPED and DONE
- * are final. A message that is late, or from a decider that lost its lease, moves nothing
- * back.
+ * are final, and FULL is followed by DONE only: the old instances may be about to end. A
+ * message that is late, or from a decider that lost its lease, moves nothing back.
  */
 typedef enum rollout_mode {
 	ROLLOUT_HOLD,	 /* no requests */
--- a/src/rollout_calls.c
+++ b/src/rollout_calls.c
@@ -370,6 +370,8 @@
 		return;
 	}
 	item->state_revision = answer->revision;
+	/* A status that an earlier decider wrote until now; later ones are refused. */
+	decider->statuses_needed |= !item->claimed;
 	item->claimed = true;
 	item->kept = decider->mode_called;
 	if (item->kept == ROLLOUT_FULL && item->mode < ROLLOUT_FULL)
--- a/src/rollout_decider.c
+++ b/src/rollout_decider.c
@@ -155,6 +155,9 @@
 		memset(report, 0, sizeof(*report));
 		report->node = node;
 	}
+	/* An earlier decider stopped it, and could not write that any more. */
+	if (update->mode == ROLLOUT_STOPPED && item->mode < ROLLOUT_FULL)
+		rollout_item_mode_set(item, ROLLOUT_STOPPED, now);
 	report->mode = update->mode;
 	report->others_in_flight = update->others_in_flight;
 	report->target = update->target;
@@ -226,8 +229,10 @@
 		const decider_report_t *report = rollout_report_find(item, member->node);
 
 		missing +=
-		    member->usable && (report == NULL || report->mode < ROLLOUT_FULL ||
-					  report->others_in_flight > 0);
+		    member->usable &&
+		    (report == NULL ||
+			(report->mode != ROLLOUT_FULL && report->mode != ROLLOUT_DONE) ||
+			report->others_in_flight > 0);
 	}
 	return missing;
 }
--- a/src/rollout_step.c
+++ b/src/rollout_step.c
@@ -127,7 +127,8 @@
 			sample_extend(target, step, now);
 			return ROLLOUT_CONFIRMED;
 		}
-		if (step->mode < target->step.mode || mode_is_final(target->step.mode))
+		if (step->mode < target->step.mode || mode_is_final(target->step.mode) ||
+		    (step->mode == ROLLOUT_STOPPED && target->step.mode == ROLLOUT_FULL))
 			return ROLLOUT_OUTDATED;
 		target->accepted_at = now;
 		sample_extend(target, step, now);
--- a/test/test_hosted_store.cc
+++ b/test/test_hosted_store.cc
@@ -237,4 +237,46 @@
 	    PLATFORM_UNKNOWN);
 }
 
+// Orders and status of rollouts are outside the client's prefix; a write of the status
+// must be refused once another node has taken over.
+TEST_F(HostedStore, RolloutKeysAndGuardAreWritten)
+{
+	EXPECT_EQ(encode(PLATFORM_CALL_LIST, PLATFORM_KEY_ROLLOUT_ORDERS),
+	    "GET /-/kv-range?prefix=op/rollout/ ");
+	request.after = 9;
+	request.wait_ms = 100;
+	EXPECT_EQ(encode(PLATFORM_CALL_WATCH, PLATFORM_KEY_ROLLOUT_ORDERS),
+	    "GET /-/kv-watch?prefix=op/rollout/&after=9&waitMs=100 ");
+	request.value = "node-1";
+	request.size = 6;
+	request.expect = 4;
+	request.lease = 0;
+	snprintf(request.guard, sizeof(request.guard), "rollout/katalogo/v2");
+	request.guard_expect = 8;
+	EXPECT_EQ(encode(PLATFORM_CALL_PUT, PLATFORM_KEY_ROLLOUT_STATUS "katalogo"),
+	    "POST /-/kv-txn {\"expectedRev\":[{\"key\":\"status/rollout/katalogo\","
+	    "\"revision\":4},{\"key\":\"masticpitch/rollout/katalogo/v2\","
+	    "\"revision\":8}],\"writes\":[{\"key\":\"status/rollout/katalogo\","
+	    "\"lease\":0,\"value\":\"bm9kZS0x\"}],\"remove\":[]}");
+}
+
+TEST_F(HostedStore, RolloutOrdersAreListed)
+{
+	ASSERT_EQ(decode(PLATFORM_CALL_LIST, PLATFORM_KEY_ROLLOUT_ORDERS, 200,
+		      "{\"items\":[{\"key\":\"op/rollout/katalogo\",\"value\":\"e30=\","
+		      "\"revision\":3}],\"hasMore\":false,\"at\":12}"),
+	    PLATFORM_OK);
+	ASSERT_EQ(decoded.answer.entry_count, 1u);
+	EXPECT_STREQ(decoded.answer.entries[0].key, "katalogo");
+	EXPECT_EQ(decoded.answer.entries[0].revision, 3u);
+	/* Any event calls for another list; none is no change. */
+	EXPECT_EQ(decode(PLATFORM_CALL_WATCH, PLATFORM_KEY_ROLLOUT_ORDERS, 200,
+		      "{\"events\":[{\"key\":\"op/rollout/katalogo\",\"revision\":13,"
+		      "\"deleted\":true}],\"at\":13}"),
+	    PLATFORM_OK);
+	EXPECT_EQ(decode(PLATFORM_CALL_WATCH, PLATFORM_KEY_ROLLOUT_ORDERS, 200,
+		      "{\"events\":[],\"at\":14}"),
+	    PLATFORM_UNCHANGED);
+}
+
 } // namespace
--- a/test/test_rollout.cc
+++ b/test/test_rollout.cc
@@ -2,6 +2,7 @@
 // the verdict on a release: against exposure beyond the bound, late steps that move a
 // rollout back, bad releases taken for good ones and trouble around both taken for one.
 #include "balance.h"
+#include "rollout_codec.h"
 #include "rollout_message.h"
 #include "rollout_step.h"
 #include "rollout_verdict.h"
@@ -207,6 +208,17 @@
 	EXPECT_GT(sampled(500), 0);
 }
 
+TEST_F(Fleet, FullIsNotStoppedByALateStep)
+{
+	member_set(21, "v2");
+	step(ROLLOUT_SAMPLE);
+	step(ROLLOUT_FULL);
+	EXPECT_EQ(step(ROLLOUT_STOPPED), ROLLOUT_OUTDATED);
+	EXPECT_EQ(step(ROLLOUT_SAMPLE), ROLLOUT_OUTDATED);
+	EXPECT_EQ(sampled(300), 300);
+	EXPECT_EQ(step(ROLLOUT_DONE), ROLLOUT_ACCEPTED);
+}
+
 TEST_F(Fleet, FullMovesEverythingAndTheOldOnesOnlyHelpOut)
 {
 	member_set(21, "v2");
@@ -411,3 +423,77 @@
 	}
 	EXPECT_LE(alarms, 3);
 }
+
+static int
+order_read(dialect_t dialect, const char *text, rollout_order_t *order)
+{
+	return rollout_order_read(dialect, text, strlen(text), order);
+}
+
+// A value that cannot be read must be told apart from an order, and what the operator and
+// the next decider read must be what was decided.
+TEST(RolloutCodec, ReadsOrdersOfBothDialects)
+{
+	rollout_order_t order;
+
+	ASSERT_EQ(order_read(DIALECT_HOSTED,
+		      "{\"service\":\"huvo11a\",\"targetVersion\":\"v2\",\"rampS\":12.5}",
+		      &order),
+	    MASTICPITCH_OK);
+	EXPECT_STREQ(order.service, "huvo11a");
+	EXPECT_STREQ(order.release, "v2");
+	EXPECT_EQ(order.ramp_ms, 12500u);
+	ASSERT_EQ(order_read(DIALECT_NATIVE,
+		      "{\"service\":\"katalogo\",\"release\":\"2.1\",\"ramp_ms\":60000}",
+		      &order),
+	    MASTICPITCH_OK);
+	EXPECT_EQ(order.ramp_ms, 60000u);
+	for (const char *text : {"", "{", "[]", "{\"service\":\"a\"}",
+		 "{\"service\":\"a\",\"targetVersion\":\"v2\",\"rampS\":\"9\"}",
+		 "{\"service\":\"a\",\"targetVersion\":\"v2\",\"rampS\":-1}",
+		 "{\"service\":\"a\",\"targetVersion\":7,\"rampS\":9}"}) {
+		EXPECT_NE(order_read(DIALECT_HOSTED, text, &order), MASTICPITCH_OK)
+		    << text;
+		EXPECT_NE(order_read(DIALECT_NATIVE, text, &order), MASTICPITCH_OK)
+		    << text;
+	}
+}
+
+TEST(RolloutCodec, StatusAndStateAreReadAsWritten)
+{
+	for (dialect_t dialect : {DIALECT_NATIVE, DIALECT_HOSTED}) {
+		for (int i = ROLLOUT_RUNNING; i <= ROLLOUT_ROLLED_BACK; i++) {
+			rollout_status_t status = {}, copy;
+			buffer_t text;
+
+			buffer_init(&text, 4096);
+			string_copy(status.release, NAME_BYTES, "v2");
+			string_copy(status.service, NAME_BYTES, "katalogo");
+			status.outcome = (rollout_outcome_t)i;
+			ASSERT_EQ(rollout_status_write(dialect, &status, &text),
+			    MASTICPITCH_OK);
+			ASSERT_EQ(rollout_status_read(
+				      dialect, (char *)text.data, text.size, &copy),
+			    MASTICPITCH_OK);
+			EXPECT_EQ(copy.outcome, status.outcome);
+			EXPECT_STREQ(copy.release, "v2");
+			buffer_free(&text);
+		}
+	}
+	for (int i = 0; i < ROLLOUT_MODE_COUNT; i++) {
+		rollout_state_t state = {}, copy;
+		buffer_t text;
+
+		buffer_init(&text, 4096);
+		string_copy(state.service, NAME_BYTES, "katalogo");
+		string_copy(state.release, NAME_BYTES, "v2");
+		state.mode = (rollout_mode_t)i;
+		state.order = 77;
+		state.elapsed_ms = 4292;
+		ASSERT_EQ(rollout_state_write(&state, &text), MASTICPITCH_OK);
+		ASSERT_EQ(rollout_state_read((char *)text.data, text.size, &copy),
+		    MASTICPITCH_OK);
+		EXPECT_EQ(memcmp(&state, &copy, sizeof(copy)), 0);
+		buffer_free(&text);
+	}
+}
--- a/test/test_rollout_decider.cc
+++ b/test/test_rollout_decider.cc
@@ -598,6 +598,29 @@
 	expect_bad(20000);
 }
 
+// The next decider must neither move traffic to a release that entries hold back as bad,
+// nor take them for moved.
+TEST_F(Mesh, VerdictOutlivesTheDeciderInTheEntries)
+{
+	rollout_step_t step;
+
+	store.order("v2", 20000);
+	run_until(ROLLOUT_SAMPLE);
+	run(5000);
+	for (int i = 0; i < RELAYS; i++)
+		relay_start(i);
+	memset(&step, 0, sizeof(step));
+	string_copy(step.service, NAME_BYTES, "katalogo");
+	string_copy(step.release, NAME_BYTES, "v2");
+	step.order = store.orders["katalogo"].revision;
+	step.mode = ROLLOUT_STOPPED;
+	for (Entry &entry : entries)
+		rollout_step_accept(&entry.table, &step, now);
+	run(10000);
+	EXPECT_EQ(completed_at(), 0u);
+	EXPECT_NE(outcome_at(ROLLOUT_ROLLED_BACK), 0u);
+}
+
 // A decider that was paused with its write under way must not complete what the next
 // one has rolled back, nor send a request its way.
 TEST_F(Mesh, LateWriteOfAnOldDeciderIsRefused)
