Rollouts: the operator's extra requests and rollback time shape a sample

Cause: bounds.exposure_extra and rollback_ms were read and not used. Change: half of the extra requests are a first credit of the entries; a sample ends after 40% of the rollback time without a step, if that is less than 2 s.

--- a/src/balance.h
+++ b/src/balance.h
@@ -145,9 +145,11 @@
 
 /*
  * From now on a release of a service gets requests only as rollouts allow: a second one
- * waits for its step. Without this call all instances serve.
+ * waits for its step. Without this call all instances serve. extra: requests of all
+ * entries that a new release may get beyond its share; rollback_ms: a bad one gets none
+ * after it, 0: not given.
  */
-void balance_rollouts_enable(balance_t *balance);
+void balance_rollouts_enable(balance_t *balance, uint32_t extra, uint32_t rollback_ms);
 rollout_accept_t balance_step_accept(
     balance_t *balance, const rollout_step_t *step, uint64_t now);
 /* What this entry saw of a rollout; false: it has no such step. */
--- a/src/balance_rollout.c
+++ b/src/balance_rollout.c
@@ -11,9 +11,27 @@
 #define RELEASES_MAX 8
 
 void
-balance_rollouts_enable(balance_t *balance)
+balance_rollouts_enable(balance_t *balance, uint32_t extra, uint32_t rollback_ms)
 {
+	uint64_t valid_ms = (uint64_t)rollback_ms * ROLLOUT_STEP_VALID_PERCENT / 100;
+
 	balance->rollouts = true;
+	balance->rollout_extra = extra;
+	if (rollback_ms != 0)
+		balance->rollout.valid_ns =
+		    MIN_OF(valid_ms, (uint64_t)ROLLOUT_STEP_VALID_MS) * NS_PER_MS;
+}
+
+/*
+ * Half of the requests beyond the share are this entry's part of a first credit, so that
+ * entries with little traffic sample too; the other half is for entries that restart.
+ */
+static void
+first_credit_update(balance_t *balance)
+{
+	double part = balance->rollout_extra / 2.0 / (double)MAX_OF(balance->count, 1);
+
+	balance->rollout.credit_first = MIN_OF(part, 0.99);
 }
 
 /*
@@ -108,7 +126,10 @@
 balance_step_accept(balance_t *balance, const rollout_step_t *step, uint64_t now)
 {
 	balance_service_t *service = balance_service_find(balance, step->service);
-	rollout_accept_t result = rollout_step_accept(&balance->rollout, step, now);
+	rollout_accept_t result;
+
+	first_credit_update(balance);
+	result = rollout_step_accept(&balance->rollout, step, now);
 
 	if (service == NULL || result == ROLLOUT_NO_ROOM || result == ROLLOUT_OUTDATED)
 		return result;
--- a/src/balance_table.h
+++ b/src/balance_table.h
@@ -77,6 +77,7 @@
 	uint64_t generation;
 	size_t count;
 	bool rollouts; /* enabled */
+	uint32_t rollout_extra;
 	rollout_table_t rollout;
 	uint64_t sampled; /* requests */
 	balance_instance_t *instances[BALANCE_INSTANCE_BUCKETS];
--- a/src/entry.c
+++ b/src/entry.c
@@ -251,7 +251,9 @@
 	if (error == MASTICPITCH_OK) {
 		balance_local_set(entry->balance, entry->node);
 		if (settings->bounds.exposure_percent > 0)
-			balance_rollouts_enable(entry->balance);
+			balance_rollouts_enable(entry->balance,
+			    settings->bounds.exposure_extra,
+			    settings->bounds.rollback_ms);
 		error = retry_create(
 		    entry->naive ? RETRY_NAIVE : RETRY_ADAPTIVE, &entry->retry);
 	}
--- a/src/rollout_step.c
+++ b/src/rollout_step.c
@@ -101,14 +101,17 @@
 }
 
 static void
-sample_extend(rollout_target_t *target, const rollout_step_t *step, uint64_t now)
+sample_extend(const rollout_table_t *table, rollout_target_t *target,
+    const rollout_step_t *step, uint64_t now)
 {
 	uint64_t passed = MIN_OF(step->elapsed_ms, now / NS_PER_MS) * NS_PER_MS;
 
 	target->step = *step;
 	if (target->ordered_at == 0 || now - passed < target->ordered_at)
 		target->ordered_at = now - passed;
-	target->valid_until = now + ROLLOUT_STEP_VALID_MS * NS_PER_MS;
+	target->valid_until =
+	    now +
+	    (table->valid_ns != 0 ? table->valid_ns : ROLLOUT_STEP_VALID_MS * NS_PER_MS);
 }
 
 rollout_accept_t
@@ -124,21 +127,22 @@
 		return ROLLOUT_OUTDATED;
 	if (target != NULL && step->order == target->step.order) {
 		if (step->mode == target->step.mode) {
-			sample_extend(target, step, now);
+			sample_extend(table, target, step, now);
 			return ROLLOUT_CONFIRMED;
 		}
 		if (step->mode < target->step.mode || mode_is_final(target->step.mode) ||
 		    (step->mode == ROLLOUT_STOPPED && target->step.mode == ROLLOUT_FULL))
 			return ROLLOUT_OUTDATED;
 		target->accepted_at = now;
-		sample_extend(target, step, now);
+		sample_extend(table, target, step, now);
 		return ROLLOUT_ACCEPTED;
 	}
 	if (target == NULL)
 		target = target_add(service);
 	memset(target, 0, sizeof(*target));
 	target->accepted_at = now;
-	sample_extend(target, step, now);
+	target->credit = table->credit_first;
+	sample_extend(table, target, step, now);
 	return ROLLOUT_ACCEPTED;
 }
 
--- a/src/rollout_step.h
+++ b/src/rollout_step.h
@@ -11,8 +11,12 @@
 extern "C" {
 #endif
 
-/* A sample ends unless the step is repeated within this time. */
+/*
+ * A sample ends unless the step is repeated within this time, or within this share of the
+ * time in which a bad release must get no more requests, if that is less.
+ */
 #define ROLLOUT_STEP_VALID_MS 2000
+#define ROLLOUT_STEP_VALID_PERCENT 40
 
 typedef struct rollout_target {
 	rollout_step_t step;
@@ -35,6 +39,8 @@
 typedef struct rollout_table {
 	rollout_service_t *services[ROLLOUT_SERVICES_MAX];
 	size_t count;
+	uint64_t valid_ns;   /* of a sample after its last step; 0: the default */
+	double credit_first; /* a sample starts with; below 1 request */
 } rollout_table_t;
 
 typedef enum rollout_accept {
--- a/test/test_rollout.cc
+++ b/test/test_rollout.cc
@@ -35,7 +35,7 @@
 	{
 		ASSERT_EQ(
 		    balance_create(BALANCE_ADAPTIVE, "a", "r", &balance), MASTICPITCH_OK);
-		balance_rollouts_enable(balance);
+		balance_rollouts_enable(balance, 0, 0);
 		rng_init(&rng, 5);
 		memset(&service, 0, sizeof(service));
 		string_copy(service.name, NAME_BYTES, "katalogo");
@@ -184,6 +184,19 @@
 	EXPECT_GT(sampled(500), 0);
 }
 
+// The operator's bounds: a shorter time to stop in, and a first request sooner.
+TEST_F(Fleet, BoundsShortenTheSampleAndGiveAFirstCredit)
+{
+	balance_rollouts_enable(balance, 38, 1000);
+	member_set(21, "v2");
+	step(ROLLOUT_SAMPLE);
+	/* 38 / 2 / 21 instances: the second answer earns the first sample. */
+	EXPECT_EQ(sampled(2), 0);
+	EXPECT_EQ(sampled(1), 1);
+	now += 400 * NS_PER_MS;
+	EXPECT_EQ(sampled(500), 0);
+}
+
 TEST_F(Fleet, RetriesAreNoSamples)
 {
 	member_set(21, "v2");
