--- a/src/message.h
+++ b/src/message.h
@@ -18,6 +18,7 @@
 #include "member_types.h"
 #include "preset.h"
 #include "reason.h"
+#include "rollout.h"
 #include "run_set.h"
 
 #ifdef __cplusplus
@@ -57,11 +58,13 @@
 	MESSAGE_STOP_LISTENING,	  /* from node: no request is running any more */
 	MESSAGE_STOP_WAITING,	  /* from node: the shutdown's grace period ends */
 	MESSAGE_JOIN_NEEDED,	  /* membership to config: no seed answers */
-	MESSAGE_JOIN_ADDRESS, /* config to membership: one more node to join through */
-	MESSAGE_DEPARTURE,    /* membership to gate: a local backend server has left */
-	MESSAGE_QUOTA_ASK,    /* entry to quota, or another node's: tokens wanted */
-	MESSAGE_QUOTA_GRANT,  /* quota to entry, or another node's: the answer */
-	MESSAGE_QUOTA_MEMBERS /* quota to entry: number of members that may run */
+	MESSAGE_JOIN_ADDRESS,  /* config to membership: one more node to join through */
+	MESSAGE_DEPARTURE,     /* membership to gate: a local backend server has left */
+	MESSAGE_QUOTA_ASK,     /* entry to quota, or another node's: tokens wanted */
+	MESSAGE_QUOTA_GRANT,   /* quota to entry, or another node's: the answer */
+	MESSAGE_QUOTA_MEMBERS, /* quota to entry: number of members that may run */
+	MESSAGE_ROLLOUT_STEP,  /* rollout to entry */
+	MESSAGE_ROLLOUT_REPORT /* entry to rollout, in answer to a step */
 } message_type_t;
 
 /* Most bytes of body in one CALL_DATA or ANSWER_DATA message. */
@@ -116,6 +119,7 @@
 	uint32_t pressure;
 	uint32_t link_wait_us;	       /* until a long body queued now leaves the host */
 	uint32_t link_ns_per_kilobyte; /* of the host's link; 0: not known */
+	uint32_t exchange_us; /* until the answer, without its wait at the gate */
 } load_report_t;
 
 typedef struct answer_head {
@@ -135,7 +139,11 @@
 } refusal_t;
 
 /* The service that receives a MESSAGE_CONTROL on the other node. */
-typedef enum control_kind { CONTROL_CONFIG = 1, CONTROL_MEMBERSHIP = 2 } control_kind_t;
+typedef enum control_kind {
+	CONTROL_CONFIG = 1,
+	CONTROL_MEMBERSHIP = 2,
+	CONTROL_ROLLOUT = 3 /* only while an order of a rollout exists */
+} control_kind_t;
 
 /* Longest payload of one MESSAGE_CONTROL; a longer one returns as CONTROL_FAILED. */
 #define CONTROL_PAYLOAD_MAX_BYTES (2 * 1024 * 1024)
@@ -214,6 +222,8 @@
 		query_t query;		   /* QUERY; stream names it */
 		chunk_t *report;	   /* REPORT: JSON object, same stream */
 		address_t address;	   /* JOIN_ADDRESS */
+		rollout_step_t *step;	   /* ROLLOUT_STEP; node: that decides */
+		rollout_report_t *rollout; /* ROLLOUT_REPORT; node: as in the step */
 		quota_item_t quota;	   /* QUOTA_ASK, QUOTA_GRANT */
 		size_t members;		   /* QUOTA_MEMBERS */
 	} u;
