--- a/src/entry.c
+++ b/src/entry.c
@@ -99,6 +99,62 @@
 	}
 }
 
+/* Puts a step in force and reports what this entry saw of the release. */
+static void
+rollout_step_receive(entry_t *entry, const message_t *message)
+{
+	metrics_t *metrics = kernel_metrics(entry->kernel);
+	const rollout_step_t *step = message->u.step;
+	rollout_accept_t result =
+	    balance_step_accept(entry->balance, step, kernel_now(entry->kernel));
+	rollout_report_t *report = malloc(sizeof(*report));
+	message_t *answer = message_create(MESSAGE_ROLLOUT_REPORT, message->node, 0);
+
+	if (result == ROLLOUT_ACCEPTED) {
+		metrics_add(metrics, METRIC_ROLLOUT_STEPS, 1);
+		log_info(kernel_log(entry->kernel), "rollout: step in force",
+		    LOG_TEXT("service", step->service),
+		    LOG_TEXT("release", step->release),
+		    LOG_TEXT("step", rollout_mode_text(step->mode)),
+		    LOG_NUMBER("order", step->order));
+	} else if (result != ROLLOUT_CONFIRMED) {
+		metrics_add(metrics, METRIC_ROLLOUT_STEPS_REFUSED, 1);
+	}
+	metrics_set(
+	    metrics, METRIC_ROLLOUT_SAMPLED, balance_sampled_count(entry->balance));
+	if (answer == NULL || report == NULL ||
+	    !balance_rollout_report(
+		entry->balance, step, kernel_now(entry->kernel), report)) {
+		free(report);
+		message_destroy(answer);
+		return;
+	}
+	answer->u.rollout = report;
+	kernel_message_post(entry->kernel, &entry->service, message->from, answer);
+}
+
+static void
+quota_receive(entry_t *entry, const quota_item_t *grant)
+{
+	const quota_grant_t lent = {
+	    .tokens = grant->tokens, .retry_ms = grant->retry_ms, .hold = grant->hold};
+
+	metrics_add(kernel_metrics(entry->kernel), METRIC_QUOTA_GRANTED, grant->tokens);
+	quota_lease_granted(
+	    entry->quota, grant->workspace, &lent, kernel_now(entry->kernel));
+	entry_requests_quota(entry);
+}
+
+static void
+quota_callback(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	entry_t *entry = watcher->data;
+
+	entry_requests_quota(entry);
+	if (list_is_empty(&entry->quota_waiting))
+		ev_timer_stop(loop, watcher);
+}
+
 static void
 entry_receive(void *state, message_t *message)
 {
@@ -113,6 +169,9 @@
 	case MESSAGE_STREAM_LOST:
 		stream_receive(entry, message);
 		break;
+	case MESSAGE_ROLLOUT_STEP:
+		rollout_step_receive(entry, message);
+		break;
 	case MESSAGE_MEMBER:
 		if (message->u.member.node != entry->node)
 			member_update(entry, &message->u.member);
@@ -136,11 +195,21 @@
 	case MESSAGE_CRASH_REPORT:
 		crash_report_receive(entry, message);
 		break;
+	case MESSAGE_QUOTA_GRANT:
+		quota_receive(entry, &message->u.quota);
+		break;
+	case MESSAGE_QUOTA_MEMBERS:
+		quota_lease_members_set(entry->quota, message->u.members);
+		break;
 	case MESSAGE_SNAPSHOT:
+		quota_lease_sweep(entry->quota, kernel_now(entry->kernel));
 		snapshot_release(entry->snapshot);
 		entry->snapshot = message->u.snapshot;
 		message->u.snapshot = NULL;
 		break;
+	case MESSAGE_VERIFIED:
+		entry->verified_at = message->u.verified_at;
+		break;
 	case MESSAGE_QUERY:
 		entry_report(entry, message);
 		break;
@@ -181,6 +250,10 @@
 
 	if (error == MASTICPITCH_OK) {
 		balance_local_set(entry->balance, entry->node);
+		if (settings->bounds.exposure_percent > 0)
+			balance_rollouts_enable(entry->balance,
+			    settings->bounds.exposure_extra,
+			    settings->bounds.rollback_ms);
 		error = retry_create(
 		    entry->naive ? RETRY_NAIVE : RETRY_ADAPTIVE, &entry->retry);
 	}
@@ -189,6 +262,10 @@
 		    settings->requests_max, !entry->naive, &entry->limit);
 	if (error == MASTICPITCH_OK)
 		error = quarantine_create(&entry->quarantine);
+	if (error == MASTICPITCH_OK) {
+		entry->quota = quota_lease_create(rng_next(kernel_rng(entry->kernel)));
+		error = entry->quota != NULL ? MASTICPITCH_OK : MASTICPITCH_E_NOMEM;
+	}
 	return error;
 }
 
@@ -215,6 +292,10 @@
 	run_set_init(&entry->running);
 	list_init(&entry->service.link);
 	list_init(&entry->requests);
+	list_init(&entry->quota_waiting);
+	ev_timer_init(&entry->quota_timer, quota_callback, QUOTA_RECHECK_MS / 1e3,
+	    QUOTA_RECHECK_MS / 1e3);
+	entry->quota_timer.data = entry;
 	error = stream_table_init(&entry->streams);
 	if (error == MASTICPITCH_OK)
 		error = policies_create(entry);
@@ -237,6 +318,8 @@
 		return;
 	kernel_service_unregister(entry->kernel, &entry->service);
 	caller_server_destroy(entry->callers);
+	ev_timer_stop(kernel_loop(entry->kernel), &entry->quota_timer);
+	quota_lease_destroy(entry->quota);
 	balance_destroy(entry->balance);
 	retry_destroy(entry->retry);
 	limit_entry_destroy(entry->limit);
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -32,10 +32,17 @@
 typedef struct Masticpitch__Instance Masticpitch__Instance;
 typedef struct Masticpitch__Member Masticpitch__Member;
 typedef struct Masticpitch__CrashReport Masticpitch__CrashReport;
+typedef struct Masticpitch__QuotaAsk Masticpitch__QuotaAsk;
+typedef struct Masticpitch__QuotaGrant Masticpitch__QuotaGrant;
+typedef struct Masticpitch__Quota Masticpitch__Quota;
 typedef struct Masticpitch__Datagram Masticpitch__Datagram;
 typedef struct Masticpitch__MemberSync Masticpitch__MemberSync;
 typedef struct Masticpitch__Part Masticpitch__Part;
 typedef struct Masticpitch__ConfigMessage Masticpitch__ConfigMessage;
+typedef struct Masticpitch__RolloutStep Masticpitch__RolloutStep;
+typedef struct Masticpitch__RolloutRoute Masticpitch__RolloutRoute;
+typedef struct Masticpitch__RolloutReport Masticpitch__RolloutReport;
+typedef struct Masticpitch__RolloutMessage Masticpitch__RolloutMessage;
 
 
 /* --- enums --- */
@@ -47,7 +54,8 @@
   MASTICPITCH__DATAGRAM__KIND__SUSPECT_QUERY = 3,
   MASTICPITCH__DATAGRAM__KIND__SUSPECT_ANSWER = 4,
   MASTICPITCH__DATAGRAM__KIND__JOIN = 5,
-  MASTICPITCH__DATAGRAM__KIND__JOIN_ANSWER = 6
+  MASTICPITCH__DATAGRAM__KIND__JOIN_ANSWER = 6,
+  MASTICPITCH__DATAGRAM__KIND__QUOTA = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MASTICPITCH__DATAGRAM__KIND)
 } Masticpitch__Datagram__Kind;
 typedef enum _Masticpitch__ConfigMessage__Kind {
@@ -107,10 +115,14 @@
    * of the host's link; 0: unknown
    */
   uint32_t link_ns_per_kilobyte;
+  /*
+   * with an answer: it took at the backend server
+   */
+  uint32_t exchange_us;
 };
 #define MASTICPITCH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Masticpitch__Hello
@@ -399,6 +411,55 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Quotas of workspaces. An entry asks the owner of a quota for tokens.
+ */
+struct  Masticpitch__QuotaAsk
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t workspace;
+  uint32_t tokens;
+};
+#define MASTICPITCH__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__quota_ask__descriptor) \
+    , 0, 0 }
+
+
+struct  Masticpitch__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint64_t workspace;
+  uint32_t tokens;
+  /*
+   * without tokens: there may be one then
+   */
+  uint32_t retry_ms;
+  /*
+   * Without tokens: nobody is refused, ask again; the sender has just become the owner.
+   */
+  protobuf_c_boolean hold;
+};
+#define MASTICPITCH__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__quota_grant__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Masticpitch__Quota
+{
+  ProtobufCMessage base;
+  size_t n_asks;
+  Masticpitch__QuotaAsk **asks;
+  size_t n_grants;
+  Masticpitch__QuotaGrant **grants;
+};
+#define MASTICPITCH__QUOTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__quota__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 struct  Masticpitch__Datagram
 {
   ProtobufCMessage base;
@@ -435,10 +496,11 @@
    * 0: as neither.
    */
   uint64_t receiver_suspected_incarnation;
+  Masticpitch__Quota *quota;
 };
 #define MASTICPITCH__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__datagram__descriptor) \
-    , MASTICPITCH__DATAGRAM__KIND__PROBE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , MASTICPITCH__DATAGRAM__KIND__PROBE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
 
 
 /*
@@ -531,6 +593,86 @@
     , MASTICPITCH__CONFIG_MESSAGE__KIND__ANNOUNCE, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, {0,NULL}, 0, {0,NULL}, 0 }
 
 
+struct  Masticpitch__RolloutStep
+{
+  ProtobufCMessage base;
+  char *service;
+  char *release;
+  /*
+   * revision of the order in the store
+   */
+  uint64_t order;
+  uint32_t mode;
+  uint32_t permille;
+  uint32_t instances;
+  /*
+   * since the order
+   */
+  uint64_t elapsed_ms;
+};
+#define MASTICPITCH__ROLLOUT_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_step__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Masticpitch__RolloutRoute
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the route's name
+   */
+  uint32_t slot;
+  uint32_t answers;
+  uint32_t failures;
+  /*
+   * answers in each bucket
+   */
+  size_t n_latencies;
+  uint32_t *latencies;
+};
+#define MASTICPITCH__ROLLOUT_ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_route__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+struct  Masticpitch__RolloutReport
+{
+  ProtobufCMessage base;
+  char *service;
+  char *release;
+  uint64_t order;
+  uint32_t mode;
+  uint32_t others_in_flight;
+  size_t n_target;
+  Masticpitch__RolloutRoute **target;
+  size_t n_others;
+  Masticpitch__RolloutRoute **others;
+  /*
+   * since the order, as far as the node knows
+   */
+  uint64_t elapsed_ms;
+};
+#define MASTICPITCH__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * From the node that decides: steps; in answer to it: reports.
+ */
+struct  Masticpitch__RolloutMessage
+{
+  ProtobufCMessage base;
+  size_t n_steps;
+  Masticpitch__RolloutStep **steps;
+  size_t n_reports;
+  Masticpitch__RolloutReport **reports;
+};
+#define MASTICPITCH__ROLLOUT_MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&masticpitch__rollout_message__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /* Masticpitch__Header methods */
 void   masticpitch__header__init
                      (Masticpitch__Header         *message);
@@ -854,6 +996,63 @@
 void   masticpitch__crash_report__free_unpacked
                      (Masticpitch__CrashReport *message,
                       ProtobufCAllocator *allocator);
+/* Masticpitch__QuotaAsk methods */
+void   masticpitch__quota_ask__init
+                     (Masticpitch__QuotaAsk         *message);
+size_t masticpitch__quota_ask__get_packed_size
+                     (const Masticpitch__QuotaAsk   *message);
+size_t masticpitch__quota_ask__pack
+                     (const Masticpitch__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t masticpitch__quota_ask__pack_to_buffer
+                     (const Masticpitch__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__QuotaAsk *
+       masticpitch__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__quota_ask__free_unpacked
+                     (Masticpitch__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__QuotaGrant methods */
+void   masticpitch__quota_grant__init
+                     (Masticpitch__QuotaGrant         *message);
+size_t masticpitch__quota_grant__get_packed_size
+                     (const Masticpitch__QuotaGrant   *message);
+size_t masticpitch__quota_grant__pack
+                     (const Masticpitch__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t masticpitch__quota_grant__pack_to_buffer
+                     (const Masticpitch__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__QuotaGrant *
+       masticpitch__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__quota_grant__free_unpacked
+                     (Masticpitch__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__Quota methods */
+void   masticpitch__quota__init
+                     (Masticpitch__Quota         *message);
+size_t masticpitch__quota__get_packed_size
+                     (const Masticpitch__Quota   *message);
+size_t masticpitch__quota__pack
+                     (const Masticpitch__Quota   *message,
+                      uint8_t             *out);
+size_t masticpitch__quota__pack_to_buffer
+                     (const Masticpitch__Quota   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__Quota *
+       masticpitch__quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__quota__free_unpacked
+                     (Masticpitch__Quota *message,
+                      ProtobufCAllocator *allocator);
 /* Masticpitch__Datagram methods */
 void   masticpitch__datagram__init
                      (Masticpitch__Datagram         *message);
@@ -930,6 +1129,82 @@
 void   masticpitch__config_message__free_unpacked
                      (Masticpitch__ConfigMessage *message,
                       ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutStep methods */
+void   masticpitch__rollout_step__init
+                     (Masticpitch__RolloutStep         *message);
+size_t masticpitch__rollout_step__get_packed_size
+                     (const Masticpitch__RolloutStep   *message);
+size_t masticpitch__rollout_step__pack
+                     (const Masticpitch__RolloutStep   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_step__pack_to_buffer
+                     (const Masticpitch__RolloutStep   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutStep *
+       masticpitch__rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_step__free_unpacked
+                     (Masticpitch__RolloutStep *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutRoute methods */
+void   masticpitch__rollout_route__init
+                     (Masticpitch__RolloutRoute         *message);
+size_t masticpitch__rollout_route__get_packed_size
+                     (const Masticpitch__RolloutRoute   *message);
+size_t masticpitch__rollout_route__pack
+                     (const Masticpitch__RolloutRoute   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_route__pack_to_buffer
+                     (const Masticpitch__RolloutRoute   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutRoute *
+       masticpitch__rollout_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_route__free_unpacked
+                     (Masticpitch__RolloutRoute *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutReport methods */
+void   masticpitch__rollout_report__init
+                     (Masticpitch__RolloutReport         *message);
+size_t masticpitch__rollout_report__get_packed_size
+                     (const Masticpitch__RolloutReport   *message);
+size_t masticpitch__rollout_report__pack
+                     (const Masticpitch__RolloutReport   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_report__pack_to_buffer
+                     (const Masticpitch__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutReport *
+       masticpitch__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_report__free_unpacked
+                     (Masticpitch__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
+/* Masticpitch__RolloutMessage methods */
+void   masticpitch__rollout_message__init
+                     (Masticpitch__RolloutMessage         *message);
+size_t masticpitch__rollout_message__get_packed_size
+                     (const Masticpitch__RolloutMessage   *message);
+size_t masticpitch__rollout_message__pack
+                     (const Masticpitch__RolloutMessage   *message,
+                      uint8_t             *out);
+size_t masticpitch__rollout_message__pack_to_buffer
+                     (const Masticpitch__RolloutMessage   *message,
+                      ProtobufCBuffer     *buffer);
+Masticpitch__RolloutMessage *
+       masticpitch__rollout_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   masticpitch__rollout_message__free_unpacked
+                     (Masticpitch__RolloutMessage *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Masticpitch__Header_Closure)
@@ -983,6 +1258,15 @@
 typedef void (*Masticpitch__CrashReport_Closure)
                  (const Masticpitch__CrashReport *message,
                   void *closure_data);
+typedef void (*Masticpitch__QuotaAsk_Closure)
+                 (const Masticpitch__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Masticpitch__QuotaGrant_Closure)
+                 (const Masticpitch__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Masticpitch__Quota_Closure)
+                 (const Masticpitch__Quota *message,
+                  void *closure_data);
 typedef void (*Masticpitch__Datagram_Closure)
                  (const Masticpitch__Datagram *message,
                   void *closure_data);
@@ -995,6 +1279,18 @@
 typedef void (*Masticpitch__ConfigMessage_Closure)
                  (const Masticpitch__ConfigMessage *message,
                   void *closure_data);
+typedef void (*Masticpitch__RolloutStep_Closure)
+                 (const Masticpitch__RolloutStep *message,
+                  void *closure_data);
+typedef void (*Masticpitch__RolloutRoute_Closure)
+                 (const Masticpitch__RolloutRoute *message,
+                  void *closure_data);
+typedef void (*Masticpitch__RolloutReport_Closure)
+                 (const Masticpitch__RolloutReport *message,
+                  void *closure_data);
+typedef void (*Masticpitch__RolloutMessage_Closure)
+                 (const Masticpitch__RolloutMessage *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1018,12 +1314,19 @@
 extern const ProtobufCMessageDescriptor masticpitch__instance__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__member__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__crash_report__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__quota__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__datagram__descriptor;
 extern const ProtobufCEnumDescriptor    masticpitch__datagram__kind__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__member_sync__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__part__descriptor;
 extern const ProtobufCMessageDescriptor masticpitch__config_message__descriptor;
 extern const ProtobufCEnumDescriptor    masticpitch__config_message__kind__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_step__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_route__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_report__descriptor;
+extern const ProtobufCMessageDescriptor masticpitch__rollout_message__descriptor;
 
 PROTOBUF_C__END_DECLS
 
