--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -57,6 +57,7 @@
 views_write(entry_t *entry, const preset_service_t *service, buffer_t *text)
 {
 	static const char *const states[] = {"none", "starting", "ready", "leaving"};
+	static const char *const roles[] = {"serves", "sampled", "held"};
 	size_t max = balance_instance_count(entry->balance);
 	balance_view_t *views = calloc(max + 1, sizeof(*views));
 	size_t count = 0;
@@ -73,14 +74,15 @@
 		    "\"state\":\"%s\",\"reachable\":%s,\"usable\":%s,\"ejected\":%s,"
 		    "\"in_flight\":%u,\"running\":%u,\"queued\":%u,\"limit\":%u,"
 		    "\"slots\":%u,\"latency_us\":%u,\"weight_percent\":%u,"
-		    "\"successes\":%llu,\"failures\":%llu}",
+		    "\"successes\":%llu,\"failures\":%llu,\"release\":\"%s\","
+		    "\"rollout\":\"%s\"}",
 		    i == 0 ? "" : ",", (unsigned long long)view->node, view->service,
 		    view->zone, states[view->state], view->reachable ? "true" : "false",
 		    view->usable ? "true" : "false", view->ejected ? "true" : "false",
 		    view->in_flight, view->load.running, view->load.queued,
 		    view->load.limit, view->load.slots, view->latency_us,
 		    view->weight_percent, (unsigned long long)view->successes,
-		    (unsigned long long)view->failures);
+		    (unsigned long long)view->failures, view->release, roles[view->role]);
 	}
 	buffer_printf(text, "]");
 	free(views);
@@ -103,11 +105,13 @@
 	service = &preset->services[route->service];
 	buffer_printf(text,
 	    "{\"route\":\"%s\",\"prefix\":\"%s\",\"service\":\"%s\",\"class\":\"%s\","
-	    "\"idempotent\":%s,\"deadline_ms\":%u,\"min_attempt_ms\":%u,\"attempts\":%u,"
+	    "\"idempotent\":%s,\"key_exempt\":%s,\"deadline_ms\":%u,"
+	    "\"min_attempt_ms\":%u,\"attempts\":%u,"
 	    "\"body_limit_bytes\":%llu,\"retry_budget\":%.1f,\"queue_limit\":%u,"
 	    "\"in_flight_limit\":%u,\"spill_percent\":%u,",
 	    route->name, route->prefix, service->name,
 	    route_class_text(route->route_class), route->idempotent ? "true" : "false",
+	    preset->workspace_count == 0 || route->key_exempt ? "true" : "false",
 	    route->deadline_ms, route->min_attempt_ms, route->attempts,
 	    (unsigned long long)route->body_limit_bytes,
 	    retry_budget(entry->retry, service->name), service->queue_limit,
@@ -121,10 +125,13 @@
 {
 	buffer_printf(text,
 	    "{\"entry\":{\"in_flight\":%u,\"version\":%llu,\"policy\":\"%s\","
-	    "\"instances\":%zu,\"crash_suspects\":%zu,\"leaving\":%s}}",
+	    "\"instances\":%zu,\"workspaces\":%zu,\"crash_suspects\":%zu,"
+	    "\"leaving\":%s}}",
 	    limit_entry_in_flight(entry->limit),
 	    (unsigned long long)(entry->snapshot == NULL ? 0 : entry->snapshot->version),
 	    entry->naive ? "naive" : "adaptive", balance_instance_count(entry->balance),
+	    entry->snapshot == NULL ? (size_t)0
+				    : entry->snapshot->preset->workspace_count,
 	    quarantine_count(entry->quarantine, kernel_now(entry->kernel)),
 	    entry->leaving ? "true" : "false");
 }
@@ -148,6 +155,8 @@
 	case QUERY_EXPLAIN:
 		explain_write(entry, &query->u.query, &text);
 		break;
+	case QUERY_QUOTA:
+		break;
 	}
 	if (message != NULL)
 		message->u.report = chunk_copy(text.data, text.size);
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -772,6 +772,141 @@
   assert(message->base.descriptor == &masticpitch__crash_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticpitch__quota_ask__init
+                     (Masticpitch__QuotaAsk         *message)
+{
+  static const Masticpitch__QuotaAsk init_value = MASTICPITCH__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t masticpitch__quota_ask__get_packed_size
+                     (const Masticpitch__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__quota_ask__pack
+                     (const Masticpitch__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__quota_ask__pack_to_buffer
+                     (const Masticpitch__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__QuotaAsk *
+       masticpitch__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__QuotaAsk *)
+     protobuf_c_message_unpack (&masticpitch__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__quota_ask__free_unpacked
+                     (Masticpitch__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__quota_grant__init
+                     (Masticpitch__QuotaGrant         *message)
+{
+  static const Masticpitch__QuotaGrant init_value = MASTICPITCH__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t masticpitch__quota_grant__get_packed_size
+                     (const Masticpitch__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__quota_grant__pack
+                     (const Masticpitch__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__quota_grant__pack_to_buffer
+                     (const Masticpitch__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__QuotaGrant *
+       masticpitch__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__QuotaGrant *)
+     protobuf_c_message_unpack (&masticpitch__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__quota_grant__free_unpacked
+                     (Masticpitch__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__quota__init
+                     (Masticpitch__Quota         *message)
+{
+  static const Masticpitch__Quota init_value = MASTICPITCH__QUOTA__INIT;
+  *message = init_value;
+}
+size_t masticpitch__quota__get_packed_size
+                     (const Masticpitch__Quota *message)
+{
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__quota__pack
+                     (const Masticpitch__Quota *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__quota__pack_to_buffer
+                     (const Masticpitch__Quota *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__Quota *
+       masticpitch__quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__Quota *)
+     protobuf_c_message_unpack (&masticpitch__quota__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__quota__free_unpacked
+                     (Masticpitch__Quota *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__quota__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   masticpitch__datagram__init
                      (Masticpitch__Datagram         *message)
 {
@@ -952,6 +1087,186 @@
   assert(message->base.descriptor == &masticpitch__config_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   masticpitch__rollout_step__init
+                     (Masticpitch__RolloutStep         *message)
+{
+  static const Masticpitch__RolloutStep init_value = MASTICPITCH__ROLLOUT_STEP__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_step__get_packed_size
+                     (const Masticpitch__RolloutStep *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_step__pack
+                     (const Masticpitch__RolloutStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_step__pack_to_buffer
+                     (const Masticpitch__RolloutStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutStep *
+       masticpitch__rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutStep *)
+     protobuf_c_message_unpack (&masticpitch__rollout_step__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_step__free_unpacked
+                     (Masticpitch__RolloutStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__rollout_route__init
+                     (Masticpitch__RolloutRoute         *message)
+{
+  static const Masticpitch__RolloutRoute init_value = MASTICPITCH__ROLLOUT_ROUTE__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_route__get_packed_size
+                     (const Masticpitch__RolloutRoute *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_route__pack
+                     (const Masticpitch__RolloutRoute *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_route__pack_to_buffer
+                     (const Masticpitch__RolloutRoute *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutRoute *
+       masticpitch__rollout_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutRoute *)
+     protobuf_c_message_unpack (&masticpitch__rollout_route__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_route__free_unpacked
+                     (Masticpitch__RolloutRoute *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__rollout_report__init
+                     (Masticpitch__RolloutReport         *message)
+{
+  static const Masticpitch__RolloutReport init_value = MASTICPITCH__ROLLOUT_REPORT__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_report__get_packed_size
+                     (const Masticpitch__RolloutReport *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_report__pack
+                     (const Masticpitch__RolloutReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_report__pack_to_buffer
+                     (const Masticpitch__RolloutReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutReport *
+       masticpitch__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutReport *)
+     protobuf_c_message_unpack (&masticpitch__rollout_report__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_report__free_unpacked
+                     (Masticpitch__RolloutReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   masticpitch__rollout_message__init
+                     (Masticpitch__RolloutMessage         *message)
+{
+  static const Masticpitch__RolloutMessage init_value = MASTICPITCH__ROLLOUT_MESSAGE__INIT;
+  *message = init_value;
+}
+size_t masticpitch__rollout_message__get_packed_size
+                     (const Masticpitch__RolloutMessage *message)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t masticpitch__rollout_message__pack
+                     (const Masticpitch__RolloutMessage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t masticpitch__rollout_message__pack_to_buffer
+                     (const Masticpitch__RolloutMessage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Masticpitch__RolloutMessage *
+       masticpitch__rollout_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Masticpitch__RolloutMessage *)
+     protobuf_c_message_unpack (&masticpitch__rollout_message__descriptor,
+                                allocator, len, data);
+}
+void   masticpitch__rollout_message__free_unpacked
+                     (Masticpitch__RolloutMessage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &masticpitch__rollout_message__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor masticpitch__header__field_descriptors[2] =
 {
   {
@@ -1003,7 +1318,7 @@
   (ProtobufCMessageInit) masticpitch__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[9] =
 {
   {
     "running",
@@ -1101,8 +1416,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "exchange_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, exchange_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__load__field_indices_by_name[] = {
+  8,   /* field[8] = exchange_us */
   4,   /* field[4] = latency_us */
   2,   /* field[2] = limit */
   7,   /* field[7] = link_ns_per_kilobyte */
@@ -1115,7 +1443,7 @@
 static const ProtobufCIntRange masticpitch__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor masticpitch__load__descriptor =
 {
@@ -1125,7 +1453,7 @@
   "Masticpitch__Load",
   "masticpitch",
   sizeof(Masticpitch__Load),
-  8,
+  9,
   masticpitch__load__field_descriptors,
   masticpitch__load__field_indices_by_name,
   1,  masticpitch__load__number_ranges,
@@ -2690,63 +3018,244 @@
   (ProtobufCMessageInit) masticpitch__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue masticpitch__datagram__kind__enum_values_by_number[7] =
+static const ProtobufCFieldDescriptor masticpitch__quota_ask__field_descriptors[2] =
 {
-  { "PROBE", "MASTICPITCH__DATAGRAM__KIND__PROBE", 0 },
-  { "PROBE_ANSWER", "MASTICPITCH__DATAGRAM__KIND__PROBE_ANSWER", 1 },
-  { "GOSSIP", "MASTICPITCH__DATAGRAM__KIND__GOSSIP", 2 },
-  { "SUSPECT_QUERY", "MASTICPITCH__DATAGRAM__KIND__SUSPECT_QUERY", 3 },
-  { "SUSPECT_ANSWER", "MASTICPITCH__DATAGRAM__KIND__SUSPECT_ANSWER", 4 },
-  { "JOIN", "MASTICPITCH__DATAGRAM__KIND__JOIN", 5 },
-  { "JOIN_ANSWER", "MASTICPITCH__DATAGRAM__KIND__JOIN_ANSWER", 6 },
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaAsk, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaAsk, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange masticpitch__datagram__kind__value_ranges[] = {
-{0, 0},{0, 7}
+static const unsigned masticpitch__quota_ask__field_indices_by_name[] = {
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
 };
-static const ProtobufCEnumValueIndex masticpitch__datagram__kind__enum_values_by_name[7] =
+static const ProtobufCIntRange masticpitch__quota_ask__number_ranges[1 + 1] =
 {
-  { "GOSSIP", 2 },
-  { "JOIN", 5 },
-  { "JOIN_ANSWER", 6 },
-  { "PROBE", 0 },
-  { "PROBE_ANSWER", 1 },
-  { "SUSPECT_ANSWER", 4 },
-  { "SUSPECT_QUERY", 3 },
+  { 1, 0 },
+  { 0, 2 }
 };
-const ProtobufCEnumDescriptor masticpitch__datagram__kind__descriptor =
+const ProtobufCMessageDescriptor masticpitch__quota_ask__descriptor =
 {
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "masticpitch.Datagram.Kind",
-  "Kind",
-  "Masticpitch__Datagram__Kind",
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.QuotaAsk",
+  "QuotaAsk",
+  "Masticpitch__QuotaAsk",
   "masticpitch",
-  7,
-  masticpitch__datagram__kind__enum_values_by_number,
-  7,
-  masticpitch__datagram__kind__enum_values_by_name,
-  1,
-  masticpitch__datagram__kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+  sizeof(Masticpitch__QuotaAsk),
+  2,
+  masticpitch__quota_ask__field_descriptors,
+  masticpitch__quota_ask__field_indices_by_name,
+  1,  masticpitch__quota_ask__number_ranges,
+  (ProtobufCMessageInit) masticpitch__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__datagram__field_descriptors[15] =
+static const ProtobufCFieldDescriptor masticpitch__quota_grant__field_descriptors[4] =
 {
   {
-    "kind",
+    "workspace",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Masticpitch__Datagram, kind),
-    &masticpitch__datagram__kind__descriptor,
+    offsetof(Masticpitch__QuotaGrant, workspace),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "node",
+    "tokens",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaGrant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaGrant, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__QuotaGrant, hold),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__quota_grant__field_indices_by_name[] = {
+  3,   /* field[3] = hold */
+  2,   /* field[2] = retry_ms */
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange masticpitch__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticpitch__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.QuotaGrant",
+  "QuotaGrant",
+  "Masticpitch__QuotaGrant",
+  "masticpitch",
+  sizeof(Masticpitch__QuotaGrant),
+  4,
+  masticpitch__quota_grant__field_descriptors,
+  masticpitch__quota_grant__field_indices_by_name,
+  1,  masticpitch__quota_grant__number_ranges,
+  (ProtobufCMessageInit) masticpitch__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__quota__field_descriptors[2] =
+{
+  {
+    "asks",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__Quota, n_asks),
+    offsetof(Masticpitch__Quota, asks),
+    &masticpitch__quota_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__Quota, n_grants),
+    offsetof(Masticpitch__Quota, grants),
+    &masticpitch__quota_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__quota__field_indices_by_name[] = {
+  0,   /* field[0] = asks */
+  1,   /* field[1] = grants */
+};
+static const ProtobufCIntRange masticpitch__quota__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticpitch__quota__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.Quota",
+  "Quota",
+  "Masticpitch__Quota",
+  "masticpitch",
+  sizeof(Masticpitch__Quota),
+  2,
+  masticpitch__quota__field_descriptors,
+  masticpitch__quota__field_indices_by_name,
+  1,  masticpitch__quota__number_ranges,
+  (ProtobufCMessageInit) masticpitch__quota__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue masticpitch__datagram__kind__enum_values_by_number[8] =
+{
+  { "PROBE", "MASTICPITCH__DATAGRAM__KIND__PROBE", 0 },
+  { "PROBE_ANSWER", "MASTICPITCH__DATAGRAM__KIND__PROBE_ANSWER", 1 },
+  { "GOSSIP", "MASTICPITCH__DATAGRAM__KIND__GOSSIP", 2 },
+  { "SUSPECT_QUERY", "MASTICPITCH__DATAGRAM__KIND__SUSPECT_QUERY", 3 },
+  { "SUSPECT_ANSWER", "MASTICPITCH__DATAGRAM__KIND__SUSPECT_ANSWER", 4 },
+  { "JOIN", "MASTICPITCH__DATAGRAM__KIND__JOIN", 5 },
+  { "JOIN_ANSWER", "MASTICPITCH__DATAGRAM__KIND__JOIN_ANSWER", 6 },
+  { "QUOTA", "MASTICPITCH__DATAGRAM__KIND__QUOTA", 7 },
+};
+static const ProtobufCIntRange masticpitch__datagram__kind__value_ranges[] = {
+{0, 0},{0, 8}
+};
+static const ProtobufCEnumValueIndex masticpitch__datagram__kind__enum_values_by_name[8] =
+{
+  { "GOSSIP", 2 },
+  { "JOIN", 5 },
+  { "JOIN_ANSWER", 6 },
+  { "PROBE", 0 },
+  { "PROBE_ANSWER", 1 },
+  { "QUOTA", 7 },
+  { "SUSPECT_ANSWER", 4 },
+  { "SUSPECT_QUERY", 3 },
+};
+const ProtobufCEnumDescriptor masticpitch__datagram__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "masticpitch.Datagram.Kind",
+  "Kind",
+  "Masticpitch__Datagram__Kind",
+  "masticpitch",
+  8,
+  masticpitch__datagram__kind__enum_values_by_number,
+  8,
+  masticpitch__datagram__kind__enum_values_by_name,
+  1,
+  masticpitch__datagram__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor masticpitch__datagram__field_descriptors[16] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Datagram, kind),
+    &masticpitch__datagram__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Masticpitch__Datagram, node),
     NULL,
@@ -2910,6 +3419,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Datagram, quota),
+    &masticpitch__quota__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__datagram__field_indices_by_name[] = {
   2,   /* field[2] = boot */
@@ -2920,6 +3441,7 @@
   0,   /* field[0] = kind */
   12,   /* field[12] = members */
   1,   /* field[1] = node */
+  15,   /* field[15] = quota */
   14,   /* field[14] = receiver_suspected_incarnation */
   3,   /* field[3] = sequence */
   8,   /* field[8] = subject */
@@ -2931,7 +3453,7 @@
 static const ProtobufCIntRange masticpitch__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor masticpitch__datagram__descriptor =
 {
@@ -2941,7 +3463,7 @@
   "Masticpitch__Datagram",
   "masticpitch",
   sizeof(Masticpitch__Datagram),
-  15,
+  16,
   masticpitch__datagram__field_descriptors,
   masticpitch__datagram__field_indices_by_name,
   1,  masticpitch__datagram__number_ranges,
@@ -3349,3 +3871,376 @@
   (ProtobufCMessageInit) masticpitch__config_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor masticpitch__rollout_step__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, release),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mode",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, mode),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutStep, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_step__field_indices_by_name[] = {
+  6,   /* field[6] = elapsed_ms */
+  5,   /* field[5] = instances */
+  3,   /* field[3] = mode */
+  2,   /* field[2] = order */
+  4,   /* field[4] = permille */
+  1,   /* field[1] = release */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange masticpitch__rollout_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutStep",
+  "RolloutStep",
+  "Masticpitch__RolloutStep",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutStep),
+  7,
+  masticpitch__rollout_step__field_descriptors,
+  masticpitch__rollout_step__field_indices_by_name,
+  1,  masticpitch__rollout_step__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__rollout_route__field_descriptors[4] =
+{
+  {
+    "slot",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutRoute, slot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutRoute, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutRoute, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latencies",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Masticpitch__RolloutRoute, n_latencies),
+    offsetof(Masticpitch__RolloutRoute, latencies),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_route__field_indices_by_name[] = {
+  1,   /* field[1] = answers */
+  2,   /* field[2] = failures */
+  3,   /* field[3] = latencies */
+  0,   /* field[0] = slot */
+};
+static const ProtobufCIntRange masticpitch__rollout_route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutRoute",
+  "RolloutRoute",
+  "Masticpitch__RolloutRoute",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutRoute),
+  4,
+  masticpitch__rollout_route__field_descriptors,
+  masticpitch__rollout_route__field_indices_by_name,
+  1,  masticpitch__rollout_route__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__rollout_report__field_descriptors[8] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, release),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mode",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, mode),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "others_in_flight",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, others_in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutReport, n_target),
+    offsetof(Masticpitch__RolloutReport, target),
+    &masticpitch__rollout_route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "others",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutReport, n_others),
+    offsetof(Masticpitch__RolloutReport, others),
+    &masticpitch__rollout_route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__RolloutReport, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_report__field_indices_by_name[] = {
+  7,   /* field[7] = elapsed_ms */
+  3,   /* field[3] = mode */
+  2,   /* field[2] = order */
+  6,   /* field[6] = others */
+  4,   /* field[4] = others_in_flight */
+  1,   /* field[1] = release */
+  0,   /* field[0] = service */
+  5,   /* field[5] = target */
+};
+static const ProtobufCIntRange masticpitch__rollout_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutReport",
+  "RolloutReport",
+  "Masticpitch__RolloutReport",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutReport),
+  8,
+  masticpitch__rollout_report__field_descriptors,
+  masticpitch__rollout_report__field_indices_by_name,
+  1,  masticpitch__rollout_report__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor masticpitch__rollout_message__field_descriptors[2] =
+{
+  {
+    "steps",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutMessage, n_steps),
+    offsetof(Masticpitch__RolloutMessage, steps),
+    &masticpitch__rollout_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reports",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Masticpitch__RolloutMessage, n_reports),
+    offsetof(Masticpitch__RolloutMessage, reports),
+    &masticpitch__rollout_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned masticpitch__rollout_message__field_indices_by_name[] = {
+  1,   /* field[1] = reports */
+  0,   /* field[0] = steps */
+};
+static const ProtobufCIntRange masticpitch__rollout_message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor masticpitch__rollout_message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "masticpitch.RolloutMessage",
+  "RolloutMessage",
+  "Masticpitch__RolloutMessage",
+  "masticpitch",
+  sizeof(Masticpitch__RolloutMessage),
+  2,
+  masticpitch__rollout_message__field_descriptors,
+  masticpitch__rollout_message__field_indices_by_name,
+  1,  masticpitch__rollout_message__number_ranges,
+  (ProtobufCMessageInit) masticpitch__rollout_message__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/message.c
+++ b/src/message.c
@@ -113,6 +113,12 @@
 	case MESSAGE_SNAPSHOT:
 		snapshot_release(message->u.snapshot);
 		break;
+	case MESSAGE_ROLLOUT_STEP:
+		free(message->u.step);
+		break;
+	case MESSAGE_ROLLOUT_REPORT:
+		free(message->u.rollout);
+		break;
 	case MESSAGE_CALL_CREDIT:
 	case MESSAGE_CALL_CANCEL:
 	case MESSAGE_ANSWER_CREDIT:
@@ -126,6 +132,7 @@
 	case MESSAGE_CONTACT:
 	case MESSAGE_NESTED:
 	case MESSAGE_CRASH_REPORT:
+	case MESSAGE_VERIFIED:
 	case MESSAGE_VERSION:
 	case MESSAGE_VERSION_RECEIVED:
 	case MESSAGE_QUERY:
@@ -135,6 +142,9 @@
 	case MESSAGE_JOIN_NEEDED:
 	case MESSAGE_JOIN_ADDRESS:
 	case MESSAGE_DEPARTURE:
+	case MESSAGE_QUOTA_ASK:
+	case MESSAGE_QUOTA_GRANT:
+	case MESSAGE_QUOTA_MEMBERS:
 		break;
 	}
 	free(message);
