--- a/src/queue.c
+++ b/src/queue.c
@@ -1,18 +1,7 @@
-#include "queue.h"
+#include "queue_internal.h"
 
 #include "util.h"
 
-/* Weight of a new sample in a class's smoothed service time. */
-#define SERVICE_TIME_SAMPLE_WEIGHT 0.1
-/*
- * Without new samples the smoothed service time halves at this interval, ms.
- * Otherwise a value too long for any deadline would refuse every call, and no new
- * sample could correct it.
- */
-#define SERVICE_TIME_HALF_LIFE_MS 1000
-/* After more half-lives than this the service time is taken as 0. */
-#define SERVICE_TIME_HALF_LIVES_MAX 40
-
 void
 queue_init(queue_t *queue, uint32_t limit, uint32_t slots, bool prioritized)
 {
@@ -46,12 +35,6 @@
 	return LIST_ENTRY(band->items.prev, queue_item_t, link);
 }
 
-static order_key_t
-item_key(const queue_item_t *item)
-{
-	return (order_key_t){.rank = item->rank, .route_class = item->route_class};
-}
-
 /* The band for a new item; see QUEUE_RANKS_MAX. */
 static queue_band_t *
 band_for(queue_class_t *class, uint32_t rank)
@@ -147,7 +130,7 @@
 	item->queued = true;
 	item->band = band_for(class, item->rank);
 	if (item->band->count == 0)
-		band_start(queue, item->band, item_key(item));
+		band_start(queue, item->band, queue_item_key(item));
 	if (queue->prioritized)
 		items_insert(&item->band->items, item);
 	else
@@ -157,111 +140,6 @@
 	queue->count++;
 }
 
-/* Expected time of one call of the class at the backend server, ns. */
-static double
-class_service_time(const queue_class_t *class, uint64_t now)
-{
-	uint64_t halvings = 0;
-
-	if (now > class->sampled_at)
-		halvings =
-		    (now - class->sampled_at) / (SERVICE_TIME_HALF_LIFE_MS * NS_PER_MS);
-	if (halvings > SERVICE_TIME_HALF_LIVES_MAX)
-		return 0;
-	return class->service_ns / (double)(UINT64_C(1) << halvings);
-}
-
-void
-queue_service_record(
-    queue_t *queue, route_class_t route_class, uint64_t duration_ns, uint64_t now)
-{
-	queue_class_t *class = &queue->classes[route_class];
-	double expected = class_service_time(class, now);
-
-	if (expected <= 0 || class->assumed)
-		class->service_ns = (double)duration_ns;
-	else
-		class->service_ns = expected + SERVICE_TIME_SAMPLE_WEIGHT *
-						   ((double)duration_ns - expected);
-	class->assumed = false;
-	class->sampled_at = now;
-}
-
-/* Queued calls of a band that run before a new one with this deadline. */
-static uint32_t
-band_count_ahead(const queue_band_t *band, uint64_t deadline)
-{
-	uint32_t ahead = band->count;
-	const list_t *position = band->items.prev;
-
-	while (position != &band->items &&
-	       LIST_ENTRY(position, const queue_item_t, link)->deadline > deadline) {
-		position = position->prev;
-		ahead--;
-	}
-	return ahead;
-}
-
-/* Expected time of a number of calls of a class that run one after the other, ns. */
-static double
-class_run_time(const queue_t *queue, route_class_t route_class, uint32_t calls,
-    queue_capacity_t capacity, uint64_t now)
-{
-	uint32_t running =
-	    route_class == ROUTE_UPLOAD ? capacity.uploads : capacity.non_uploads;
-
-	return calls * class_service_time(&queue->classes[route_class], now) /
-	       MAX_OF(running, 1);
-}
-
-/* Whether a band of nested calls goes before new requests that are more urgent. */
-static bool
-is_ahead_of_urgent(order_key_t nested, order_key_t key)
-{
-	return nested.route_class == ROUTE_INTERNAL &&
-	       key.route_class != ROUTE_INTERNAL && key.rank < nested.rank;
-}
-
-/*
- * Calls of a band that run before a new item, of which own calls of its band do; see
- * QUEUE_BYPASS_NESTED_MAX.
- */
-static uint32_t
-band_turns(const queue_band_t *band, order_key_t key, uint32_t own)
-{
-	if (is_ahead_of_urgent(band->key, key))
-		return MIN_OF(band->count, QUEUE_BYPASS_NESTED_MAX * (own + 1));
-	if (is_ahead_of_urgent(key, band->key))
-		return MIN_OF(band->count, own / QUEUE_BYPASS_NESTED_MAX);
-	return order_key_compare(band->key, key) < 0 ? band->count : 0;
-}
-
-uint64_t
-queue_wait_expected(const queue_t *queue, order_key_t key, uint64_t deadline,
-    queue_capacity_t capacity, uint64_t now)
-{
-	uint64_t rate_wait = capacity.start_at > now ? capacity.start_at - now : 0;
-	/* One more, for the remaining time of the running calls. */
-	double wait = class_run_time(queue, key.route_class, 1, capacity, now);
-	uint32_t own = 0;
-
-	for (uint32_t i = 0; i < queue->waiting_count; i++) {
-		if (order_key_compare(queue->waiting[i]->key, key) == 0)
-			own = band_count_ahead(queue->waiting[i], deadline);
-	}
-	for (uint32_t i = 0; i < queue->waiting_count; i++) {
-		const queue_band_t *band = queue->waiting[i];
-		uint32_t ahead = order_key_compare(band->key, key) == 0
-				     ? own
-				     : band_turns(band, key, own);
-
-		wait +=
-		    class_run_time(queue, band->key.route_class, ahead, capacity, now);
-		rate_wait += ahead * capacity.interval;
-	}
-	return MAX_OF((uint64_t)wait, rate_wait);
-}
-
 /*
  * Expected run time of an item, ns; 0 for an upload, whose duration depends on the
  * caller.
@@ -271,7 +149,7 @@
 {
 	if (item->route_class == ROUTE_UPLOAD)
 		return 0;
-	return (uint64_t)class_service_time(&queue->classes[item->route_class], now);
+	return (uint64_t)queue_service_time(&queue->classes[item->route_class], now);
 }
 
 /* needed: expected time until the answer, ns. */
@@ -366,55 +244,6 @@
 	return band_last(queue->waiting[queue->waiting_count - 1]);
 }
 
-/* Calls of a workspace that wait in a band, for each call a second of its quota. */
-static double
-workspace_load(
-    const queue_band_t *band, uint64_t workspace, double rate, uint32_t additional)
-{
-	uint32_t count = additional;
-
-	LIST_FOREACH (node, &band->items)
-		count +=
-		    LIST_ENTRY(node, const queue_item_t, link)->workspace == workspace;
-	return rate > 0 ? count / rate : count;
-}
-
-/*
- * The last waiting call of the workspace that has most waiting in the band of an item
- * that finds no room, if that is in excess of the item's own; else NULL. Without this, a
- * workspace with many times its usual requests takes the room of the others of its rank.
- */
-static queue_item_t *
-queue_excess_find(const queue_t *queue, const queue_item_t *item)
-{
-	queue_item_t *found = NULL;
-	double most;
-
-	for (uint32_t i = 0; i < queue->waiting_count; i++) {
-		const queue_band_t *band = queue->waiting[i];
-
-		if (order_key_compare(band->key, item_key(item)) != 0)
-			continue;
-		most = QUEUE_WORKSPACE_EXCESS *
-		       workspace_load(band, item->workspace, item->workspace_rate, 1);
-		for (list_t *node = band->items.prev; node != &band->items;
-		     node = node->prev) {
-			queue_item_t *other = LIST_ENTRY(node, queue_item_t, link);
-			double load;
-
-			if (other->workspace == item->workspace || other->workspace == 0)
-				continue;
-			load = workspace_load(
-			    band, other->workspace, other->workspace_rate, 0);
-			if (load <= most)
-				continue;
-			most = load;
-			found = other;
-		}
-	}
-	return found;
-}
-
 /*
  * Time until the answer of an item that is queued now, ns, with the margin that the
  * target needs.
@@ -423,8 +252,8 @@
 item_needed(const queue_t *queue, const queue_item_t *item, queue_capacity_t capacity,
     uint64_t now, bool margin)
 {
-	uint64_t wait =
-	    queue_wait_expected(queue, item_key(item), item->deadline, capacity, now);
+	uint64_t wait = queue_wait_expected(
+	    queue, queue_item_key(item), item->deadline, capacity, now);
 
 	if (margin)
 		wait = wait / QUEUE_SLACK_PERCENT * 100;
@@ -522,7 +351,7 @@
 	uint32_t max = band_bypass_max(queue, band);
 
 	band->bypassed +=
-	    is_ahead_of_urgent(taken, band->key)
+	    queue_is_ahead_of_urgent(taken, band->key)
 		? (max + QUEUE_BYPASS_NESTED_MAX - 1) / QUEUE_BYPASS_NESTED_MAX
 		: 1;
 }
