--- a/src/balance.c
+++ b/src/balance.c
@@ -21,6 +21,23 @@
 #define LINK_WAIT_FULL_US 300000.0
 /* Weight of an instance when its slow start begins. */
 #define WEIGHT_MIN 0.1
+/* Half-life of what a gate reports of its host, ms: hosts are busy for some 0.6 s. */
+#define HOST_HALF_LIFE_MS 200
+/*
+ * Instances that are compared if the choice follows the chance of an answer in time. Of
+ * two, both are slow too often if a third of them is.
+ */
+#define SAMPLES_BY_CHANCE 4
+/*
+ * Exponent of the utilisation by which a call is expected to take longer than on an idle
+ * server: reports are late, so a nearly full gate may have no room left.
+ */
+#define CROWDING_EXPONENT 4
+/*
+ * Part of a score that follows the expected duration rather than the chance to be late,
+ * which is close to 0 for every instance if the target is far away.
+ */
+#define DURATION_SHARE 0.1
 /* Lower bound of the acceptance that a score is divided by. */
 #define ACCEPTANCE_MIN 0.05
 
@@ -147,9 +164,69 @@
 	       instance_transfer_us(balance, instance, request);
 }
 
-/* Two random candidates of a tier, the local one, and the sums for its utilisation. */
+/* Calls that the instance runs with profit at a time. */
+static double
+instance_useful(const balance_instance_t *instance)
+{
+	uint32_t capacity = instance_capacity(instance);
+
+	if (instance->load_at == 0 || instance->load.useful == 0)
+		return capacity;
+	return MIN_OF(instance->load.useful, capacity);
+}
+
+/* Duration of work on the instance against that elsewhere, 1 as elsewhere. */
+static double
+instance_slowness(const balance_instance_t *instance, uint64_t now)
+{
+	double speed = 1, host = 1;
+
+	if (instance->load_at == 0)
+		return 1;
+	if (instance->load.speed_percent != 0)
+		speed = instance->load.speed_percent / 100.0;
+	if (instance->load.host_percent != 0)
+		host += (instance->load.host_percent / 100.0 - 1) *
+			balance_decay(instance->load_at, now, HOST_HALF_LIFE_MS);
+	return speed * host;
+}
+
+static bool
+choice_is_by_chance(
+    const balance_service_t *service, const balance_request_t *request)
+{
+	return service->hosts_report && request->duration.typical_us != 0;
+}
+
+/*
+ * Chance that the instance answers after the target, with a small part that grows with
+ * the expected duration; lower is better.
+ */
+static double
+instance_lateness(
+    const balance_instance_t *instance, const balance_request_t *request, uint64_t now)
+{
+	double useful = instance_useful(instance);
+	double used = instance_work(instance, request->route_class, now) / useful;
+	double typical = request->duration.typical_us * instance_slowness(instance, now);
+	double crowding = 1, late = 0;
+
+	for (int i = 0; i < CROWDING_EXPONENT; i++)
+		crowding *= used;
+	/* Beyond its useful concurrency a call also waits for those ahead of it. */
+	typical *= 1 + MIN_OF(crowding, 1.0) + MAX_OF(used - 1, 0.0);
+	typical /= MAX_OF(ACCEPTANCE_MIN, balance_instance_acceptance(instance, now));
+	if (request->target > now)
+		late = capacity_late_chance(typical,
+		    (double)(request->target - now) / NS_PER_US,
+		    request->duration.spread);
+	return late + DURATION_SHARE * typical / request->duration.typical_us;
+}
+
+/* Random candidates of a tier, the local one, and the sums for its utilisation. */
 typedef struct candidates {
-	balance_instance_t *sampled[2];
+	balance_instance_t *sampled[SAMPLES_BY_CHANCE];
+	size_t sampled_max;
 	balance_instance_t *local; /* instance of this entry's node, or NULL */
 	size_t count;
 	double work;
@@ -171,13 +248,13 @@
 	    instance_link_wait_us(balance, instance, request, now);
 	if (instance->node == balance->local)
 		candidates->local = instance;
-	/* Reservoir sampling: every pair is equally likely, and nothing is allocated. */
-	if (seen < 2) {
+	/* Reservoir sampling: every set is equally likely, and nothing is allocated. */
+	if (seen < candidates->sampled_max) {
 		candidates->sampled[seen] = instance;
 	} else {
 		uint64_t position = rng_below(rng, seen + 1);
 
-		if (position < 2)
+		if (position < candidates->sampled_max)
 			candidates->sampled[position] = instance;
 	}
 }
@@ -195,6 +272,9 @@
     bool preferred, rng_t *rng, uint64_t now, candidates_t tiers[TIER_COUNT])
 {
 	memset(tiers, 0, TIER_COUNT * sizeof(*tiers));
+	for (size_t i = 0; i < TIER_COUNT; i++)
+		tiers[i].sampled_max =
+		    choice_is_by_chance(service, request) ? SAMPLES_BY_CHANCE : 2;
 	for (size_t i = 0; i < service->count; i++) {
 		balance_instance_t *instance = service->instances[i];
 
@@ -274,6 +354,30 @@
 	return best;
 }
 
+/* The candidate with the best chance to answer within the target. */
+static const balance_instance_t *
+candidates_most_punctual(const candidates_t *candidates, const balance_request_t *request,
+    rng_t *rng, uint64_t now)
+{
+	size_t count = MIN_OF(candidates->count, candidates->sampled_max);
+	/* Among equal ones the first wins, so the order is random. */
+	size_t first = rng_below(rng, count);
+	const balance_instance_t *best = candidates->sampled[first];
+	double best_lateness = instance_lateness(best, request, now);
+
+	for (size_t i = 1; i < count; i++) {
+		const balance_instance_t *other =
+		    candidates->sampled[(first + i) % count];
+		double lateness = instance_lateness(other, request, now);
+
+		if (lateness < best_lateness) {
+			best = other;
+			best_lateness = lateness;
+		}
+	}
+	return best;
+}
+
 static int
 choose_adaptive(const balance_t *balance, const balance_service_t *service,
     const preset_service_t *settings, const balance_request_t *request,
@@ -294,7 +398,12 @@
 	}
 	if (selected == NULL)
 		return MASTICPITCH_E_NOT_FOUND;
-	*node = candidates_best(balance, selected, settings, request, rng, now)->node;
+	if (choice_is_by_chance(service, request))
+		*node =
+		    candidates_most_punctual(selected, request, rng, now)->node;
+	else
+		*node =
+		    candidates_best(balance, selected, settings, request, rng, now)->node;
 	return MASTICPITCH_OK;
 }
 
@@ -346,6 +455,32 @@
 	}
 }
 
+bool
+balance_hosts_report(const balance_t *balance, const char *name)
+{
+	const balance_service_t *service = balance_service_find(balance, name);
+
+	return service != NULL && service->hosts_report;
+}
+
+double
+balance_utilisation(const balance_t *balance, const char *name, uint64_t now)
+{
+	const balance_service_t *service = balance_service_find(balance, name);
+	double work = 0, useful = 0;
+
+	for (size_t i = 0; service != NULL && i < service->count; i++) {
+		const balance_instance_t *instance = service->instances[i];
+
+		if (!instance_is_preferred(instance, now))
+			continue;
+		work += MAX_OF(instance_reported_load(instance, now),
+		    (double)instance->in_flight);
+		useful += instance_useful(instance);
+	}
+	return useful > 0 ? work / useful : 1;
+}
+
 static void
 instance_view(const balance_instance_t *instance, uint32_t slow_start_ms, uint64_t now,
     balance_view_t *view)
--- a/src/balance.h
+++ b/src/balance.h
@@ -7,6 +7,7 @@
 #ifndef MASTICPITCH_BALANCE_H
 #define MASTICPITCH_BALANCE_H
 
+#include "capacity_route.h"
 #include "member_types.h"
 #include "message.h"
 #include "preset.h"
@@ -53,6 +54,9 @@
 typedef struct balance_request {
 	route_class_t route_class;
 	uint32_t answer_bytes; /* expected; 0: not known */
+	/* What an answer of the route takes on a typical server; 0: not known. */
+	capacity_duration_t duration;
+	uint64_t target; /* an answer by then has full value; 0: none */
 } balance_request_t;
 
 /* State of one instance as the balancer sees it, for operators. */
@@ -116,6 +120,15 @@
  */
 void balance_local_set(balance_t *balance, uint64_t node);
 
+/*
+ * Whether the hosts of the service's instances report how long work takes on them at
+ * present. The choice then follows the chance of an answer within the target, and calls
+ * may be moved and attempted twice.
+ */
+bool balance_hosts_report(const balance_t *balance, const char *service);
+/* Share of the useful capacity of the service's usable instances that is in use. */
+double balance_utilisation(const balance_t *balance, const char *service, uint64_t now);
+
 /* Records the start of an attempt. For an unknown node the attempt is closed. */
 void balance_attempt_start(balance_t *balance, uint64_t node,
     const balance_request_t *request, uint64_t now, balance_attempt_t *attempt);
--- a/src/balance_record.c
+++ b/src/balance_record.c
@@ -58,6 +58,7 @@
 	if (load == NULL)
 		return;
 	instance->load = *load;
+	instance->service->hosts_report |= load->host_percent != 0;
 	instance->load_at = MAX_OF(now, 1);
 }
 
--- a/src/balance_table.h
+++ b/src/balance_table.h
@@ -59,6 +59,7 @@
 	size_t count;
 	size_t capacity;
 	double latency_us; /* moving average over all instances; 0: no sample */
+	bool hosts_report; /* see balance_hosts_report() */
 	union {
 		size_t next_position; /* BALANCE_NAIVE */
 	} u;
--- a/src/entry.c
+++ b/src/entry.c
@@ -64,8 +64,18 @@
 stream_receive(entry_t *entry, message_t *message)
 {
 	stream_entry_t *found = stream_table_find(&entry->streams, message);
+	stream_entry_t *second;
 
 	if (found == NULL) {
+		second = stream_table_find(&entry->second_streams, message);
+		if (second != NULL) {
+			entry_request_t *request =
+			    LIST_ENTRY(second, entry_request_t, second);
+
+			if (entry_hedge_receive(request, message))
+				entry_attempt_receive(request, message);
+			return;
+		}
 		metrics_add(kernel_metrics(entry->kernel), METRIC_LATE_FRAMES, 1);
 		return;
 	}
@@ -211,11 +221,15 @@
 	entry->service.receive = entry_receive;
 	entry->service.is_idle = entry_is_idle;
 	deadline_profile_init(&entry->deadlines);
+	capacity_routes_init(&entry->durations);
+	hedge_init(&entry->hedge);
 	answer_profile_init(&entry->answers);
 	run_set_init(&entry->running);
 	list_init(&entry->service.link);
 	list_init(&entry->requests);
 	error = stream_table_init(&entry->streams);
+	if (error == MASTICPITCH_OK)
+		error = stream_table_init(&entry->second_streams);
 	if (error == MASTICPITCH_OK)
 		error = policies_create(entry);
 	if (error == MASTICPITCH_OK)
@@ -243,5 +257,6 @@
 	quarantine_destroy(entry->quarantine);
 	snapshot_release(entry->snapshot);
 	stream_table_free(&entry->streams);
+	stream_table_free(&entry->second_streams);
 	free(entry);
 }
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -16,21 +16,14 @@
 }
 
 /*
- * True for a failure of the connection: an immediate retry at the same instance
- * may succeed.
+ * True for a failure of the connection, or a gate that would rather have another one
+ * take the call: an immediate retry at the same instance may succeed.
  */
 static bool
 failure_is_transient(reason_t reason)
 {
 	return reason == REASON_STREAM_LOST || reason == REASON_BACKEND_LOST ||
-	       reason == REASON_BACKEND_CONNECT;
-}
-
-static balance_request_t
-attempt_balance_request(const entry_request_t *request)
-{
-	return (balance_request_t){.route_class = request->head->route_class,
-	    .answer_bytes = request->head->answer_bytes};
+	       reason == REASON_BACKEND_CONNECT || reason == REASON_HOST_BUSY;
 }
 
 static bool
@@ -40,7 +33,7 @@
 	size_t excluded = MIN_OF(request->attempts, (uint32_t)PRESET_ATTEMPTS_MAX);
 	rng_t *rng = kernel_rng(entry->kernel);
 	uint64_t now = kernel_now(entry->kernel);
-	balance_request_t balance_request = attempt_balance_request(request);
+	balance_request_t balance_request = entry_balance_request(request);
 
 	if (request->ticket_bound) {
 		*node = request->ticket_node;
@@ -92,6 +85,25 @@
 	       now + ENTRY_LEAVE_ATTEMPT_NS > entry->grace_deadline;
 }
 
+/* True if a gate may leave the call to another instance. */
+static bool
+attempt_is_movable(const entry_request_t *request, uint64_t now)
+{
+	const entry_t *entry = request->entry;
+	const char *service = request->preset_service->name;
+
+	return !entry->naive && !request->ticket_bound && !request->ticket_requested &&
+	       request->head->route_class != ROUTE_UPLOAD && request->body_kept &&
+	       request->body_length >= 0 &&
+	       request->body_length <= RETRY_BODY_MAX_BYTES &&
+	       request->moves < ENTRY_MOVES_MAX &&
+	       request->attempts + 1 < PRESET_ATTEMPTS_MAX &&
+	       balance_hosts_report(entry->balance, service) &&
+	       balance_instance_count(entry->balance) >= ENTRY_MOVE_INSTANCES_MIN &&
+	       balance_utilisation(entry->balance, service, now) <=
+		   ENTRY_MOVE_UTILISATION_MAX;
+}
+
 void
 entry_attempt_start(entry_request_t *request)
 {
@@ -114,6 +126,8 @@
 		return;
 	}
 	request->head->attempt = request->attempts + 1;
+	request->head->typical_us = entry_balance_request(request).duration.typical_us;
+	request->head->movable = attempt_is_movable(request, now);
 	if (!stream_open(request, node)) {
 		attempt_give_up(request, REASON_INSTANCE_GONE);
 		return;
@@ -124,10 +138,11 @@
 	request->attempts_sent++;
 	request->window = STREAM_WINDOW_BYTES;
 	request->end_sent = !request->head->has_body;
-	balance_request = attempt_balance_request(request);
+	balance_request = entry_balance_request(request);
 	balance_attempt_start(
 	    entry->balance, node, &balance_request, now, &request->attempt);
 	metrics_add(kernel_metrics(entry->kernel), METRIC_ATTEMPTS, 1);
+	entry_hedge_arm(request);
 	entry_attempt_pump(request);
 }
 
@@ -197,7 +212,10 @@
 
 	snprintf(
 	    node, sizeof(node), "%016llx", (unsigned long long)request->attempt.node);
-	log_info(kernel_log(request->entry->kernel), "attempt failed",
+	/* Calls are moved so often that they would use up the log's rate limit. */
+	LOG_EVENT(kernel_log(request->entry->kernel),
+	    refusal->reason == REASON_HOST_BUSY ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
+	    "attempt failed",
 	    LOG_TEXT("request", request->head->request_id),
 	    LOG_NUMBER("attempt", request->attempts), LOG_TEXT("instance_node", node),
 	    LOG_TEXT("reason", reason_text(refusal->reason)),
@@ -247,6 +265,7 @@
 		request->attempts_sent--;
 		retry_request.unsent = request->attempts < PRESET_ATTEMPTS_MAX;
 	}
+	request->moves += refusal->reason == REASON_HOST_BUSY;
 	request->run = MAX_OF(request->run, refusal->run);
 	failure.run = request->run;
 	attempt_log(request, refusal);
@@ -271,6 +290,9 @@
 		return;
 	}
 	metrics_retry_add(kernel_metrics(entry->kernel), refusal->reason);
+	if (!retry_request.unsent)
+		hedge_repeat_record(
+		    &entry->hedge, hash_string(request->preset_service->name), now);
 	if (decision.at <= now) {
 		entry_attempt_start(request);
 		return;
@@ -310,6 +332,13 @@
 		answer_cut(request, refusal.reason, refusal.run);
 		return;
 	}
+	/* The first failure does not matter while the other attempt is at work. */
+	if (request->second_open) {
+		attempt_log(request, &refusal);
+		request->run = MAX_OF(request->run, refusal.run);
+		entry_hedge_promote(request);
+		return;
+	}
 	/* The gate may have run an earlier request with this ticket. */
 	if (request->ticket_bound && message->type == MESSAGE_STREAM_LOST) {
 		refusal.reason = REASON_TICKET_LOST;
@@ -318,6 +347,21 @@
 	attempt_failed(request, &refusal);
 }
 
+/* Ends the first attempt and makes the second one the only one. False: there is none. */
+static bool
+attempt_replace(entry_request_t *request)
+{
+	entry_t *entry = request->entry;
+
+	if (!request->second_open)
+		return false;
+	entry_stream_post(request, entry_stream_message(request, MESSAGE_CALL_CANCEL));
+	entry_stream_close(request);
+	balance_attempt_end(entry->balance, &request->attempt, kernel_now(entry->kernel));
+	request->run = RUN_UNKNOWN;
+	return entry_hedge_promote(request);
+}
+
 /* Ends an attempt whose peer violated the stream protocol; the run state is unknown. */
 static void
 stream_protocol_error(entry_request_t *request)
@@ -327,6 +371,8 @@
 
 	balance_attempt_failed(request->entry->balance, &request->attempt,
 	    kernel_now(request->entry->kernel));
+	if (attempt_replace(request))
+		return;
 	entry_attempt_cancel(request);
 	if (request->answer != NULL)
 		answer_cut(request, refusal.reason, refusal.run);
@@ -351,6 +397,11 @@
 	const refusal_t refusal = {
 	    .reason = REASON_BACKEND_ERROR, .run = RUN_UNKNOWN, .load = answer->load};
 
+	if (request->second_open && answer->status >= 500) {
+		balance_attempt_answer(
+		    entry->balance, &request->attempt, answer->status, &answer->load, now);
+		return attempt_replace(request);
+	}
 	if (entry->settings->dialect != DIALECT_HOSTED || entry->naive ||
 	    answer->status < 500 || answer->nested_failed || !retry_request.idempotent)
 		return false;
@@ -369,6 +420,8 @@
 		return true;
 	}
 	metrics_retry_add(kernel_metrics(entry->kernel), REASON_BACKEND_ERROR);
+	hedge_repeat_record(
+	    &entry->hedge, hash_string(request->preset_service->name), now);
 	entry_attempt_start(request);
 	return true;
 }
@@ -389,6 +442,11 @@
 	request->answer = answer;
 	request->run = RUN_YES;
 	request->first_byte_at = kernel_now(entry->kernel);
+	entry_hedge_cancel(request);
+	if (answer->status < 500)
+		capacity_route_record(&entry->durations, hash_string(request->route->name),
+		    request->first_byte_at - request->attempt.started_at,
+		    answer->load.host_percent);
 	if (answer->status < 300 && answer->body_length >= 0)
 		answer_profile_record(&entry->answers, hash_string(request->route->name),
 		    (uint64_t)answer->body_length);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -2,6 +2,7 @@
  * Shared declarations of the entry service; see entry.h. Each file calls only those
  * before it.
  *
+ * entry_hedge.c: second attempts of requests whose first one is still at work.
  * entry_report.c: request log and answers to operators' queries. entry_answer.c:
  * answers to callers. entry_refuse.c: the end of an attempt and the refusal of a
  * request. entry_attempt.c: attempts at instances. entry_head.c: validates and parses
@@ -14,9 +15,11 @@
 #include "answer_profile.h"
 #include "balance.h"
 #include "caller_server.h"
+#include "capacity_route.h"
 #include "chunk_queue.h"
 #include "deadline_profile.h"
 #include "entry.h"
+#include "hedge.h"
 #include "limit.h"
 #include "quarantine.h"
 #include "retry.h"
@@ -98,6 +101,16 @@
  */
 #define ENTRY_BACKENDS_LOST_MAX 2
 
+/* Most refusals of a request as REASON_HOST_BUSY; after them it takes what it gets. */
+#define ENTRY_MOVES_MAX 2
+/* Fewest usable instances among which calls are moved. */
+#define ENTRY_MOVE_INSTANCES_MIN 3
+/*
+ * Share of a service's capacity in use above which calls aren't moved: most gates would
+ * refuse them.
+ */
+#define ENTRY_MOVE_UTILISATION_MAX 0.85
+
 typedef struct entry_request entry_request_t;
 
 struct entry {
@@ -117,6 +130,9 @@
 	quarantine_t *quarantine;
 	deadline_profile_t deadlines;
 	answer_profile_t answers;
+	capacity_routes_t durations;
+	hedge_t hedge;
+	stream_table_t second_streams; /* of second attempts */
 	run_set_t running; /* requests that this host's backend server runs */
 	bool naive;
 	bool leaving;
@@ -179,6 +195,13 @@
 	uint64_t first_byte_at;	 /* arrival of the answer head; 0: none yet */
 	uint32_t backends_lost;	 /* attempts that ended as REASON_BACKEND_LOST */
 	ev_timer backoff;
+	uint32_t moves; /* refusals as REASON_HOST_BUSY */
+
+	/* second attempt while the first one is still at work */
+	ev_timer hedge_timer;
+	stream_entry_t second;
+	bool second_open;
+	balance_attempt_t second_attempt;
 
 	/* answer */
 	answer_head_t *answer;
@@ -192,6 +215,25 @@
 	refusal_t refusal;
 };
 
+/* entry_hedge.c */
+/* What the choice of an instance for the request depends on. */
+balance_request_t entry_balance_request(const entry_request_t *request);
+void entry_hedge_init(entry_request_t *request);
+/* Starts the wait for the time at which a second attempt is due, if any is. */
+void entry_hedge_arm(entry_request_t *request);
+/* Ends the wait, and the second attempt, if any, with CALL_CANCEL. */
+void entry_hedge_cancel(entry_request_t *request);
+/*
+ * Makes the second attempt the only one after the first has ended. False: there is no
+ * second attempt.
+ */
+bool entry_hedge_promote(entry_request_t *request);
+/*
+ * Handles a message of the second attempt's stream. True: it is to be handled as one of
+ * the request's only attempt.
+ */
+bool entry_hedge_receive(entry_request_t *request, const message_t *message);
+
 /* entry_report.c */
 /* Logs the outcome of the request in one line. */
 void entry_request_log(const entry_request_t *request, exchange_end_t end);
--- a/src/entry_refuse.c
+++ b/src/entry_refuse.c
@@ -56,6 +56,7 @@
 	entry_t *entry = request->entry;
 
 	ev_timer_stop(kernel_loop(entry->kernel), &request->backoff);
+	entry_hedge_cancel(request);
 	if (!request->stream_open)
 		return;
 	entry_stream_post(request, entry_stream_message(request, MESSAGE_CALL_CANCEL));
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -72,6 +72,7 @@
 	request->deadline.data = request;
 	ev_timer_init(&request->backoff, backoff_callback, 0.0, 0.0);
 	request->backoff.data = request;
+	entry_hedge_init(request);
 	list_append(&entry->requests, &request->link);
 	metrics_add(kernel_metrics(entry->kernel), METRIC_REQUESTS, 1);
 	return request;
@@ -141,6 +142,8 @@
 	metrics_set(kernel_metrics(entry->kernel), METRIC_REQUESTS_IN_FLIGHT,
 	    limit_entry_in_flight(entry->limit));
 	retry_request_record(entry->retry, request->preset_service);
+	hedge_request_record(&entry->hedge, hash_string(request->preset_service->name),
+	    kernel_now(entry->kernel));
 }
 
 /* True if the rest of the body is not needed. */
--- a/src/frame.c
+++ b/src/frame.c
@@ -62,6 +62,9 @@
 	scratch->load.pressure = load->pressure;
 	scratch->load.link_wait_us = load->link_wait_us;
 	scratch->load.link_ns_per_kilobyte = load->link_ns_per_kilobyte;
+	scratch->load.speed_percent = load->speed_percent;
+	scratch->load.host_percent = load->host_percent;
+	scratch->load.useful = load->useful;
 	return &scratch->load;
 }
 
@@ -119,6 +122,8 @@
 	open->answer_bytes = call->answer_bytes;
 	open->workspace = (char *)call->workspace;
 	open->rank = call->rank;
+	open->typical_us = call->typical_us;
+	open->movable = call->movable;
 	scratch->frame.body_case = MASTICPITCH__FRAME__BODY_CALL_OPEN;
 	scratch->frame.call_open = open;
 	return MASTICPITCH_OK;
@@ -238,6 +243,9 @@
 	report->pressure = MIN_OF(load->pressure, 100U);
 	report->link_wait_us = load->link_wait_us;
 	report->link_ns_per_kilobyte = load->link_ns_per_kilobyte;
+	report->speed_percent = load->speed_percent;
+	report->host_percent = load->host_percent;
+	report->useful = load->useful;
 }
 
 static int
@@ -292,6 +300,8 @@
 	call->target = target_from_frame(open->target_ms, now);
 	call->answer_bytes = open->answer_bytes;
 	call->rank = open->rank;
+	call->typical_us = open->typical_us;
+	call->movable = open->movable;
 	call->depth = open->depth;
 	call->attempt = open->attempt;
 	call->fingerprint = open->fingerprint;
--- a/src/gate.c
+++ b/src/gate.c
@@ -13,6 +13,24 @@
 	load->limit = gate_limit(gate);
 	load->pressure = pressure_percent(&gate->pressure, kernel_now(gate->kernel));
 	load->slots = gate->backend.live ? gate->backend.slots : 0;
+	capacity_server_report(&gate->capacity, load, kernel_now(gate->kernel));
+}
+
+void
+gate_capacity_record(const gate_call_t *call, uint64_t now, bool cut)
+{
+	gate_t *gate = call->gate;
+	capacity_sample_t sample = {.duration = now - call->started_at,
+	    .typical_us = call->head->typical_us,
+	    .host_percent = call->host_at_start,
+	    .running = call->running_at_start,
+	    .slots = gate->backend.slots,
+	    .cut = cut};
+
+	/* The duration of an upload depends on its caller. */
+	if (call->head->route_class != ROUTE_UPLOAD &&
+	    call->started_at >= gate->backend_since)
+		capacity_server_record(&gate->capacity, &sample, now);
 }
 
 message_t *
@@ -144,6 +162,19 @@
 	return call;
 }
 
+/* True if the call's entry is to choose another instance, which answers sooner. */
+static bool
+call_is_moved(const gate_call_t *call)
+{
+	const gate_t *gate = call->gate;
+
+	if (!call->head->movable || !gate->backend.live || gate->naive)
+		return false;
+	return capacity_server_moves(&gate->capacity,
+	    gate->running >= gate_limit(gate) || queue_length(&gate->queue) > 0,
+	    kernel_now(gate->kernel));
+}
+
 static void
 call_open(gate_t *gate, message_t *message)
 {
@@ -160,6 +191,8 @@
 	call = gate_call_create(gate, message);
 	if (call == NULL)
 		stream_refuse(gate, message, REASON_QUEUE_FULL);
+	else if (call_is_moved(call))
+		gate_call_refuse(call, REASON_HOST_BUSY, RUN_NO, false);
 	else
 		gate_call_admit(call);
 }
@@ -270,6 +303,8 @@
 		break;
 	default:
 		/* CALL_CANCEL and STREAM_LOST: the answer is not needed any more. */
+		if (call->state == GATE_CALL_RUNNING && !call->answered)
+			gate_capacity_record(call, kernel_now(gate->kernel), true);
 		gate_call_finish(call);
 		break;
 	}
--- a/src/gate_admit.c
+++ b/src/gate_admit.c
@@ -105,6 +105,8 @@
 	limit_gate_start(&gate->limit, call->head->route_class, call->started_at);
 	rate_limit_start(&gate->rate_limit, call->started_at);
 	call->running_at_start = limit_gate_non_uploads(&gate->limit);
+	call->host_at_start =
+	    capacity_server_host_percent(&gate->capacity, call->started_at);
 	run_post(call, true);
 	gate_crash_start(call);
 	if (gate_exchange_start(call) != MASTICPITCH_OK) {
--- a/src/gate_announce.c
+++ b/src/gate_announce.c
@@ -170,6 +170,7 @@
 	gate->backend_since = kernel_now(gate->kernel);
 	gate->backend_said_leaving = false;
 	gate_rate_reset(gate);
+	capacity_server_init(&gate->capacity, 0, gate->backend_since);
 	ev_timer_stop(kernel_loop(gate->kernel), &gate->drain);
 }
 
@@ -186,6 +187,8 @@
 	gate->backend = *announced;
 	gate->backend.live = true;
 	gate->backend.announced = kernel_now(gate->kernel);
+	capacity_server_cold_set(
+	    &gate->capacity, announced->cold_ms, gate->backend.announced);
 	gate->announce_timeout.repeat =
 	    (double)MAX_OF(GATE_ANNOUNCE_TIMEOUT_MS,
 		GATE_ANNOUNCE_MISSED_MIN * gate->settings->backend.announce_ms) /
--- a/src/gate_answer.c
+++ b/src/gate_answer.c
@@ -108,12 +108,17 @@
 	gate_t *gate = call->gate;
 	const char *rate_limit = answer_field(call, gate->names->rate_limit);
 	const char *leaving = answer_field(call, gate->names->leaving);
+	uint32_t host_percent =
+	    capacity_host_percent_parse(answer_field(call, gate->names->load));
 
 	/* After a pause of this process, answers of an earlier one may be unread. */
 	if (call->started_at < gate->backend_since)
 		return;
 	if (rate_limit != NULL || !call->shed)
 		gate_rate_update(gate, rate_limit);
+	if (host_percent != 0)
+		capacity_server_host_record(
+		    &gate->capacity, host_percent, kernel_now(gate->kernel));
 	if (leaving != NULL && strcmp(leaving, "1") == 0)
 		gate_backend_leave(gate);
 }
@@ -155,6 +160,9 @@
 	}
 	keep_alive_read(call);
 	backend_state_read(call);
+	call->answered_at = kernel_now(call->gate->kernel);
+	if (answer->status < 500)
+		gate_capacity_record(call, call->answered_at, false);
 	headers_strip(&answer->headers);
 	if (final)
 		headers_add(&answer->headers, final_name, "1");
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -12,6 +12,7 @@
 #define MASTICPITCH_GATE_INTERNAL_H
 
 #include "announcement.h"
+#include "capacity_server.h"
 #include "chunk_queue.h"
 #include "curl_loop.h"
 #include "defer.h"
@@ -102,6 +103,7 @@
 	snapshot_t *snapshot; /* may be NULL */
 	uint32_t running;
 	gate_backend_t backend;
+	capacity_server_t capacity; /* of the backend server */
 	/* Calls started before went to another process of the backend server. */
 	uint64_t backend_since;
 	bool backend_said_leaving; /* in an answer */
@@ -147,6 +149,8 @@
 	ev_timer deadline;
 	uint64_t started_at;
 	uint32_t running_at_start;
+	uint32_t host_at_start; /* see load_report_t.host_percent */
+	uint64_t answered_at;	/* arrival of the answer head */
 	bool fingerprint_in_flight; /* in the quarantine's in-flight set */
 	ticket_t ticket;
 	bool ticket_pending;  /* outcome not reported to the ticket table yet */
@@ -197,6 +201,9 @@
 /* Ends the call without a message and starts queued calls. */
 void gate_call_finish(gate_call_t *call);
 
+/* Records a running call in what the backend server takes; cut: it is cancelled. */
+void gate_capacity_record(const gate_call_t *call, uint64_t now, bool cut);
+
 /* gate_announce.c */
 int gate_announce_open(gate_t *gate);
 void gate_announce_close(gate_t *gate);
--- a/src/masticpitch.pb-c.c
+++ b/src/masticpitch.pb-c.c
@@ -1003,7 +1003,7 @@
   (ProtobufCMessageInit) masticpitch__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor masticpitch__load__field_descriptors[11] =
 {
   {
     "running",
@@ -1101,8 +1101,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed_percent",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, speed_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host_percent",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, host_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "useful",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__Load, useful),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__load__field_indices_by_name[] = {
+  9,   /* field[9] = host_percent */
   4,   /* field[4] = latency_us */
   2,   /* field[2] = limit */
   7,   /* field[7] = link_ns_per_kilobyte */
@@ -1111,11 +1148,14 @@
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
   3,   /* field[3] = slots */
+  8,   /* field[8] = speed_percent */
+  10,   /* field[10] = useful */
 };
-static const ProtobufCIntRange masticpitch__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticpitch__load__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 16, 8 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor masticpitch__load__descriptor =
 {
@@ -1125,10 +1165,10 @@
   "Masticpitch__Load",
   "masticpitch",
   sizeof(Masticpitch__Load),
-  8,
+  11,
   masticpitch__load__field_descriptors,
   masticpitch__load__field_indices_by_name,
-  1,  masticpitch__load__number_ranges,
+  2,  masticpitch__load__number_ranges,
   (ProtobufCMessageInit) masticpitch__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1299,7 +1339,7 @@
   (ProtobufCMessageInit) masticpitch__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[22] =
+static const ProtobufCFieldDescriptor masticpitch__call_open__field_descriptors[24] =
 {
   {
     "stream",
@@ -1565,6 +1605,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "typical_us",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__CallOpen, typical_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "movable",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Masticpitch__CallOpen, movable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned masticpitch__call_open__field_indices_by_name[] = {
   19,   /* field[19] = answer_bytes */
@@ -1577,6 +1641,7 @@
   3,   /* field[3] = headers */
   8,   /* field[8] = idempotent */
   1,   /* field[1] = method */
+  23,   /* field[23] = movable */
   2,   /* field[2] = path */
   21,   /* field[21] = rank */
   9,   /* field[9] = remaining_ms */
@@ -1588,12 +1653,14 @@
   18,   /* field[18] = target_ms */
   14,   /* field[14] = ticket */
   13,   /* field[13] = trace */
+  22,   /* field[22] = typical_us */
   20,   /* field[20] = workspace */
 };
-static const ProtobufCIntRange masticpitch__call_open__number_ranges[1 + 1] =
+static const ProtobufCIntRange masticpitch__call_open__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 40, 22 },
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor masticpitch__call_open__descriptor =
 {
@@ -1603,10 +1670,10 @@
   "Masticpitch__CallOpen",
   "masticpitch",
   sizeof(Masticpitch__CallOpen),
-  22,
+  24,
   masticpitch__call_open__field_descriptors,
   masticpitch__call_open__field_indices_by_name,
-  1,  masticpitch__call_open__number_ranges,
+  2,  masticpitch__call_open__number_ranges,
   (ProtobufCMessageInit) masticpitch__call_open__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/masticpitch.pb-c.h
+++ b/src/masticpitch.pb-c.h
@@ -107,10 +107,22 @@
    * of the host's link; 0: unknown
    */
   uint32_t link_ns_per_kilobyte;
+  /*
+   * learned duration of work, 100: as elsewhere; 0: unknown
+   */
+  uint32_t speed_percent;
+  /*
+   * duration of work on its host now, 100: as usual; 0: unknown
+   */
+  uint32_t host_percent;
+  /*
+   * learned concurrency up to which more calls give more answers
+   */
+  uint32_t useful;
 };
 #define MASTICPITCH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Masticpitch__Hello
@@ -182,10 +194,18 @@
    * 0 is served first when room is short
    */
   uint32_t rank;
+  /*
+   * duration of the route's answers; 0: unknown
+   */
+  uint32_t typical_us;
+  /*
+   * the gate may refuse it because another one would be faster
+   */
+  protobuf_c_boolean movable;
 };
 #define MASTICPITCH__CALL_OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&masticpitch__call_open__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Masticpitch__CallData
--- a/src/message.h
+++ b/src/message.h
@@ -96,6 +96,8 @@
 	 */
 	char workspace[NAME_BYTES]; /* empty: none */
 	uint32_t rank;		    /* see preset_rank() */
+	uint32_t typical_us;	    /* duration of the route's answers; 0: not known */
+	bool movable; /* the gate may refuse it because another one would be faster */
 } call_head_t;
 
 /* Load of a gate; part of every answer head and refusal. */
@@ -108,6 +110,9 @@
 	uint32_t pressure;     /* share of the urgent calls refused for load, percent */
 	uint32_t link_wait_us; /* until a long body queued now leaves the host */
 	uint32_t link_ns_per_kilobyte; /* of the host's link; 0: not known */
+	uint32_t speed_percent; /* learned duration of work; 100: as elsewhere */
+	uint32_t host_percent;	/* of work on its host now; 100: as usual; 0: not known */
+	uint32_t useful; /* concurrency up to which more calls give more answers */
 } load_report_t;
 
 typedef struct answer_head {
--- a/src/retry.c
+++ b/src/retry.c
@@ -128,6 +128,21 @@
 	    MIN_OF(budget->tokens + service->retry_percent / 100.0, retry->tokens_max);
 }
 
+/* Tokens that a class may not use. */
+static double
+tokens_reserved(const retry_t *retry, route_class_t route_class)
+{
+	if (route_class == ROUTE_INTERNAL)
+		return 0;
+	return MIN_OF(RETRY_TOKENS_RESERVED, RETRY_RESERVED_SHARE_MAX * retry->tokens_max);
+}
+
+void
+retry_token_debit(retry_t *retry, const preset_service_t *service)
+{
+	budget_get(retry, service->name)->tokens--;
+}
+
 double
 retry_budget(const retry_t *retry, const char *service)
 {
@@ -208,9 +223,6 @@
 stop_for_limits(const retry_t *retry, budget_t *budget, const retry_request_t *request,
     const retry_failure_t *failure, uint64_t at)
 {
-	double reserved =
-	    MIN_OF(RETRY_TOKENS_RESERVED, RETRY_RESERVED_SHARE_MAX * retry->tokens_max);
-
 	if (failure->final)
 		return RETRY_STOP_FINAL;
 	if (reason_is_permanent(failure->reason))
@@ -221,7 +233,7 @@
 		return RETRY_STOP_DEADLINE;
 	if (request->unsent)
 		return RETRY_STOP_NONE;
-	if (budget->tokens < (request->route_class == ROUTE_INTERNAL ? 1 : 1 + reserved))
+	if (budget->tokens < 1 + tokens_reserved(retry, request->route_class))
 		return RETRY_STOP_BUDGET;
 	budget->tokens--;
 	return RETRY_STOP_NONE;
--- a/src/retry.h
+++ b/src/retry.h
@@ -111,6 +111,11 @@
 retry_decision_t retry_decide(retry_t *retry, const preset_service_t *service,
     const retry_request_t *request, const retry_failure_t *failure, rng_t *rng,
     uint64_t now);
+/*
+ * Takes a token for a second attempt, which has a bound of its own: retries wait until
+ * requests have paid for it.
+ */
+void retry_token_debit(retry_t *retry, const preset_service_t *service);
 /* The retries left in the service's budget. */
 double retry_budget(const retry_t *retry, const char *service);
 /*
