--- a/src/balance.c
+++ b/src/balance.c
@@ -38,6 +38,11 @@
  * which is close to 0 for every instance if the target is far away.
  */
 #define DURATION_SHARE 0.1
+/*
+ * Chance of being late by which an instance of a farther tier must be better than the
+ * best one nearby: work that leaves the zone costs traffic between zones.
+ */
+#define TIER_CHANCE_GAIN 0.15
 /* Lower bound of the acceptance that a score is divided by. */
 #define ACCEPTANCE_MIN 0.05
 
@@ -354,10 +359,10 @@
 	return best;
 }
 
-/* The candidate with the best chance to answer within the target. */
+/* The candidate with the best chance to answer within the target, and its lateness. */
 static const balance_instance_t *
 candidates_most_punctual(const candidates_t *candidates, const balance_request_t *request,
-    rng_t *rng, uint64_t now)
+    rng_t *rng, uint64_t now, double *lateness_min)
 {
 	size_t count = MIN_OF(candidates->count, candidates->sampled_max);
 	/* Among equal ones the first wins, so the order is random. */
@@ -375,6 +380,32 @@
 			best_lateness = lateness;
 		}
 	}
+	*lateness_min = best_lateness;
+	return best;
+}
+
+/* The best candidate of the selected tier, or a much better one of a farther tier. */
+static const balance_instance_t *
+tiers_most_punctual(const candidates_t tiers[TIER_COUNT], const candidates_t *selected,
+    const balance_request_t *request, rng_t *rng, uint64_t now)
+{
+	double lateness;
+	const balance_instance_t *best =
+	    candidates_most_punctual(selected, request, rng, now, &lateness);
+
+	for (const candidates_t *tier = selected + 1; tier < tiers + TIER_COUNT; tier++) {
+		const balance_instance_t *other;
+		double other_lateness;
+
+		if (tier->count == 0)
+			continue;
+		other = candidates_most_punctual(
+		    tier, request, rng, now, &other_lateness);
+		if (other_lateness + TIER_CHANCE_GAIN >= lateness)
+			continue;
+		best = other;
+		lateness = other_lateness;
+	}
 	return best;
 }
 
@@ -400,7 +431,7 @@
 		return MASTICPITCH_E_NOT_FOUND;
 	if (choice_is_by_chance(service, request))
 		*node =
-		    candidates_most_punctual(selected, request, rng, now)->node;
+		    tiers_most_punctual(tiers, selected, request, rng, now)->node;
 	else
 		*node =
 		    candidates_best(balance, selected, settings, request, rng, now)->node;
@@ -463,6 +494,17 @@
 	return service != NULL && service->hosts_report;
 }
 
+double
+balance_expected_us(const balance_t *balance, uint64_t node,
+    const balance_request_t *request, uint64_t now)
+{
+	const balance_instance_t *instance = balance_instance_find(balance, node);
+
+	return instance == NULL ? request->duration.typical_us
+				: request->duration.typical_us *
+				      instance_slowness(instance, now);
+}
+
 double
 balance_utilisation(const balance_t *balance, const char *name, uint64_t now)
 {
--- a/src/balance.h
+++ b/src/balance.h
@@ -126,6 +126,9 @@
  * may be moved and attempted twice.
  */
 bool balance_hosts_report(const balance_t *balance, const char *service);
+/* What an answer of the instance is expected to take, us; 0: not known. */
+double balance_expected_us(const balance_t *balance, uint64_t node,
+    const balance_request_t *request, uint64_t now);
 /* Share of the useful capacity of the service's usable instances that is in use. */
 double balance_utilisation(const balance_t *balance, const char *service, uint64_t now);
 
--- a/src/capacity_route.c
+++ b/src/capacity_route.c
@@ -12,24 +12,36 @@
 	memset(routes, 0, sizeof(*routes));
 }
 
+static double
+clip(double difference)
+{
+	return MIN_OF(MAX_OF(difference, -CAPACITY_ROUTE_CLIP), CAPACITY_ROUTE_CLIP);
+}
+
 void
-capacity_route_record(
-    capacity_routes_t *routes, uint64_t route, uint64_t duration, uint32_t host_percent)
+capacity_route_record(capacity_routes_t *routes, uint64_t route, uint64_t duration,
+    uint32_t host_percent, uint32_t speed_percent)
 {
 	capacity_route_t *row = &routes->routes[route % CAPACITY_ROUTES];
 	double host = host_percent == 0 ? 1 : host_percent / 100.0;
+	double speed = speed_percent == 0 ? 1 : speed_percent / 100.0;
 	double log_us = log(MAX_OF((double)duration / NS_PER_US, 1.0) / host);
 	double difference, weight;
 
 	if (row->route != route)
-		*row = (capacity_route_t){.route = route, .log_us = log_us};
+		*row = (capacity_route_t){.route = route,
+		    .log_us = log_us,
+		    .variance = CAPACITY_SPREAD_PRIOR * CAPACITY_SPREAD_PRIOR};
 	row->samples += row->samples < UINT32_MAX;
 	weight = MAX_OF(1.0 / row->samples, CAPACITY_ROUTE_SAMPLE_WEIGHT);
 	difference = log_us - row->log_us;
-	if (row->samples > CAPACITY_ROUTE_SAMPLES_MIN)
-		difference =
-		    MIN_OF(MAX_OF(difference, -CAPACITY_ROUTE_CLIP), CAPACITY_ROUTE_CLIP);
-	row->log_us += weight * difference;
+	/* The mean covers all servers, so that their speeds are relative to it. */
+	row->log_us += weight * (row->samples > CAPACITY_ROUTE_SAMPLES_MIN
+					? clip(difference)
+					: difference);
+	difference = clip(difference - log(speed));
+	weight = MAX_OF(1.0 / (row->samples + CAPACITY_SPREAD_PRIOR_SAMPLES),
+	    CAPACITY_ROUTE_SAMPLE_WEIGHT);
 	row->variance += weight * (difference * difference - row->variance);
 }
 
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -39,7 +39,8 @@
 		*node = request->ticket_node;
 		return true;
 	}
-	if (entry->naive)
+	/* What the gates that moved the call reported is newer than all else. */
+	if (entry->naive || request->moves == ENTRY_MOVES_MAX)
 		excluded = 0;
 	if (balance_choose_for(entry->balance, request->preset_service, &balance_request,
 		request->tried, excluded, rng, now, node) == MASTICPITCH_OK)
@@ -446,7 +447,7 @@
 	if (answer->status < 500)
 		capacity_route_record(&entry->durations, hash_string(request->route->name),
 		    request->first_byte_at - request->attempt.started_at,
-		    answer->load.host_percent);
+		    answer->load.host_percent, answer->load.speed_percent);
 	if (answer->status < 300 && answer->body_length >= 0)
 		answer_profile_record(&entry->answers, hash_string(request->route->name),
 		    (uint64_t)answer->body_length);
--- a/src/entry_hedge.c
+++ b/src/entry_hedge.c
@@ -98,12 +98,29 @@
 	second_log(request, "second attempt sent");
 }
 
+/* Counts the first denial; the second attempt is considered again later. */
+static void
+second_denied_record(entry_request_t *request, hedge_verdict_t verdict)
+{
+	metrics_t *metrics = kernel_metrics(request->entry->kernel);
+
+	if (request->second_denied || verdict == HEDGE_NO_GAIN)
+		return;
+	request->second_denied = true;
+	if (verdict == HEDGE_NO_ROOM) {
+		metrics_add(metrics, METRIC_HEDGES_NO_ROOM, 1);
+		second_log(request, "second attempt not sent: no room");
+	} else {
+		metrics_add(metrics, METRIC_HEDGES_NO_BUDGET, 1);
+		second_log(request, "second attempt not sent: retry budget used up");
+	}
+}
+
 static void
 hedge_callback(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	entry_request_t *request = watcher->data;
 	entry_t *entry = request->entry;
-	metrics_t *metrics = kernel_metrics(entry->kernel);
 	uint64_t now = kernel_now(entry->kernel);
 	hedge_verdict_t verdict;
 
@@ -113,23 +130,17 @@
 		request->head->deadline, request->route->min_attempt_ms, now))
 		return;
 	verdict = hedge_decide(&entry->hedge,
-	    hash_string(request->preset_service->name),
+	    hash_string(request->preset_service->name), &request->hedge_attempt,
 	    balance_utilisation(entry->balance, request->preset_service->name, now),
 	    now);
-	switch (verdict) {
-	case HEDGE_NO_ROOM:
-		metrics_add(metrics, METRIC_HEDGES_NO_ROOM, 1);
-		second_log(request, "second attempt not sent: no room");
-		break;
-	case HEDGE_NO_BUDGET:
-		metrics_add(metrics, METRIC_HEDGES_NO_BUDGET, 1);
-		second_log(request, "second attempt not sent: retry budget used up");
-		break;
-	case HEDGE_SEND:
+	if (verdict == HEDGE_SEND) {
 		retry_token_debit(entry->retry, request->preset_service);
 		second_send(request, now);
-		break;
+		return;
 	}
+	second_denied_record(request, verdict);
+	ev_timer_set(watcher, HEDGE_RECHECK_MS / 1e3, 0.0);
+	ev_timer_start(loop, watcher);
 }
 
 void
@@ -158,13 +169,21 @@
 	entry_t *entry = request->entry;
 	struct ev_loop *loop = kernel_loop(entry->kernel);
 	uint64_t now = kernel_now(entry->kernel);
+	balance_request_t balance_request;
 	uint64_t due;
 
 	ev_timer_stop(loop, &request->hedge_timer);
 	if (!request_may_be_hedged(request))
 		return;
-	due = hedge_due(entry_balance_request(request).duration, request->head->target,
-	    request->head->deadline, now);
+	balance_request = entry_balance_request(request);
+	request->hedge_attempt =
+	    (hedge_attempt_t){.duration = balance_request.duration,
+		.expected_us = balance_expected_us(
+		    entry->balance, request->attempt.node, &balance_request, now),
+		.started_at = now,
+		.target = request->head->target,
+		.deadline = request->head->deadline};
+	due = hedge_due(&request->hedge_attempt, now);
 	if (due == 0 || due >= request->head->deadline)
 		return;
 	ev_timer_set(&request->hedge_timer, (double)(due - now) / 1e9, 0.0);
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -102,7 +102,7 @@
 #define ENTRY_BACKENDS_LOST_MAX 2
 
 /* Most refusals of a request as REASON_HOST_BUSY; after them it takes what it gets. */
-#define ENTRY_MOVES_MAX 2
+#define ENTRY_MOVES_MAX 3
 /* Fewest usable instances among which calls are moved. */
 #define ENTRY_MOVE_INSTANCES_MIN 3
 /*
@@ -199,8 +199,10 @@
 
 	/* second attempt while the first one is still at work */
 	ev_timer hedge_timer;
+	hedge_attempt_t hedge_attempt;
 	stream_entry_t second;
 	bool second_open;
+	bool second_denied; /* at least once; counted once */
 	balance_attempt_t second_attempt;
 
 	/* answer */
--- a/src/hedge.c
+++ b/src/hedge.c
@@ -57,25 +57,57 @@
 	return repeats <= MAX_OF(HEDGE_SHARE * requests, 1.0);
 }
 
+static uint64_t
+attempt_end(const hedge_attempt_t *attempt, uint64_t now)
+{
+	return attempt->target > now ? attempt->target : attempt->deadline;
+}
+
 uint64_t
-hedge_due(
-    capacity_duration_t duration, uint64_t target, uint64_t deadline, uint64_t now)
+hedge_due(const hedge_attempt_t *attempt, uint64_t now)
+{
+	uint64_t end = attempt_end(attempt, now);
+	double typical_us = attempt->duration.typical_us;
+	double latest_us;
+
+	if (typical_us <= 0 || end <= now)
+		return 0;
+	latest_us = (double)(end - now) / NS_PER_US -
+		    typical_us * exp(HEDGE_SPREADS_FRESH * attempt->duration.spread);
+	return now + (uint64_t)(MAX_OF(typical_us, latest_us) * NS_PER_US);
+}
+
+/* Chance that an answer takes longer than within_ns. */
+static double
+chance_longer(double expected_us, double spread, uint64_t within_ns)
+{
+	return HEDGE_TAIL_SHARE +
+	       (1 - HEDGE_TAIL_SHARE) * capacity_late_chance(expected_us,
+					    (double)within_ns / NS_PER_US, spread);
+}
+
+double
+hedge_gain(const hedge_attempt_t *attempt, uint64_t now)
 {
-	uint64_t end = target > now ? target : deadline;
-	double earliest, latest;
+	uint64_t end = attempt_end(attempt, now);
+	double spread = attempt->duration.spread;
+	double first_late, second_late;
 
-	if (duration.typical_us == 0 || end <= now)
+	if (attempt->duration.typical_us == 0 || end <= now || now < attempt->started_at)
 		return 0;
-	earliest = duration.typical_us * exp(HEDGE_SPREADS_MIN * duration.spread);
-	latest = (double)(end - now) / NS_PER_US -
-		 duration.typical_us * exp(HEDGE_SPREADS_FRESH * duration.spread);
-	/* Too late for the target, the second attempt may still be in time at all. */
-	return now + (uint64_t)(MAX_OF(earliest, latest) * NS_PER_US);
+	first_late =
+	    chance_longer(attempt->expected_us, spread, end - attempt->started_at) /
+	    chance_longer(attempt->expected_us, spread, now - attempt->started_at);
+	second_late = chance_longer(attempt->duration.typical_us, spread, end - now);
+	return first_late * (1 - second_late);
 }
 
 hedge_verdict_t
-hedge_decide(hedge_t *hedge, uint64_t service, double utilisation, uint64_t now)
+hedge_decide(hedge_t *hedge, uint64_t service, const hedge_attempt_t *attempt,
+    double utilisation, uint64_t now)
 {
+	if (hedge_gain(attempt, now) < HEDGE_GAIN_MIN)
+		return HEDGE_NO_GAIN;
 	if (utilisation > HEDGE_UTILISATION_MAX)
 		return HEDGE_NO_ROOM;
 	if (!budget_suffices(hedge, service, now))
--- a/src/hedge.h
+++ b/src/hedge.h
@@ -18,21 +18,29 @@
  * in the retry budgets of the services that they go to; the platform allows 0.2 in a
  * window of 10 s, at all nodes together.
  */
-#define HEDGE_SHARE 0.12
+#define HEDGE_SHARE 0.16
 /* The window over which requests and repeats are counted, and its parts. */
 #define HEDGE_WINDOW_PARTS 10
 #define HEDGE_WINDOW_PART_NS NS_PER_S
 /* Rows of the table of services; services with the same row evict one another. */
 #define HEDGE_SERVICES 64
-/* Spreads above the typical duration before which no second attempt is sent. */
-#define HEDGE_SPREADS_MIN 0.8
-/* Spreads above the typical duration in which a second attempt is likely to end. */
-#define HEDGE_SPREADS_FRESH 1.5
+/*
+ * Spreads above the typical duration in which a second attempt mostly ends. It is not
+ * sent earlier than this before the target: the later, the fewer are sent in vain.
+ */
+#define HEDGE_SPREADS_FRESH 1.3
+/* Share of the answers that take far longer than the spread suggests. */
+#define HEDGE_TAIL_SHARE 0.03
+/* Least chance that a second attempt makes a late answer one in time. */
+#define HEDGE_GAIN_MIN 0.12
+/* Pause before a second attempt that was not sent is considered again, ms. */
+#define HEDGE_RECHECK_MS 40
 /* No second attempt while more of the service's capacity than this is in use. */
 #define HEDGE_UTILISATION_MAX 0.75
 
 typedef enum hedge_verdict {
 	HEDGE_SEND,
+	HEDGE_NO_GAIN,	 /* the first attempt will probably be in time */
 	HEDGE_NO_BUDGET, /* the share of repeats is used up */
 	HEDGE_NO_ROOM	 /* the service is short of room */
 } hedge_verdict_t;
@@ -58,18 +66,28 @@
 void hedge_request_record(hedge_t *hedge, uint64_t service, uint64_t now);
 /* Counts a retry or a second attempt. */
 void hedge_repeat_record(hedge_t *hedge, uint64_t service, uint64_t now);
+/* The first attempt of a request. */
+typedef struct hedge_attempt {
+	capacity_duration_t duration; /* of the route */
+	double expected_us;	      /* on the instance that it went to */
+	uint64_t started_at;
+	uint64_t target;   /* an answer by then has full value; 0: none */
+	uint64_t deadline; /* an answer later than that has none */
+} hedge_attempt_t;
+
+/* When a second attempt is considered first; 0: never. */
+uint64_t hedge_due(const hedge_attempt_t *attempt, uint64_t now);
 /*
- * When a second attempt of a request that is sent now is due: once the first has taken
- * longer than most, and early enough for the second to end by the target. 0: none.
+ * Chance that a second attempt answers in time and the first one, which is still at work,
+ * does not. In time is by the target, or by the deadline once the target has passed.
  */
-uint64_t hedge_due(capacity_duration_t duration, uint64_t target, uint64_t deadline,
-    uint64_t now);
+double hedge_gain(const hedge_attempt_t *attempt, uint64_t now);
 /*
- * Decides on a second attempt that is due; HEDGE_SEND counts it. utilisation: of the
- * service's capacity.
+ * Decides on a second attempt; HEDGE_SEND counts it. utilisation: of the service's
+ * capacity.
  */
-hedge_verdict_t hedge_decide(
-    hedge_t *hedge, uint64_t service, double utilisation, uint64_t now);
+hedge_verdict_t hedge_decide(hedge_t *hedge, uint64_t service,
+    const hedge_attempt_t *attempt, double utilisation, uint64_t now);
 
 #ifdef __cplusplus
 }
