--- a/src/balance.c
+++ b/src/balance.c
@@ -21,8 +21,11 @@
 #define LINK_WAIT_FULL_US 300000.0
 /* Weight of an instance when its slow start begins. */
 #define WEIGHT_MIN 0.1
-/* Half-life of what a gate reports of its host, ms: hosts are busy for some 0.6 s. */
-#define HOST_HALF_LIFE_MS 200
+/*
+ * Time in which what a gate reports of its host loses its weight, ms: hosts are busy for
+ * some 0.6 s. A rest of it would keep an instance from ever being tried again.
+ */
+#define HOST_FORGET_MS 600
 /*
  * Instances that are compared if the choice follows the chance of an answer in time. Of
  * two, both are slow too often if a third of them is.
@@ -192,7 +195,9 @@
 		speed = instance->load.speed_percent / 100.0;
 	if (instance->load.host_percent != 0)
 		host += (instance->load.host_percent / 100.0 - 1) *
-			balance_decay(instance->load_at, now, HOST_HALF_LIFE_MS);
+			MAX_OF(1 - (double)(now - MIN_OF(now, instance->load_at)) /
+				       (HOST_FORGET_MS * NS_PER_MS),
+			    0.0);
 	return speed * host;
 }
 
--- a/src/capacity_server.h
+++ b/src/capacity_server.h
@@ -40,13 +40,14 @@
 /* Bands of concurrency, from 0 to the slots, for which durations are compared. */
 #define CAPACITY_BANDS 6
 /* Exchanges in a band before it is compared. */
-#define CAPACITY_BAND_SAMPLES_MIN 30
-#define CAPACITY_BAND_SAMPLE_WEIGHT 0.03
+#define CAPACITY_BAND_SAMPLES_MIN 60
+/* Durations spread so much that a larger weight shows a knee where there is none. */
+#define CAPACITY_BAND_SAMPLE_WEIGHT 0.01
 /*
  * A higher band is useful only if it gives at least this much more answers, as a share
  * of those that its additional concurrency would give at an unchanged duration.
  */
-#define CAPACITY_BAND_GAIN_MIN 0.25
+#define CAPACITY_BAND_GAIN_MIN 0.1
 
 /* Mean of log(duration / usual duration). */
 typedef struct capacity_speed {
--- a/test/common_request.h
+++ b/test/common_request.h
@@ -52,6 +52,7 @@
 	std::string headers;
 	std::string workspace;
 	uint32_t rank = 0;
+	bool movable = false;
 };
 
 inline std::string
@@ -81,6 +82,7 @@
 		copy.service = message->u.call->service;
 		copy.workspace = message->u.call->workspace;
 		copy.rank = message->u.call->rank;
+		copy.movable = message->u.call->movable;
 		copy.body_length = message->u.call->body_length;
 		copy.depth = message->u.call->depth;
 		copy.attempt = message->u.call->attempt;
@@ -184,13 +186,14 @@
 	}
 	void
 	post_answer(const char *to, uint64_t node, uint64_t stream, int status,
-	    int64_t body_length)
+	    int64_t body_length, const load_report_t &load = {})
 	{
 		message_t *message = message_create(MESSAGE_ANSWER_HEAD, node, stream);
 
 		message->u.answer = answer_head_create();
 		message->u.answer->status = status;
 		message->u.answer->body_length = body_length;
+		message->u.answer->load = load;
 		post(to, message);
 	}
 	const ReceivedMessage *
