--- a/src/balance.c
+++ b/src/balance.c
@@ -46,6 +46,8 @@
  * best one nearby: work that leaves the zone costs traffic between zones.
  */
 #define TIER_CHANCE_GAIN 0.15
+/* Work moves to a farther tier for a better chance only while that has room. */
+#define TIER_UTILISATION_MAX 0.8
 /* Lower bound of the acceptance that a score is divided by. */
 #define ACCEPTANCE_MIN 0.05
 
@@ -402,7 +404,8 @@
 		const balance_instance_t *other;
 		double other_lateness;
 
-		if (tier->count == 0)
+		if (tier->count == 0 ||
+		    candidates_utilisation(tier) > TIER_UTILISATION_MAX)
 			continue;
 		other = candidates_most_punctual(
 		    tier, request, rng, now, &other_lateness);
@@ -514,16 +517,22 @@
 balance_utilisation(const balance_t *balance, const char *name, uint64_t now)
 {
 	const balance_service_t *service = balance_service_find(balance, name);
-	double work = 0, useful = 0;
+	double work = 0, useful = 0, weight;
 
 	for (size_t i = 0; service != NULL && i < service->count; i++) {
 		const balance_instance_t *instance = service->instances[i];
 
 		if (!instance_is_preferred(instance, now))
 			continue;
-		work += MAX_OF(instance_reported_load(instance, now),
-		    (double)instance->in_flight);
-		useful += instance_useful(instance);
+		weight = instance->load_at == 0 ? 0
+						: balance_decay(instance->load_at, now,
+						      LOAD_HALF_LIFE_MS);
+		/* Old reports count less, rather than as if the instance were idle. */
+		weight = MAX_OF(weight, WEIGHT_MIN);
+		work += weight * MAX_OF((double)instance->load.running +
+					    instance->load.queued,
+				     (double)instance->in_flight);
+		useful += weight * instance_useful(instance);
 	}
 	return useful > 0 ? work / useful : 1;
 }
