--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -188,14 +188,16 @@
 
 	if (!json_object_is_type(instances, json_type_array))
 		return;
-	cli_table_init(&table, 8);
+	cli_table_init(&table, 10);
 	cli_table_add(&table, "SERVICE");
 	cli_table_add(&table, "NODE");
 	cli_table_add(&table, "ZONE");
 	cli_table_add(&table, "STATE");
 	cli_table_add(&table, "SLOTS");
+	cli_table_add(&table, "USEFUL");
 	cli_table_add(&table, "IN FLIGHT");
 	cli_table_add(&table, "LATENCY US");
+	cli_table_add(&table, "SPEED %%");
 	cli_table_add(&table, "EJECTED");
 	for (size_t i = 0; i < json_object_array_length(instances); i++) {
 		struct json_object *item = json_object_array_get_idx(instances, i);
@@ -206,10 +208,14 @@
 		cli_table_add(&table, "%s", cli_json_text(item, "state", "?"));
 		cli_table_add(
 		    &table, "%lld", (long long)cli_json_number(item, "slots", 0));
+		cli_table_add(
+		    &table, "%lld", (long long)cli_json_number(item, "useful", 0));
 		cli_table_add(
 		    &table, "%lld", (long long)cli_json_number(item, "in_flight", 0));
 		cli_table_add(
 		    &table, "%lld", (long long)cli_json_number(item, "latency_us", 0));
+		cli_table_add(&table, "%lld",
+		    (long long)cli_json_number(item, "speed_percent", 0));
 		cli_table_add(
 		    &table, "%s", cli_json_bool(item, "ejected") ? "yes" : "no");
 	}
--- a/src/entry_report.c
+++ b/src/entry_report.c
@@ -72,13 +72,16 @@
 		    "\"state\":\"%s\",\"reachable\":%s,\"usable\":%s,\"ejected\":%s,"
 		    "\"in_flight\":%u,\"running\":%u,\"queued\":%u,\"limit\":%u,"
 		    "\"slots\":%u,\"latency_us\":%u,\"weight_percent\":%u,"
+		    "\"speed_percent\":%u,\"host_percent\":%u,\"useful\":%u,"
 		    "\"successes\":%llu,\"failures\":%llu}",
 		    i == 0 ? "" : ",", (unsigned long long)view->node, view->service,
 		    view->zone, states[view->state], view->reachable ? "true" : "false",
 		    view->usable ? "true" : "false", view->ejected ? "true" : "false",
 		    view->in_flight, view->load.running, view->load.queued,
 		    view->load.limit, view->load.slots, view->latency_us,
-		    view->weight_percent, (unsigned long long)view->successes,
+		    view->weight_percent, view->load.speed_percent,
+		    view->load.host_percent, view->load.useful,
+		    (unsigned long long)view->successes,
 		    (unsigned long long)view->failures);
 	}
 	buffer_printf(text, "]");
