--- a/src/balance.c
+++ b/src/balance.c
@@ -204,8 +204,7 @@
 }
 
 static bool
-choice_is_by_chance(
-    const balance_service_t *service, const balance_request_t *request)
+choice_is_by_chance(const balance_service_t *service, const balance_request_t *request)
 {
 	return service->hosts_report && request->duration.typical_us != 0;
 }
@@ -407,8 +406,8 @@
 		if (tier->count == 0 ||
 		    candidates_utilisation(tier) > TIER_UTILISATION_MAX)
 			continue;
-		other = candidates_most_punctual(
-		    tier, request, rng, now, &other_lateness);
+		other =
+		    candidates_most_punctual(tier, request, rng, now, &other_lateness);
 		if (other_lateness + TIER_CHANCE_GAIN >= lateness)
 			continue;
 		best = other;
@@ -438,8 +437,7 @@
 	if (selected == NULL)
 		return MASTICPITCH_E_NOT_FOUND;
 	if (choice_is_by_chance(service, request))
-		*node =
-		    tiers_most_punctual(tiers, selected, request, rng, now)->node;
+		*node = tiers_most_punctual(tiers, selected, request, rng, now)->node;
 	else
 		*node =
 		    candidates_best(balance, selected, settings, request, rng, now)->node;
@@ -508,9 +506,9 @@
 {
 	const balance_instance_t *instance = balance_instance_find(balance, node);
 
-	return instance == NULL ? request->duration.typical_us
-				: request->duration.typical_us *
-				      instance_slowness(instance, now);
+	return instance == NULL
+		   ? request->duration.typical_us
+		   : request->duration.typical_us * instance_slowness(instance, now);
 }
 
 double
@@ -524,14 +522,14 @@
 
 		if (!instance_is_preferred(instance, now))
 			continue;
-		weight = instance->load_at == 0 ? 0
-						: balance_decay(instance->load_at, now,
-						      LOAD_HALF_LIFE_MS);
+		weight = instance->load_at == 0
+			     ? 0
+			     : balance_decay(instance->load_at, now, LOAD_HALF_LIFE_MS);
 		/* Old reports count less, rather than as if the instance were idle. */
 		weight = MAX_OF(weight, WEIGHT_MIN);
-		work += weight * MAX_OF((double)instance->load.running +
-					    instance->load.queued,
-				     (double)instance->in_flight);
+		work += weight *
+			MAX_OF((double)instance->load.running + instance->load.queued,
+			    (double)instance->in_flight);
 		useful += weight * instance_useful(instance);
 	}
 	return useful > 0 ? work / useful : 1;
--- a/src/capacity_route.c
+++ b/src/capacity_route.c
@@ -36,9 +36,9 @@
 	weight = MAX_OF(1.0 / row->samples, CAPACITY_ROUTE_SAMPLE_WEIGHT);
 	difference = log_us - row->log_us;
 	/* The mean covers all servers, so that their speeds are relative to it. */
-	row->log_us += weight * (row->samples > CAPACITY_ROUTE_SAMPLES_MIN
-					? clip(difference)
-					: difference);
+	row->log_us +=
+	    weight *
+	    (row->samples > CAPACITY_ROUTE_SAMPLES_MIN ? clip(difference) : difference);
 	difference = clip(difference - log(speed));
 	weight = MAX_OF(1.0 / (row->samples + CAPACITY_SPREAD_PRIOR_SAMPLES),
 	    CAPACITY_ROUTE_SAMPLE_WEIGHT);
--- a/src/capacity_route.h
+++ b/src/capacity_route.h
@@ -42,7 +42,7 @@
 /* What an answer of a route takes on a typical backend server. */
 typedef struct capacity_duration {
 	uint32_t typical_us; /* median; 0: not known */
-	double spread; /* standard deviation of the logarithm, on one server */
+	double spread;	     /* standard deviation of the logarithm, on one server */
 } capacity_duration_t;
 
 void capacity_routes_init(capacity_routes_t *routes);
--- a/src/capacity_server.c
+++ b/src/capacity_server.c
@@ -112,8 +112,8 @@
 
 	if (speed->samples == 0)
 		return 0;
-	return (uint32_t)MIN_OF(MAX_OF(percent, CAPACITY_SPEED_PERCENT_MIN),
-	    CAPACITY_SPEED_PERCENT_MAX);
+	return (uint32_t)MIN_OF(
+	    MAX_OF(percent, CAPACITY_SPEED_PERCENT_MIN), CAPACITY_SPEED_PERCENT_MAX);
 }
 
 uint32_t
@@ -169,6 +169,6 @@
 bool
 capacity_server_moves(const capacity_server_t *server, bool would_wait, uint64_t now)
 {
-	return would_wait || capacity_server_host_percent(server, now) >=
-				 CAPACITY_HOST_BUSY_PERCENT;
+	return would_wait ||
+	       capacity_server_host_percent(server, now) >= CAPACITY_HOST_BUSY_PERCENT;
 }
--- a/src/capacity_server.h
+++ b/src/capacity_server.h
@@ -57,21 +57,21 @@
 
 typedef struct capacity_server {
 	capacity_speed_t warm;
-	capacity_speed_t cold;	/* while the server has just started */
-	uint64_t cold_until;	/* 0: not cold */
-	uint32_t host_percent;	/* as last reported; 0: never */
+	capacity_speed_t cold; /* while the server has just started */
+	uint64_t cold_until;   /* 0: not cold */
+	uint32_t host_percent; /* as last reported; 0: never */
 	uint64_t host_at;
 	capacity_speed_t bands[CAPACITY_BANDS]; /* against the speed at that time */
 } capacity_server_t;
 
 /* One exchange with the backend server. */
 typedef struct capacity_sample {
-	uint64_t duration;	/* until the answer head */
-	uint32_t typical_us;	/* of the route; 0: not known */
-	uint32_t host_percent;	/* when it began; 0: not known */
-	uint32_t running;	/* calls that ran when it began, itself included */
+	uint64_t duration;     /* until the answer head */
+	uint32_t typical_us;   /* of the route; 0: not known */
+	uint32_t host_percent; /* when it began; 0: not known */
+	uint32_t running;      /* calls that ran when it began, itself included */
 	uint32_t slots;
-	bool cut;		/* cancelled before the answer: it takes longer still */
+	bool cut; /* cancelled before the answer: it takes longer still */
 } capacity_sample_t;
 
 /* cold_ms: how much longer the server says that it is slow. */
--- a/src/cli_status.c
+++ b/src/cli_status.c
@@ -214,8 +214,8 @@
 		    &table, "%lld", (long long)cli_json_number(item, "in_flight", 0));
 		cli_table_add(
 		    &table, "%lld", (long long)cli_json_number(item, "latency_us", 0));
-		cli_table_add(&table, "%lld",
-		    (long long)cli_json_number(item, "speed_percent", 0));
+		cli_table_add(
+		    &table, "%lld", (long long)cli_json_number(item, "speed_percent", 0));
 		cli_table_add(
 		    &table, "%s", cli_json_bool(item, "ejected") ? "yes" : "no");
 	}
--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -216,8 +216,7 @@
 	/* Calls are moved so often that they would use up the log's rate limit. */
 	LOG_EVENT(kernel_log(request->entry->kernel),
 	    refusal->reason == REASON_HOST_BUSY ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
-	    "attempt failed",
-	    LOG_TEXT("request", request->head->request_id),
+	    "attempt failed", LOG_TEXT("request", request->head->request_id),
 	    LOG_NUMBER("attempt", request->attempts), LOG_TEXT("instance_node", node),
 	    LOG_TEXT("reason", reason_text(refusal->reason)),
 	    LOG_TEXT("run", run_state_text(refusal->run)),
@@ -399,8 +398,8 @@
 	    .reason = REASON_BACKEND_ERROR, .run = RUN_UNKNOWN, .load = answer->load};
 
 	if (request->second_open && answer->status >= 500) {
-		balance_attempt_answer(
-		    entry->balance, &request->attempt, answer->status, &answer->load, now);
+		balance_attempt_answer(entry->balance, &request->attempt, answer->status,
+		    &answer->load, now);
 		return attempt_replace(request);
 	}
 	if (entry->settings->dialect != DIALECT_HOSTED || entry->naive ||
@@ -445,7 +444,8 @@
 	request->first_byte_at = kernel_now(entry->kernel);
 	entry_hedge_cancel(request);
 	if (answer->status < 500)
-		capacity_route_record(&entry->durations, hash_string(request->route->name),
+		capacity_route_record(&entry->durations,
+		    hash_string(request->route->name),
 		    request->first_byte_at - request->attempt.started_at,
 		    answer->load.host_percent, answer->load.speed_percent);
 	if (answer->status < 300 && answer->body_length >= 0)
--- a/src/entry_hedge.c
+++ b/src/entry_hedge.c
@@ -44,8 +44,7 @@
 {
 	char node[17];
 
-	snprintf(
-	    node, sizeof(node), "%016llx", (unsigned long long)request->second.node);
+	snprintf(node, sizeof(node), "%016llx", (unsigned long long)request->second.node);
 	log_info(kernel_log(request->entry->kernel), event,
 	    LOG_TEXT("request", request->head->request_id),
 	    LOG_TEXT("service", request->preset_service->name),
@@ -72,14 +71,12 @@
 	head = call_head_copy(request->head);
 	if (head == NULL)
 		return;
-	request->second = (stream_entry_t){
-	    .service = kernel_service_find(
-		entry->kernel, node == entry->node ? "gate" : "peer"),
+	request->second = (stream_entry_t){.service = kernel_service_find(entry->kernel,
+					       node == entry->node ? "gate" : "peer"),
 	    .node = node == entry->node ? 0 : node,
 	    .stream = ++entry->stream_last};
-	if (request->second.service == NULL ||
-	    stream_table_insert(&entry->second_streams, &request->second) !=
-		MASTICPITCH_OK) {
+	if (request->second.service == NULL || stream_table_insert(&entry->second_streams,
+						   &request->second) != MASTICPITCH_OK) {
 		call_head_destroy(head);
 		return;
 	}
@@ -129,10 +126,9 @@
 	    !retry_time_suffices(
 		request->head->deadline, request->route->min_attempt_ms, now))
 		return;
-	verdict = hedge_decide(&entry->hedge,
-	    hash_string(request->preset_service->name), &request->hedge_attempt,
-	    balance_utilisation(entry->balance, request->preset_service->name, now),
-	    now);
+	verdict = hedge_decide(&entry->hedge, hash_string(request->preset_service->name),
+	    &request->hedge_attempt,
+	    balance_utilisation(entry->balance, request->preset_service->name, now), now);
 	if (verdict == HEDGE_SEND) {
 		retry_token_debit(entry->retry, request->preset_service);
 		second_send(request, now);
@@ -176,13 +172,12 @@
 	if (!request_may_be_hedged(request))
 		return;
 	balance_request = entry_balance_request(request);
-	request->hedge_attempt =
-	    (hedge_attempt_t){.duration = balance_request.duration,
-		.expected_us = balance_expected_us(
-		    entry->balance, request->attempt.node, &balance_request, now),
-		.started_at = now,
-		.target = request->head->target,
-		.deadline = request->head->deadline};
+	request->hedge_attempt = (hedge_attempt_t){.duration = balance_request.duration,
+	    .expected_us = balance_expected_us(
+		entry->balance, request->attempt.node, &balance_request, now),
+	    .started_at = now,
+	    .target = request->head->target,
+	    .deadline = request->head->deadline};
 	due = hedge_due(&request->hedge_attempt, now);
 	if (due == 0 || due >= request->head->deadline)
 		return;
@@ -216,8 +211,8 @@
 	request->attempt = request->second_attempt;
 	request->second_attempt.open = false;
 	/* Stream numbers are never reused, so the insertion cannot fail. */
-	request->stream_open = stream_table_insert(&entry->streams, &request->stream) ==
-			       MASTICPITCH_OK;
+	request->stream_open =
+	    stream_table_insert(&entry->streams, &request->stream) == MASTICPITCH_OK;
 	INVARIANT(request->stream_open);
 	return true;
 }
--- a/src/gate_internal.h
+++ b/src/gate_internal.h
@@ -151,8 +151,8 @@
 	uint64_t arrived_at;
 	uint64_t started_at;
 	uint32_t running_at_start;
-	uint32_t host_at_start; /* see load_report_t.host_percent */
-	uint64_t answered_at;	/* arrival of the answer head */
+	uint32_t host_at_start;	    /* see load_report_t.host_percent */
+	uint64_t answered_at;	    /* arrival of the answer head */
 	bool fingerprint_in_flight; /* in the quarantine's in-flight set */
 	ticket_t ticket;
 	bool ticket_pending;  /* outcome not reported to the ticket table yet */
--- a/src/message.h
+++ b/src/message.h
@@ -118,9 +118,9 @@
 	uint32_t pressure;
 	uint32_t link_wait_us;	       /* until a long body queued now leaves the host */
 	uint32_t link_ns_per_kilobyte; /* of the host's link; 0: not known */
-	uint32_t speed_percent; /* learned duration of work; 100: as elsewhere */
-	uint32_t host_percent;	/* of work on its host now; 100: as usual; 0: not known */
-	uint32_t useful; /* concurrency up to which more calls give more answers */
+	uint32_t speed_percent;	       /* learned duration of work; 100: as elsewhere */
+	uint32_t host_percent; /* of work on its host now; 100: as usual; 0: not known */
+	uint32_t useful;       /* concurrency up to which more calls give more answers */
 } load_report_t;
 
 typedef struct answer_head {
--- a/src/retry.c
+++ b/src/retry.c
@@ -134,7 +134,8 @@
 {
 	if (route_class == ROUTE_INTERNAL)
 		return 0;
-	return MIN_OF(RETRY_TOKENS_RESERVED, RETRY_RESERVED_SHARE_MAX * retry->tokens_max);
+	return MIN_OF(
+	    RETRY_TOKENS_RESERVED, RETRY_RESERVED_SHARE_MAX * retry->tokens_max);
 }
 
 void
--- a/test/test_balance_capacity.cc
+++ b/test/test_balance_capacity.cc
@@ -1,5 +1,5 @@
-// Guards against work that goes to slow or busy servers while others would answer in time,
-// and against fast servers that get more than they take.
+// Guards against work that goes to slow or busy servers while others would answer in
+// time, and against fast servers that get more than they take.
 #include "balance.h"
 
 #include <gtest/gtest.h>
@@ -48,8 +48,8 @@
 		member.instance.slots = 12;
 		string_copy(member.zone, sizeof(member.zone), zone);
 		string_copy(member.region, sizeof(member.region), "r");
-		string_copy(member.instance.service, sizeof(member.instance.service),
-		    "finder");
+		string_copy(
+		    member.instance.service, sizeof(member.instance.service), "finder");
 		ASSERT_EQ(balance_member_update(balance, &member, now), 0);
 	}
 	// The gate's report, as an answer brings it.
--- a/test/test_capacity.cc
+++ b/test/test_capacity.cc
@@ -1,5 +1,5 @@
-// Guards against servers that are taken for fast or slow because of a few requests, of the
-// mix of routes or of a busy host, and against changes that are not followed.
+// Guards against servers that are taken for fast or slow because of a few requests, of
+// the mix of routes or of a busy host, and against changes that are not followed.
 #include "capacity_route.h"
 #include "capacity_server.h"
 
@@ -79,8 +79,8 @@
 	EXPECT_LT(speed(), 85u);
 }
 
-// A hung or very slow server would otherwise keep its speed: the attempts that it does not
-// answer are cancelled.
+// A hung or very slow server would otherwise keep its speed: the attempts that it does
+// not answer are cancelled.
 TEST_F(CapacityServer, CancelledExchangesCountIfTheyTookLonger)
 {
 	capacity_sample_t sample = {};
@@ -139,7 +139,8 @@
 	EXPECT_NEAR(speed(), 100, 2);
 }
 
-// Answers take five times as long once more than 8 calls run: more calls give fewer answers.
+// Answers take five times as long once more than 8 calls run: more calls give fewer
+// answers.
 TEST_F(CapacityServer, ConcurrencyBeyondTheKneeIsNotUseful)
 {
 	EXPECT_EQ(capacity_server_useful(&server, SLOTS), SLOTS);
@@ -154,8 +155,8 @@
 TEST_F(CapacityServer, SlotsAreUsefulIfAnswersTakeTheSame)
 {
 	for (int i = 0; i < 5000; i++)
-		exchange(190000, 0.3 + 1.5 * rng_unit(&rng),
-		    1, 1 + static_cast<uint32_t>(rng_below(&rng, SLOTS)));
+		exchange(190000, 0.3 + 1.5 * rng_unit(&rng), 1,
+		    1 + static_cast<uint32_t>(rng_below(&rng, SLOTS)));
 	EXPECT_EQ(capacity_server_useful(&server, SLOTS), SLOTS);
 }
 
@@ -174,7 +175,8 @@
 		bool tail = rng_below(&rng, 100) < 3, busy = rng_below(&rng, 4) == 0;
 
 		capacity_route_record(&routes, 7,
-		    (tail ? 7 : 1) * (busy ? 375 : 150) * NS_PER_MS, busy ? 250 : 100, 100);
+		    (tail ? 7 : 1) * (busy ? 375 : 150) * NS_PER_MS, busy ? 250 : 100,
+		    100);
 	}
 	EXPECT_NEAR(capacity_route_duration(&routes, 7).typical_us, 150000, 12000);
 	EXPECT_LT(capacity_route_duration(&routes, 7).spread, 0.35);
--- a/test/test_entry_hedge.cc
+++ b/test/test_entry_hedge.cc
@@ -167,7 +167,8 @@
 	second = attempt("/katalogo/1", 2);
 	ASSERT_NE(second.to, nullptr);
 	caller.reset();
-	ASSERT_TRUE(run_until([&] { return is_cancelled(first) && is_cancelled(second); }));
+	ASSERT_TRUE(
+	    run_until([&] { return is_cancelled(first) && is_cancelled(second); }));
 	ASSERT_TRUE(run_until([&] { return is_idle(); }));
 }
 
--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -641,8 +641,9 @@
 	}
 }
 
-// Guards against calls that run slowly on a busy host while other instances have room, and
-// against moving those that have no other instance, or after the host is as usual again.
+// Guards against calls that run slowly on a busy host while other instances have room,
+// and against moving those that have no other instance, or after the host is as usual
+// again.
 TEST_F(HostedGate, CallsThatMayMoveAreRefusedUnrunWhileTheHostIsBusy)
 {
 	const std::string load = "X-Masticpitch-Server-Load: 1,0,2,250\r\n";
