--- a/src/balance.c
+++ b/src/balance.c
@@ -46,6 +46,8 @@
  * best one nearby: work that leaves the zone costs traffic between zones.
  */
 #define TIER_CHANCE_GAIN 0.15
+/* A service's utilisation is computed again after this time, ms. */
+#define UTILISATION_KEPT_MS 10
 /* Work moves to a farther tier for a better chance only while that has room. */
 #define TIER_UTILISATION_MAX 0.8
 /* Lower bound of the acceptance that a score is divided by. */
@@ -511,21 +513,20 @@
 		   : request->duration.typical_us * instance_slowness(instance, now);
 }
 
-double
-balance_utilisation(const balance_t *balance, const char *name, uint64_t now)
+static double
+service_utilisation(const balance_service_t *service, uint64_t now)
 {
-	const balance_service_t *service = balance_service_find(balance, name);
-	double work = 0, useful = 0, weight;
+	double work = 0, useful = 0;
 
-	for (size_t i = 0; service != NULL && i < service->count; i++) {
+	for (size_t i = 0; i < service->count; i++) {
 		const balance_instance_t *instance = service->instances[i];
+		double weight = 0;
 
 		if (!instance_is_preferred(instance, now))
 			continue;
-		weight = instance->load_at == 0
-			     ? 0
-			     : balance_decay(instance->load_at, now, LOAD_HALF_LIFE_MS);
 		/* Old reports count less, rather than as if the instance were idle. */
+		if (instance->load_at != 0)
+			weight = balance_decay(instance->load_at, now, LOAD_HALF_LIFE_MS);
 		weight = MAX_OF(weight, WEIGHT_MIN);
 		work += weight *
 			MAX_OF((double)instance->load.running + instance->load.queued,
@@ -535,6 +536,21 @@
 	return useful > 0 ? work / useful : 1;
 }
 
+double
+balance_utilisation(const balance_t *balance, const char *name, uint64_t now)
+{
+	balance_service_t *service = balance_service_find(balance, name);
+
+	if (service == NULL)
+		return 1;
+	if (service->utilisation_at == 0 ||
+	    now >= service->utilisation_at + UTILISATION_KEPT_MS * NS_PER_MS) {
+		service->utilisation = service_utilisation(service, now);
+		service->utilisation_at = now;
+	}
+	return service->utilisation;
+}
+
 static void
 instance_view(const balance_instance_t *instance, uint32_t slow_start_ms, uint64_t now,
     balance_view_t *view)
--- a/src/balance_table.h
+++ b/src/balance_table.h
@@ -58,8 +58,10 @@
 	balance_instance_t **instances;
 	size_t count;
 	size_t capacity;
-	double latency_us; /* moving average over all instances; 0: no sample */
-	bool hosts_report; /* see balance_hosts_report() */
+	double latency_us;	 /* moving average over all instances; 0: no sample */
+	bool hosts_report;	 /* see balance_hosts_report() */
+	double utilisation;	 /* at utilisation_at */
+	uint64_t utilisation_at; /* 0: never */
 	union {
 		size_t next_position; /* BALANCE_NAIVE */
 	} u;
--- a/src/entry_internal.h
+++ b/src/entry_internal.h
@@ -105,7 +105,7 @@
  * Share of a service's capacity in use above which calls aren't moved: most gates would
  * refuse them.
  */
-#define ENTRY_MOVE_UTILISATION_MAX 0.95
+#define ENTRY_MOVE_UTILISATION_MAX 1.2
 
 typedef struct entry_request entry_request_t;
 
--- a/src/hedge.h
+++ b/src/hedge.h
@@ -36,7 +36,7 @@
 /* Pause before a second attempt that was not sent is considered again, ms. */
 #define HEDGE_RECHECK_MS 40
 /* No second attempt while more of the service's capacity than this is in use. */
-#define HEDGE_UTILISATION_MAX 0.85
+#define HEDGE_UTILISATION_MAX 1.0
 
 typedef enum hedge_verdict {
 	HEDGE_SEND,
