--- a/test/test_capacity.cc
+++ b/test/test_capacity.cc
@@ -109,7 +109,7 @@
 	EXPECT_NEAR(speed(), 100, 15);
 	EXPECT_EQ(capacity_server_host_percent(&server, now), 250u);
 	EXPECT_TRUE(capacity_server_moves(&server, false, now));
-	now += (CAPACITY_HOST_FRESH_MS + 1) * NS_PER_MS;
+	now += 400 * NS_PER_MS;
 	EXPECT_EQ(capacity_server_host_percent(&server, now), 100u);
 	EXPECT_FALSE(capacity_server_moves(&server, false, now));
 	EXPECT_TRUE(capacity_server_moves(&server, true, now));
@@ -152,12 +152,17 @@
 	EXPECT_EQ(capacity_server_useful(&server, SLOTS), 8u);
 }
 
+// Durations spread by themselves: that must not look like a knee, at any time.
 TEST_F(CapacityServer, SlotsAreUsefulIfAnswersTakeTheSame)
 {
-	for (int i = 0; i < 5000; i++)
+	int fewer = 0;
+
+	for (int i = 0; i < 5000; i++) {
 		exchange(190000, 0.3 + 1.5 * rng_unit(&rng), 1,
 		    1 + static_cast<uint32_t>(rng_below(&rng, SLOTS)));
-	EXPECT_EQ(capacity_server_useful(&server, SLOTS), SLOTS);
+		fewer += capacity_server_useful(&server, SLOTS) != SLOTS;
+	}
+	EXPECT_LT(fewer, 250);
 }
 
 TEST(CapacityRoutes, TypicalDurationIgnoresTheTailAndBusyHosts)
@@ -179,7 +184,7 @@
 		    100);
 	}
 	EXPECT_NEAR(capacity_route_duration(&routes, 7).typical_us, 150000, 12000);
-	EXPECT_LT(capacity_route_duration(&routes, 7).spread, 0.35);
+	EXPECT_LT(capacity_route_duration(&routes, 7).spread, 0.25);
 	EXPECT_EQ(capacity_route_duration(&routes, 8).typical_us, 0u);
 }
 
--- a/test/test_hedge.cc
+++ b/test/test_hedge.cc
@@ -97,7 +97,7 @@
 	now = START + 350 * NS_PER_MS;
 	for (int i = 0; i < 10; i++)
 		hedge_repeat_record(&hedge, SERVICE, now); /* retries count too */
-	while (decide() == HEDGE_SEND)
+	while (sent < 200 && decide() == HEDGE_SEND)
 		sent++;
 	EXPECT_EQ(sent + 10, static_cast<int>(200 * HEDGE_SHARE));
 	EXPECT_EQ(decide(), HEDGE_NO_BUDGET);
@@ -109,8 +109,9 @@
 TEST_F(Hedge, WindowIsForgotten)
 {
 	now = START + 350 * NS_PER_MS;
-	while (decide() == HEDGE_SEND)
-		;
+	for (int i = 0; i < 200; i++)
+		decide();
+	EXPECT_EQ(decide(), HEDGE_NO_BUDGET);
 	now += HEDGE_WINDOW_PARTS * HEDGE_WINDOW_PART_NS;
 	requests(100);
 	attempt.started_at = now - 350 * NS_PER_MS;
