--- a/test/test_gate_answer.cc
+++ b/test/test_gate_answer.cc
@@ -647,6 +647,7 @@
 TEST_F(HostedGate, CallsThatMayMoveAreRefusedUnrunWhileTheHostIsBusy)
 {
 	const std::string load = "X-Masticpitch-Server-Load: 1,0,2,250\r\n";
+	RawConnection *arrived;
 	message_t *message;
 
 	call_arrives(1, "/katalogo/1", 1)
@@ -657,12 +658,14 @@
 	message->u.call->movable = true;
 	entry->post("gate", message);
 	expect_refusal(*entry, MESSAGE_REFUSAL, 2, REASON_HOST_BUSY, RUN_NO);
+	ASSERT_NE(entry->find(MESSAGE_REFUSAL, 2), nullptr);
 	EXPECT_EQ(entry->find(MESSAGE_REFUSAL, 2)->refusal.load.host_percent, 250u);
 	EXPECT_EQ(server->connection_with("/katalogo/2"), nullptr);
-	call_arrives(3, "/katalogo/3", 3)
-	    ->write(head("200 OK", "id-3",
-		"X-Masticpitch-Server-Stamp: s\r\nContent-Length: 0\r\n"
-		"X-Masticpitch-Server-Load: 1,0,2,100\r\n"));
+	arrived = call_arrives(3, "/katalogo/3", 3);
+	ASSERT_NE(arrived, nullptr);
+	arrived->write(head("200 OK", "id-3",
+	    "X-Masticpitch-Server-Stamp: s\r\nContent-Length: 0\r\n"
+	    "X-Masticpitch-Server-Load: 1,0,2,100\r\n"));
 	ASSERT_TRUE(run_until([&] { return has_ended(3); }));
 	message = call(0, 4, "POST", "/katalogo/4");
 	message->u.call->movable = true;
