--- a/test/test_capacity.cc
+++ b/test/test_capacity.cc
@@ -186,6 +186,9 @@
 	EXPECT_NEAR(capacity_route_duration(&routes, 7).typical_us, 150000, 12000);
 	EXPECT_LT(capacity_route_duration(&routes, 7).spread, 0.25);
 	EXPECT_EQ(capacity_route_duration(&routes, 8).typical_us, 0u);
+	/* One answer after minutes. */
+	capacity_route_record(&routes, 7, 150 * NS_PER_S, 100, 100);
+	EXPECT_NEAR(capacity_route_duration(&routes, 7).typical_us, 150000, 15000);
 }
 
 TEST(CapacityRoutes, LateChanceGrowsWithTheEstimate)
