--- a/src/entry_attempt.c
+++ b/src/entry_attempt.c
@@ -436,6 +436,7 @@
 		stream_protocol_error(request);
 		return;
 	}
+	request->attempt.nested_failed = answer->nested_failed;
 	if (server_error_is_retried(request, answer))
 		return;
 	message->u.answer = NULL;
--- a/src/entry_hedge.c
+++ b/src/entry_hedge.c
@@ -11,6 +11,7 @@
 {
 	return (balance_request_t){.route_class = request->head->route_class,
 	    .answer_bytes = request->head->answer_bytes,
+	    .route = (uint32_t)hash_string(request->route->name),
 	    .duration = capacity_route_duration(
 		&request->entry->durations, hash_string(request->route->name)),
 	    .target = request->head->target};
--- a/src/frame.c
+++ b/src/frame.c
@@ -65,6 +65,7 @@
 	scratch->load.speed_percent = load->speed_percent;
 	scratch->load.host_percent = load->host_percent;
 	scratch->load.useful = load->useful;
+	scratch->load.exchange_us = load->exchange_us;
 	return &scratch->load;
 }
 
@@ -246,6 +247,7 @@
 	report->speed_percent = load->speed_percent;
 	report->host_percent = load->host_percent;
 	report->useful = load->useful;
+	report->exchange_us = load->exchange_us;
 }
 
 static int
--- a/src/membership.c
+++ b/src/membership.c
@@ -88,7 +88,7 @@
 member_post(membership_t *membership, const member_t *member)
 {
 	static const char *const receivers[] = {
-	    "peer", "entry", "config", "operators", "quota"};
+	    "peer", "entry", "config", "operators", "quota", "rollout"};
 
 	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++) {
 		message_t *message = message_create(MESSAGE_MEMBER, member->node, 0);
@@ -103,7 +103,7 @@
 removed_post(membership_t *membership, uint64_t node)
 {
 	static const char *const receivers[] = {
-	    "peer", "entry", "config", "operators", "quota"};
+	    "peer", "entry", "config", "operators", "quota", "rollout"};
 
 	for (size_t i = 0; i < ARRAY_LENGTH(receivers); i++)
 		membership_post(membership, receivers[i],
