--- a/src/balance_table.h
+++ b/src/balance_table.h
@@ -64,6 +64,9 @@
 	size_t capacity;
 	double latency_us;	    /* moving average over all instances; 0: no sample */
 	rollout_service_t *rollout; /* NULL: no step; in the balance's table */
+	bool hosts_report;	    /* see balance_hosts_report() */
+	double utilisation;	    /* at utilisation_at */
+	uint64_t utilisation_at;    /* 0: never */
 	union {
 		size_t next_position; /* BALANCE_NAIVE */
 	} u;
