A rollout's sample is drawn from two candidates again

Cause: the merge of the choice by chance gave candidates a bound on how many are sampled, which the choice of a rollout's instance did not set; it then dereferenced no instance.

Change: the bound has a name, and the sample sets it.

--- a/src/balance.c
+++ b/src/balance.c
@@ -31,6 +31,8 @@
  * two, both are slow too often if a third of them is.
  */
 #define SAMPLES_BY_CHANCE 4
+/* The same for a choice by score. */
+#define SAMPLES_BY_SCORE 2
 /*
  * Exponent of the utilisation by which a call is expected to take longer than on an idle
  * server: reports are late, so a nearly full gate may have no room left.
@@ -312,8 +314,9 @@
 {
 	memset(tiers, 0, TIER_COUNT * sizeof(*tiers));
 	for (size_t i = 0; i < TIER_COUNT; i++)
-		tiers[i].sampled_max =
-		    choice_is_by_chance(service, request) ? SAMPLES_BY_CHANCE : 2;
+		tiers[i].sampled_max = choice_is_by_chance(service, request)
+					   ? SAMPLES_BY_CHANCE
+					   : SAMPLES_BY_SCORE;
 	for (size_t i = 0; i < service->count; i++) {
 		balance_instance_t *instance = service->instances[i];
 
@@ -488,7 +491,7 @@
 {
 	rollout_target_t *target = rollout_sample_draw(service->rollout, now);
 	const balance_instance_t *best = NULL;
-	candidates_t found = {.count = 0};
+	candidates_t found = {.sampled_max = SAMPLES_BY_SCORE};
 
 	if (target == NULL)
 		return false;
