--- a/src/queue.h
+++ b/src/queue.h
@@ -31,7 +31,7 @@
  * Nested calls of a less urgent rank that may be taken ahead of a waiting band of new
  * requests. Nested calls are short and the work of their requests is spent; with them
  * behind more urgent new requests, or at every second turn only, three times as many
- * lookups were refused and few bookings more were served (kowalczyk-mapa-grown scale-1).
+ * lookups were refused and few bookings more were served; see docs/design/order.md.
  */
 #define QUEUE_BYPASS_NESTED_MAX 3
 /*
