--- a/src/entry_refuse.c
+++ b/src/entry_refuse.c
@@ -93,8 +93,8 @@
 /*
  * True if the gates had no room for the request, so that fewer requests would help. A
  * backend server that refuses work on its own account may do so at any load: throttling
- * by such refusals cost a quarter of the lookups and made no fewer of them fail
- * (kowalczyk-mapa-grown scale-1, whose servers turn away half of all arrivals).
+ * by such refusals cost a quarter of the lookups and made no fewer of them fail where
+ * servers turned away half of all arrivals; see docs/design/order.md.
  */
 static bool
 refusal_is_no_room(const entry_request_t *request, reason_t reason, run_state_t run)
--- a/src/queue.h
+++ b/src/queue.h
@@ -164,7 +164,7 @@
  * makes the next arrivals wait for its slot, and under sustained overload they are late
  * for that reason. Arriving calls that would be late are refused as TARGET_MISSED
  * meanwhile: held at one gate after the other, they waited for most of their time and
- * were refused in the end (donorlaiks-grown scale-1).
+ * were refused in the end; see docs/design/order.md.
  */
 void queue_late_hold(queue_t *queue, bool held);
 /* Earliest deadline of all items; TIME_NEVER if the queue is empty. */
--- a/src/throttle.h
+++ b/src/throttle.h
@@ -23,7 +23,7 @@
 /*
  * Attempt from which a refusal counts for the pressure. A gate refuses early what another
  * one may still serve in time: with each refusal counted, two in three lookups were
- * refused for bookings of which nine in ten were served (kowalczyk-mapa-grown scale-1).
+ * refused for bookings of which nine in ten were served; see docs/design/order.md.
  */
 #define THROTTLE_PRESSURE_ATTEMPT 4
 /* Pressure at a called service above which the share decreases. */
