--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -14,6 +14,7 @@
 import os
 import random
 import re
+import select
 import shutil
 import signal
 import socket
@@ -350,12 +351,30 @@
         instance.record.add("run", id=attempt, instance=instance.id,
                             service=instance.service, machine=instance.machine.name,
                             caller=self.headers.get(CALLER), path=self.path)
-        time.sleep(instance.work_s)
+        finished = self.work(attempt)
         with instance.lock:
             instance.running -= 1
+        if not finished:
+            self.close_connection = True
+            return
         self.reply(200, f"answer to {attempt}".encode(),
                    X_Masticpitch_Server_Stamp=f"stamp.{instance.id}.{attempt}")
 
+    def work(self, attempt):
+        """Works on a request; False: its connection was closed, and the rest is dropped."""
+        instance = self.server.instance
+        work_s = instance.work_s() if callable(instance.work_s) else instance.work_s
+        end = time.monotonic() + work_s
+        while (left := end - time.monotonic()) > 0:
+            readable, _, _ = select.select([self.connection], [], [], left)
+            if readable and not self.connection.recv(1, socket.MSG_PEEK):
+                instance.record.add("broken off", id=attempt, instance=instance.id,
+                                    left_s=round(end - time.monotonic(), 3))
+                return False
+            if readable:
+                time.sleep(min(left, 0.05))
+        return True
+
     do_GET = do_POST = do_HEAD = handle_request
 
 
@@ -425,6 +444,11 @@
         self.process.wait()
         self.mesh.record.add("node killed", machine=self.name)
 
+    def terminate(self):
+        """Begins a planned stop."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.mesh.record.add("SIGTERM", machine=self.name)["at"]
+
     def is_ready(self):
         return call(self.ready, "GET", "/-/readiness", timeout=0.5) == 200
 
@@ -547,11 +571,12 @@
                 raise CannotRun(f"not reached within {timeout} s: {what}")
             time.sleep(0.02)
 
-    def configuration(self, version, routes, services):
+    def configuration(self, version, routes, services, timeout_ms=1200):
         """Writes a configuration; routes: name to (prefix, kind, service, attempts)."""
         self.store.operator_write("op/config", {
             "version": f"{version:08x}",
-            "routes": {name: {"host": HOST, "prefix": prefix, "kind": kind, "timeoutMs": 1200,
+            "routes": {name: {"host": HOST, "prefix": prefix, "kind": kind,
+                              "timeoutMs": timeout_ms,
                               "targetLatencyMs": 400, "priority": 1, "service": service,
                               "maxAttempts": attempts}
                        for name, (prefix, kind, service, attempts) in routes.items()},
