--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -38,6 +38,9 @@
 STABLE_S = 3.0
 HOST = "pumps.example"
 SCRIPT_LIMIT_S = 110.0
+MACHINES_MAX = 10
+# Of deploy/node.json.
+OPERATORS_PORT = 9464
 
 NOT_EXECUTED = "X-Masticpitch-Not-Executed"
 ATTEMPT_ID = "X-Masticpitch-Attempt-Id"
@@ -549,11 +552,15 @@
         self.store = Store(self.store_address)
 
     def free_ports(self):
+        """The first of six ports that are free on the addresses of the machines and the
+        store, as is the operators' port of the deploy file."""
+        hosts = [f"{self.net}.{number}" for number in (*range(1, MACHINES_MAX + 1), 250)]
         for first in range(21000 + os.getpid() % 1000, 30000, 40):
             try:
-                for port in range(first, first + 6):
-                    with socket.socket() as probe:
-                        probe.bind(("0.0.0.0", port))
+                for host in hosts:
+                    for port in (*range(first, first + 6), OPERATORS_PORT):
+                        with socket.socket() as probe:
+                            probe.bind((host, port))
                 return first
             except OSError:
                 continue
