--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -542,12 +542,12 @@
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun(f"{PROGRAM} is missing: run the build of the deploy file")
         self.record = Record(record_path)
-        self.directory = tempfile.mkdtemp(prefix="review-")
         self.processes = []
         self.machines = []
         # The operators' port of the deploy file is fixed, so addresses differ by process.
         self.net = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
         self.port = self.free_ports()
+        self.directory = tempfile.mkdtemp(prefix="review-")
         self.store_address = f"{self.net}.250:{self.port + 5}"
         self.store = Store(self.store_address)
 
@@ -624,11 +624,8 @@
     try:
         mesh = Mesh(record_path)
         breaches = script(mesh, trouble)
-    except CannotRun as error:
-        print(f"cannot run: {error}")
-        return 2
-    except OSError as error:
-        print(f"cannot run: {error}")
+    except Exception as error:  # any fault of the script itself: it says nothing of the rule
+        print(f"cannot run: {type(error).__name__}: {error}")
         return 2
     finally:
         if mesh is not None:
